--- /dev/null
+++ b/src/acaciastand/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon."""
--- /dev/null
+++ b/src/acaciastand/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Embeddable coordination parts: store interface, journal, leases and ownership."""
--- /dev/null
+++ b/src/acaciastand/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/src/acaciastand/host/__init__.py
@@ -0,0 +1,1 @@
+"""The aggregate of one host: capacity, admission, tasks, grants and keyed requests."""
--- /dev/null
+++ b/src/acaciastand/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a worker for each batch task."""
--- /dev/null
+++ b/src/acaciastand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: key-value service, workers and targets."""
--- /dev/null
+++ b/src/acaciastand/pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Reaction to surges: headroom, throttling, checkpointing and eviction."""
--- /dev/null
+++ b/src/acaciastand/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Console programs."""
--- /dev/null
+++ b/src/acaciastand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' settings tree: schema, inheritance, edits and effective values."""
--- /dev/null
+++ b/src/acaciastand/shard/__init__.py
@@ -0,0 +1,1 @@
+"""The aggregate of one shard of batch jobs."""
--- /dev/null
+++ b/src/acaciastand/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs and metrics."""
--- /dev/null
+++ b/src/acaciastand/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codec and connections between the processes of the system."""
--- /dev/null
+++ b/src/acaciastand/wire/codec.py
@@ -0,0 +1,137 @@
+"""Encoding of messages as CBOR arrays ``[version, type, correlation id, fields...]``."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+
+from acaciastand.errors import AcaciastandError
+from acaciastand.record import Record
+from acaciastand.resources import Resources
+from acaciastand.wire.messages import MESSAGE_TYPES, PROTOCOL_VERSION, Message, Part
+
+MAX_FRAME_BYTES = 1 << 20
+MAX_BODY_BYTES = 512 << 10
+HEADER_FIELDS = 3
+
+
+class ProtocolError(AcaciastandError):
+    """A frame is truncated, foreign, too large or of an unsupported version."""
+
+    code = "protocol_error"
+
+
+class Frame(Record):
+    """A decoded frame."""
+
+    __slots__ = ("version", "correlation_id", "message")
+
+    def __init__(self, version: int, correlation_id: int, message: Message) -> None:
+        self.version = version
+        self.correlation_id = correlation_id
+        self.message = message
+
+
+def encode(message: Message, correlation_id: int = 0, version: int = PROTOCOL_VERSION) -> bytes:
+    """Return the frame of `message`.
+
+    Raises
+    ------
+    ProtocolError
+        The frame would exceed `MAX_FRAME_BYTES`.
+    """
+    fields = [_to_plain(value) for value in message.values()]
+    data = cbor2.dumps([version, message.type_number, correlation_id, *fields])
+    if len(data) > MAX_FRAME_BYTES:
+        raise ProtocolError(
+            f"{type(message).__name__} of {len(data)} bytes exceeds {MAX_FRAME_BYTES} bytes",
+            "send less in one message",
+        )
+    return data
+
+
+def decode(data: bytes) -> Frame:
+    """Return the frame in `data`; unknown trailing fields are ignored.
+
+    Raises
+    ------
+    ProtocolError
+        `data` is not a frame of a supported version and type.
+    """
+    items = _load_array(data)
+    version, type_number, correlation_id = items[:HEADER_FIELDS]
+    if not isinstance(version, int) or abs(version - PROTOCOL_VERSION) > 1:
+        raise ProtocolError(
+            f"protocol version {version!r} is not within one of {PROTOCOL_VERSION}",
+            "upgrade one version at a time",
+        )
+    cls = MESSAGE_TYPES.get(type_number) if isinstance(type_number, int) else None
+    if cls is None or not isinstance(correlation_id, int):
+        raise ProtocolError(
+            f"unknown message type {type_number!r}", "check what connects to this port"
+        )
+    return Frame(version, correlation_id, _from_plain(cls, items[HEADER_FIELDS:]))
+
+
+def _load_array(data: bytes) -> list[Any]:
+    try:
+        items = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise ProtocolError(
+            f"frame of {len(data)} bytes is not CBOR: {error}", "check what connects to this port"
+        ) from error
+    if not isinstance(items, list) or len(items) < HEADER_FIELDS:
+        raise ProtocolError(
+            "frame is not an array with a header", "check what connects to this port"
+        )
+    return items
+
+
+def _to_plain(value: Any) -> Any:
+    if isinstance(value, Record):
+        return [_to_plain(field) for field in value.values()]
+    if isinstance(value, list):
+        return [_to_plain(item) for item in value]
+    return value
+
+
+def _from_plain(cls: type[Any], values: list[Any]) -> Any:
+    instance = cls()
+    names = cls.fields()
+    for name, value in zip(names, values, strict=False):
+        setattr(instance, name, _field_value(cls, name, value, getattr(instance, name)))
+    return instance
+
+
+def _field_value(cls: type[Any], name: str, value: Any, default: Any) -> Any:
+    if issubclass(cls, Part):
+        if name in cls.nested:
+            return _from_plain(cls.nested[name], _expect(list, cls, name, value))
+        if name in cls.nested_lists:
+            items = _expect(list, cls, name, value)
+            return [
+                _from_plain(cls.nested_lists[name], _expect(list, cls, name, item))
+                for item in items
+            ]
+    if cls is Resources or isinstance(default, float):
+        return _expect_number(cls, name, value)
+    return _expect(type(default), cls, name, value)
+
+
+def _expect(kind: type, cls: type, name: str, value: Any) -> Any:
+    if isinstance(value, kind) and not (kind is int and isinstance(value, bool)):
+        return value
+    raise ProtocolError(
+        f"field {name!r} of {cls.__name__} has type {type(value).__name__}, not {kind.__name__}",
+        "check that both ends run compatible versions",
+    )
+
+
+def _expect_number(cls: type, name: str, value: Any) -> Any:
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return value
+    raise ProtocolError(
+        f"field {name!r} of {cls.__name__} has type {type(value).__name__}, not a number",
+        "check that both ends run compatible versions",
+    )
--- /dev/null
+++ b/src/acaciastand_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, bench and experiments."""
--- /dev/null
+++ b/src/acaciastand_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform: key-value service, worker and target."""
