--- /dev/null
+++ b/src/acaciastand_lab/bench_wire.py
@@ -0,0 +1,195 @@
+"""Measures connections and messages: bytes, processor time and memory, one end at a time.
+
+The far end runs in a second process (``python -m acaciastand_lab.bench_wire``), so that the cost
+of each end is read separately.
+"""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+import gevent.event
+import psutil
+
+from acaciastand.resources import Resources
+from acaciastand.wire.codec import encode
+from acaciastand.wire.connection import Connection, Listener, dial
+from acaciastand.wire.messages import (
+    AttemptName,
+    AttemptReport,
+    GrantAttempt,
+    GrantReply,
+    Heartbeat,
+    HeartbeatReply,
+    HeldAttempt,
+    Message,
+    ReportConfirmed,
+    SettingsUpdate,
+    ShardEpoch,
+)
+from acaciastand_lab.measurements import Slope, fit
+
+CONNECTION_COUNTS = [50, 100, 200, 400]
+ROUND_TRIPS = [500, 1000, 2000, 4000]
+ATTEMPT_COUNTS = [1, 4, 8, 16]
+TCP_IP_BYTES = 52  # IPv4 and TCP headers with timestamps; acknowledgements travel with replies
+MASK_BYTES = 4  # a client masks its frames
+SMALL_FRAME = 126
+TASK_ID = "j12-a1b2c3d4e5f6/7"
+
+
+def wire_bytes(message: Message, from_client: bool) -> int:
+    """Return the bytes of one message on the network, headers included."""
+    size = len(encode(message, 100))
+    header = 2 if size < SMALL_FRAME else 4
+    return size + header + (MASK_BYTES if from_client else 0) + TCP_IP_BYTES
+
+
+def sample_heartbeat(attempts: int) -> Heartbeat:
+    """Return a heartbeat that lists `attempts` attempts."""
+    held = [
+        HeldAttempt(12, 7, TASK_ID, 2, "running", Resources(2.0, 4000, 0)) for _ in range(attempts)
+    ]
+    return Heartbeat(100_000, 5, Resources(12.5, 64_000, 1), 70_000, True, False, held)
+
+
+def sample_reply(attempts: int) -> HeartbeatReply:
+    """Return the reply that renews `attempts` attempts."""
+    renewed = [AttemptName(TASK_ID, 2) for _ in range(attempts)]
+    return HeartbeatReply(100_000, 70_000, [ShardEpoch(12, 7)], renewed)
+
+
+def measure_bytes() -> list[Slope]:
+    """Return bytes of each message; sizes are attempts for heartbeats, messages for the rest."""
+    slopes = [
+        fit(
+            "bytes.heartbeat",
+            "bytes per attempt listed",
+            ATTEMPT_COUNTS,
+            [float(wire_bytes(sample_heartbeat(n), True)) for n in ATTEMPT_COUNTS],
+        ),
+        fit(
+            "bytes.heartbeat_reply",
+            "bytes per attempt renewed",
+            ATTEMPT_COUNTS,
+            [float(wire_bytes(sample_reply(n), False)) for n in ATTEMPT_COUNTS],
+        ),
+    ]
+    size = Resources(2.0, 4000, 0)
+    singles: list[tuple[str, Message, bool]] = [
+        (
+            "bytes.grant",
+            GrantAttempt(12, 7, TASK_ID, 2, size, 9.4, "c" * 40, "print-run", 100_000, 15.0),
+            False,
+        ),
+        ("bytes.grant_reply", GrantReply(12, TASK_ID, 2, True, ""), True),
+        ("bytes.report", AttemptReport(12, TASK_ID, 2, "done", "", size, 9.4, ""), True),
+        ("bytes.report_confirmed", ReportConfirmed(12, TASK_ID, 2), False),
+        ("bytes.settings_update", SettingsUpdate(70_000, {"request_timeout_ms": 1500}), False),
+    ]
+    for name, message, from_client in singles:
+        one = wire_bytes(message, from_client)
+        counts = [1, 2, 3, 4]
+        slopes.append(fit(name, "bytes per message", counts, [float(one * n) for n in counts]))
+    return slopes
+
+
+@contextmanager
+def far_end() -> Iterator[tuple[str, psutil.Process]]:
+    """Start the far end; yields its address and process."""
+    command = [sys.executable, "-m", "acaciastand_lab.bench_wire"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert process.stdout is not None
+        try:
+            address = process.stdout.readline().strip()
+            yield address, psutil.Process(process.pid)
+        finally:
+            process.terminate()
+
+
+def measure_memory() -> list[Slope]:
+    """Return resident bytes per open connection at the accepting and at the dialling end."""
+    accepted: list[float] = []
+    dialled: list[float] = []
+    for count in CONNECTION_COUNTS:
+        with far_end() as (address, process):
+            warm = _open(address, 1)
+            before_far = process.memory_info().rss
+            before_near = psutil.Process().memory_info().rss
+            connections = _open(address, count)
+            accepted.append(float(process.memory_info().rss - before_far))
+            dialled.append(float(psutil.Process().memory_info().rss - before_near))
+            for connection in connections + warm:
+                connection.close()
+    return [
+        fit("memory.connection_accepted", "bytes per connection", CONNECTION_COUNTS, accepted),
+        fit("memory.connection_dialled", "bytes per connection", CONNECTION_COUNTS, dialled),
+    ]
+
+
+def measure_processor() -> list[Slope]:
+    """Return processor seconds per heartbeat round trip at each end, with 8 attempts listed."""
+    near: list[float] = []
+    far: list[float] = []
+    with far_end() as (address, process):
+        connection = _open(address, 1)[0]
+        _round_trips(connection, 200)
+        for count in ROUND_TRIPS:
+            far_before = _processor_seconds(process)
+            near_before = time.process_time()
+            _round_trips(connection, count)
+            near.append(time.process_time() - near_before)
+            far.append(_processor_seconds(process) - far_before)
+        connection.close()
+    return [
+        fit("processor.heartbeat_sender", "seconds per heartbeat", ROUND_TRIPS, near),
+        fit("processor.heartbeat_receiver", "seconds per heartbeat", ROUND_TRIPS, far),
+    ]
+
+
+def _open(address: str, count: int) -> list[Connection]:
+    connections = [dial(address, lambda _connection, _message: None) for _ in range(count)]
+    for connection in connections:
+        connection.request(sample_heartbeat(0), 5.0)
+    return connections
+
+
+def _round_trips(connection: Connection, count: int) -> None:
+    heartbeat = sample_heartbeat(8)
+    for _ in range(count):
+        connection.request(heartbeat, 5.0)
+
+
+def _processor_seconds(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def measure() -> list[Slope]:
+    """Return all measurements of this module."""
+    return [*measure_bytes(), *measure_memory(), *measure_processor()]
+
+
+def _answer(_connection: Connection, message: Message) -> Message | None:
+    return sample_reply(len(message.attempts)) if isinstance(message, Heartbeat) else None
+
+
+def main() -> None:
+    """Serve as the far end: answer every heartbeat until ended."""
+    listener = Listener("127.0.0.1:0", _answer)
+    listener.start()
+    print(listener.address, flush=True)
+    ended = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    ended.wait(timeout=120.0)
+    listener.close()
+
+
+if __name__ == "__main__":
+    main()
