Add the aggregate of the host: admission, grants, ledger, keyed requests

Ruled out: calls to the worker from the aggregate. It returns commands instead, so it can be run on a fake clock and a call with an unknown outcome is simply repeated. Change: Host with capacity, slots, connections, ledger, epochs, grants counted from the sending of heartbeats, and keyed requests. HeartbeatReply carries grant_seconds, so an agent with older settings never runs a task longer than its owner waits. New reasons earlier_attempt_held and duplicate_request.

--- /dev/null
+++ b/src/acaciastand/host/attempts.py
@@ -0,0 +1,230 @@
+"""Attempts held by a host and the commands that move them at the worker."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from acaciastand.record import Record
+from acaciastand.resources import Resources
+
+BUCKET_PREFIX = "bucket/"
+
+
+class AttemptState(StrEnum):
+    """State of an attempt in the ledger."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    PAUSED = "paused"
+    STOPPING = "stopping"
+    ENDED = "ended"
+
+
+class AttemptResult(StrEnum):
+    """How an attempt ended."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    START_FAILED = "start_failed"
+    STOPPED = "stopped"
+    EVICTED = "evicted"
+    LOST = "lost"
+
+
+class CommandKind(StrEnum):
+    """What the agent is to ask of the worker."""
+
+    START = "start"
+    RENEW = "renew"
+    PAUSE = "pause"
+    RESUME = "resume"
+    STOP = "stop"
+    FORGET = "forget"
+
+
+class Command(Record):
+    """One call to the worker; `lease_seconds` is what is left of the grant."""
+
+    __slots__ = ("kind", "task_id", "attempt", "lease_seconds", "keep_progress")
+
+    def __init__(
+        self,
+        kind: CommandKind,
+        task_id: str,
+        attempt: int,
+        lease_seconds: float = 0.0,
+        keep_progress: bool = False,
+    ) -> None:
+        self.kind = kind
+        self.task_id = task_id
+        self.attempt = attempt
+        self.lease_seconds = lease_seconds
+        self.keep_progress = keep_progress
+
+
+class Grant(Record):
+    """Permission of a shard's owner, as received on one link."""
+
+    __slots__ = (
+        "shard",
+        "epoch",
+        "task_id",
+        "attempt",
+        "size",
+        "run_seconds",
+        "checkpoint",
+        "batch_class",
+        "heartbeat_sequence",
+        "grant_seconds",
+    )
+
+    def __init__(
+        self,
+        shard: int,
+        epoch: int,
+        task_id: str,
+        attempt: int,
+        size: Resources,
+        run_seconds: float = 0.0,
+        checkpoint: str = "",
+        batch_class: str = "",
+        heartbeat_sequence: int = 0,
+        grant_seconds: float = 0.0,
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self.task_id = task_id
+        self.attempt = attempt
+        self.size = size
+        self.run_seconds = run_seconds
+        self.checkpoint = checkpoint
+        self.batch_class = batch_class
+        self.heartbeat_sequence = heartbeat_sequence
+        self.grant_seconds = grant_seconds
+
+
+class WorkerTask(Record):
+    """A task as the worker lists it.
+
+    Parameters
+    ----------
+    state
+        ``running``, ``paused``, ``finished`` or ``failed``.
+    lease_seconds
+        What is left of the lease at the worker.
+    """
+
+    __slots__ = (
+        "task_id",
+        "attempt",
+        "shard",
+        "state",
+        "size",
+        "usage",
+        "lease_seconds",
+        "checkpoint",
+        "run_seconds",
+        "batch_class",
+    )
+
+    def __init__(
+        self,
+        task_id: str,
+        attempt: int,
+        shard: int,
+        state: str,
+        size: Resources,
+        usage: Resources,
+        lease_seconds: float = 0.0,
+        checkpoint: str = "",
+        run_seconds: float = 0.0,
+        batch_class: str = "",
+    ) -> None:
+        self.task_id = task_id
+        self.attempt = attempt
+        self.shard = shard
+        self.state = state
+        self.size = size
+        self.usage = usage
+        self.lease_seconds = lease_seconds
+        self.checkpoint = checkpoint
+        self.run_seconds = run_seconds
+        self.batch_class = batch_class
+
+
+class Attempt:
+    """An attempt in the ledger.
+
+    Parameters
+    ----------
+    grant
+        The grant it was taken under; the epoch rises with renewals of newer owners.
+    valid_until
+        End of the current grant, monotonic seconds.
+    held_since
+        When the host took it, monotonic seconds.
+    """
+
+    __slots__ = (
+        "grant",
+        "valid_until",
+        "held_since",
+        "state",
+        "observed",
+        "lease_until",
+        "start_sent",
+        "confirmed_at",
+        "busy",
+        "keep_progress",
+        "evicting",
+        "result",
+        "end_checkpoint",
+        "run_seconds",
+        "detail",
+    )
+
+    def __init__(self, grant: Grant, valid_until: float, held_since: float) -> None:
+        self.grant = grant
+        self.valid_until = valid_until
+        self.held_since = held_since
+        self.state = AttemptState.STARTING
+        self.observed = Resources()
+        self.lease_until = 0.0
+        self.start_sent = False
+        self.confirmed_at = held_since
+        self.busy = False
+        self.keep_progress = False
+        self.evicting = False
+        self.result: AttemptResult | None = None
+        self.end_checkpoint = ""
+        self.run_seconds = 0.0
+        self.detail = ""
+
+    @property
+    def task_id(self) -> str:
+        """Task of the attempt."""
+        return self.grant.task_id
+
+    @property
+    def number(self) -> int:
+        """Attempt number."""
+        return self.grant.attempt
+
+    @property
+    def is_bucket(self) -> bool:
+        """Whether this is the home of a bucket of keys, which the worker knows nothing about."""
+        return self.grant.task_id.startswith(BUCKET_PREFIX)
+
+    @property
+    def counted(self) -> Resources:
+        """The larger of declared and observed use; nothing once it ended."""
+        if self.state is AttemptState.ENDED:
+            return Resources()
+        return self.grant.size.largest(self.observed)
+
+    def end(self, result: AttemptResult, detail: str = "") -> None:
+        """Record the result; it is kept until the owner confirms it."""
+        self.state = AttemptState.ENDED
+        self.result = result
+        self.detail = detail
+        self.busy = False
--- /dev/null
+++ b/src/acaciastand/host/host.py
@@ -0,0 +1,361 @@
+"""The aggregate root of one host: what it admits, what it runs and what it reports."""
+
+from __future__ import annotations
+
+from acaciastand.host.attempts import (
+    Attempt,
+    AttemptResult,
+    AttemptState,
+    Command,
+    CommandKind,
+    Grant,
+    WorkerTask,
+)
+from acaciastand.host.grants import SentHeartbeats
+from acaciastand.host.ledger import Ledger
+from acaciastand.host.requests import RequestDesk
+from acaciastand.reasons import Reason
+from acaciastand.resources import Resources
+
+MAX_SHARDS = 1024  # shards whose highest epoch is remembered
+MIN_LEASE_EXTENSION_SECONDS = 0.5  # smaller gains are not worth a call to the worker
+
+LISTED_RESULTS = {"finished": AttemptResult.COMPLETED, "failed": AttemptResult.FAILED}
+
+
+class Host:
+    """Admission of attempts to one host; the only authority on what runs there.
+
+    Times are monotonic seconds. The host never calls the worker: `commands` returns what is to be
+    asked, and the agent tells the result with `command_done` and `worker_listed`.
+
+    Parameters
+    ----------
+    slots, connections
+        Requests executed at once, and callers waiting at once.
+    grant_seconds
+        Longest grant; updated with the settings.
+    key_window_seconds
+        How long outcomes of keyed requests are kept.
+    """
+
+    def __init__(
+        self,
+        services: list[str],
+        slots: int = 8,
+        connections: int = 64,
+        grant_seconds: float = 15.0,
+        key_window_seconds: float = 600.0,
+    ) -> None:
+        self.capacity = Resources()
+        self.reserved = Resources()
+        self.grant_seconds = grant_seconds
+        self.heartbeats = SentHeartbeats()
+        self.ledger = Ledger()
+        self.requests = RequestDesk(self, services, slots, connections, key_window_seconds)
+        self.epochs: dict[int, int] = {}
+        self.draining = False
+        self.worker_up = False
+        self.target_up = False
+        self.worker_known = False
+        self.target_known = False
+        self._orphans: dict[tuple[str, int], bool] = {}
+
+    @property
+    def recovering(self) -> bool:
+        """Whether it is still unknown what runs on this host."""
+        return not (self.worker_known and self.target_known)
+
+    @property
+    def free(self) -> Resources:
+        """What is not counted for attempts and the service; can be negative."""
+        return self.capacity.minus(self.reserved).minus(self.ledger.counted())
+
+    @property
+    def drained(self) -> bool:
+        """Whether nothing runs here and every result is confirmed."""
+        return self.draining and not self.ledger.attempts and not self.requests.busy
+
+    # Grants and epochs
+
+    def heartbeat_sent(self, link: str, sequence: int, now: float) -> None:
+        """Record the sending of a heartbeat; call it before the heartbeat leaves."""
+        self.heartbeats.record(link, sequence, now)
+
+    def observe_epoch(self, shard: int, epoch: int) -> bool:
+        """Record the epoch of a shard's owner and return whether it is the highest one seen."""
+        known = self.epochs.get(shard)
+        if known is None and len(self.epochs) >= MAX_SHARDS:
+            return False
+        if known is not None and epoch < known:
+            return False
+        self.epochs[shard] = epoch
+        return True
+
+    def grant(self, link: str, grant: Grant, now: float) -> Reason | None:
+        """Take an attempt, or return why it is refused; refused attempts never run."""
+        if not self.observe_epoch(grant.shard, grant.epoch):
+            return Reason.STALE_EPOCH
+        valid_until = self._valid_until(link, grant, now)
+        if valid_until is None:
+            return Reason.STALE_GRANT
+        held = self.ledger.find(grant.task_id, grant.attempt)
+        if held is not None:
+            self._extend(held, valid_until, grant.epoch, now)
+            return None
+        attempt = Attempt(grant, valid_until, now)
+        reason = self._grant_refusal(attempt, now)
+        if reason is None:
+            self._take(attempt)
+        return reason
+
+    def renew(
+        self, link: str, sequence: int, task_id: str, number: int, seconds: float, now: float
+    ) -> bool:
+        """Extend a grant from the sending of heartbeat `sequence`; return whether it was held.
+
+        Parameters
+        ----------
+        seconds
+            Length of the grant; 0 for the length of the first grant.
+        """
+        attempt = self.ledger.find(task_id, number)
+        sent = self.heartbeats.sent_at(link, sequence)
+        if attempt is None or sent is None or attempt.state is AttemptState.ENDED:
+            return False
+        length = seconds or min(attempt.grant.grant_seconds, self.grant_seconds)
+        self._extend(attempt, sent + length, self.epochs.get(attempt.grant.shard, 0), now)
+        return True
+
+    def stop(
+        self, shard: int, epoch: int, task_id: str, number: int, keep_progress: bool, now: float
+    ) -> Reason | None:
+        """Stop attempts of a task up to `number` and refuse them from now on.
+
+        Returns
+        -------
+        Reason or None
+            None when the stop is under way or done; `reports` tells when it is done.
+        """
+        if not self.observe_epoch(shard, epoch):
+            return Reason.STALE_EPOCH
+        if not self.ledger.close(task_id, number, now):
+            return Reason.LEDGER_FULL
+        held = self.ledger.attempts.get(task_id)
+        if held is not None and held.number <= number:
+            self._begin_stop(held, keep_progress)
+        return None
+
+    def confirm(self, task_id: str, number: int, now: float) -> None:
+        """Forget a result that its owner committed."""
+        attempt = self.ledger.find(task_id, number)
+        if attempt is None or attempt.state is not AttemptState.ENDED:
+            return
+        if not self.ledger.close(task_id, number, now):
+            return
+        self.ledger.drop(attempt)
+        if not attempt.is_bucket:
+            self._orphans[(task_id, number)] = False
+
+    def drain(self) -> None:
+        """Admit nothing from now on and stop all attempts with their progress."""
+        self.draining = True
+        for attempt in self.ledger.active():
+            self._begin_stop(attempt, keep_progress=True)
+
+    def reports(self) -> list[Attempt]:
+        """Return the ended attempts whose result waits for confirmation."""
+        return self.ledger.ended()
+
+    # Worker
+
+    def worker_listed(self, tasks: list[WorkerTask], asked_at: float, now: float) -> None:
+        """Take the worker's list of tasks, which was asked for at `asked_at`."""
+        listed = {(task.task_id, task.attempt): task for task in tasks}
+        for task in tasks:
+            self._task_listed(task, asked_at, now)
+        for attempt in self.ledger.active():
+            missing = (attempt.task_id, attempt.number) not in listed
+            confirmed = attempt.state in (AttemptState.RUNNING, AttemptState.PAUSED)
+            if missing and confirmed and not attempt.is_bucket and attempt.confirmed_at < asked_at:
+                attempt.end(AttemptResult.LOST, "the worker does not list the task")
+        self._orphans = {name: sent for name, sent in self._orphans.items() if name in listed}
+        self.worker_known = True
+
+    def target_listed(self, healthy: bool, active: list[str], asked_at: float) -> None:
+        """Take the target's health and its active requests."""
+        if self.target_known:
+            self.requests.slots.listed(active, asked_at)
+        else:
+            self.requests.slots.adopt(active, asked_at)
+        self.target_up = healthy
+        self.target_known = True
+
+    def commands(self, now: float) -> list[Command]:
+        """Return the calls that the worker is to receive now; each is returned once."""
+        found = [self._command(attempt, now) for attempt in self.ledger.active()]
+        result = [command for command in found if command is not None]
+        for (task_id, number), sent in list(self._orphans.items()):
+            if not sent:
+                self._orphans[(task_id, number)] = True
+                result.append(Command(CommandKind.FORGET, task_id, number))
+        return result
+
+    def command_done(self, command: Command, now: float) -> None:
+        """Record that the worker carried out a command."""
+        attempt = self.ledger.find(command.task_id, command.attempt)
+        if attempt is None or attempt.state is AttemptState.ENDED:
+            return
+        attempt.busy = False
+        attempt.confirmed_at = now
+        if command.kind is CommandKind.START and attempt.state is AttemptState.STARTING:
+            attempt.state = AttemptState.RUNNING
+
+    def command_unknown(self, command: Command) -> None:
+        """Record that nobody knows whether a command was carried out; it is repeated."""
+        self._orphans.pop((command.task_id, command.attempt), None)
+        if command.kind is CommandKind.FORGET:
+            self._orphans[(command.task_id, command.attempt)] = False
+        attempt = self.ledger.find(command.task_id, command.attempt)
+        if attempt is None:
+            return
+        attempt.busy = False
+        attempt.lease_until = 0.0
+
+    def start_refused(self, command: Command, detail: str) -> None:
+        """Record that the worker certainly did not start a task."""
+        attempt = self.ledger.find(command.task_id, command.attempt)
+        if attempt is not None and attempt.state in (AttemptState.STARTING, AttemptState.STOPPING):
+            attempt.end(AttemptResult.START_FAILED, detail)
+
+    def stopped(
+        self, command: Command, checkpoint: str, run_seconds: float, completed: bool
+    ) -> None:
+        """Record that the worker stopped a task and will not run it again."""
+        attempt = self.ledger.find(command.task_id, command.attempt)
+        if attempt is None or attempt.state is AttemptState.ENDED:
+            return
+        result = AttemptResult.EVICTED if attempt.evicting else AttemptResult.STOPPED
+        attempt.end(AttemptResult.COMPLETED if completed else result)
+        attempt.end_checkpoint = checkpoint or attempt.grant.checkpoint
+        attempt.run_seconds = run_seconds
+
+    # Private
+
+    def _valid_until(self, link: str, grant: Grant, now: float) -> float | None:
+        sent = self.heartbeats.sent_at(link, grant.heartbeat_sequence)
+        if sent is None or sent + grant.grant_seconds <= now:
+            return None
+        return sent + grant.grant_seconds
+
+    def _grant_refusal(self, attempt: Attempt, now: float) -> Reason | None:
+        if self.draining:
+            return Reason.DRAINING
+        if self.recovering:
+            return Reason.RECOVERING
+        reason = self.ledger.refusal(attempt.task_id, attempt.number, now)
+        if reason is not None:
+            return reason
+        if attempt.is_bucket:
+            return self.requests.bucket_refusal(attempt.task_id)
+        if not self.worker_up:
+            return Reason.WORKER_UNAVAILABLE
+        return None if attempt.counted.fits_in(self.free) else Reason.OVER_CAPACITY
+
+    def _take(self, attempt: Attempt) -> None:
+        self.ledger.take(attempt)
+        if attempt.is_bucket:
+            attempt.state = AttemptState.RUNNING
+
+    def _extend(self, attempt: Attempt, valid_until: float, epoch: int, now: float) -> None:
+        attempt.valid_until = max(attempt.valid_until, valid_until)
+        attempt.grant.epoch = max(attempt.grant.epoch, epoch)
+
+    def _begin_stop(self, attempt: Attempt, keep_progress: bool) -> None:
+        if attempt.state is AttemptState.ENDED:
+            return
+        if attempt.is_bucket:
+            attempt.state = AttemptState.STOPPING
+            return
+        if attempt.state is AttemptState.STARTING and not attempt.start_sent:
+            attempt.end(AttemptResult.STOPPED, "stopped before it started")
+            attempt.end_checkpoint = attempt.grant.checkpoint
+            return
+        attempt.keep_progress = attempt.keep_progress or keep_progress
+        attempt.state = AttemptState.STOPPING
+
+    def _task_listed(self, task: WorkerTask, asked_at: float, now: float) -> None:
+        attempt = self.ledger.find(task.task_id, task.attempt)
+        if attempt is None:
+            attempt = self._adopt(task, asked_at, now)
+        if attempt is None or attempt.state is AttemptState.ENDED:
+            return
+        attempt.observed = task.usage
+        attempt.run_seconds = task.run_seconds
+        if task.state in LISTED_RESULTS:
+            attempt.end(LISTED_RESULTS[task.state])
+            attempt.end_checkpoint = task.checkpoint
+        elif attempt.state is AttemptState.STARTING and attempt.start_sent and not attempt.busy:
+            attempt.state = AttemptState.RUNNING
+
+    def _adopt(self, task: WorkerTask, asked_at: float, now: float) -> Attempt | None:
+        # Only a former agent process can have started a task that the ledger does not hold.
+        if self.worker_known or task.task_id in self.ledger.attempts:
+            self._orphans.setdefault((task.task_id, task.attempt), False)
+            return None
+        grant = Grant(task.shard, 0, task.task_id, task.attempt, task.size)
+        grant.batch_class = task.batch_class
+        grant.grant_seconds = self.grant_seconds
+        attempt = Attempt(grant, asked_at + task.lease_seconds, now)
+        attempt.state = AttemptState.RUNNING
+        attempt.start_sent = True
+        attempt.lease_until = attempt.valid_until
+        self.ledger.take(attempt)
+        return attempt
+
+    def _command(self, attempt: Attempt, now: float) -> Command | None:
+        if attempt.is_bucket:
+            self._move_bucket(attempt, now)
+            return None
+        if attempt.busy:
+            return None
+        kind = self._next_kind(attempt, now)
+        if kind is None:
+            return None
+        attempt.busy = True
+        remaining = max(0.0, attempt.valid_until - now)
+        if kind in (CommandKind.START, CommandKind.RENEW, CommandKind.RESUME):
+            attempt.lease_until = attempt.valid_until
+        return Command(kind, attempt.task_id, attempt.number, remaining, attempt.keep_progress)
+
+    def _next_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
+        lapsed = now >= attempt.valid_until
+        if attempt.state is AttemptState.STOPPING:
+            return CommandKind.STOP
+        if attempt.state is AttemptState.STARTING:
+            return self._start_kind(attempt, lapsed)
+        if attempt.state is AttemptState.RUNNING and lapsed:
+            attempt.state = AttemptState.PAUSED
+            return CommandKind.PAUSE
+        if attempt.state is AttemptState.PAUSED and not lapsed:
+            attempt.state = AttemptState.RUNNING
+            return CommandKind.RESUME
+        gained = attempt.valid_until - attempt.lease_until
+        running = attempt.state is AttemptState.RUNNING
+        return CommandKind.RENEW if running and gained >= MIN_LEASE_EXTENSION_SECONDS else None
+
+    def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
+        if not lapsed:
+            attempt.start_sent = True
+            return CommandKind.START
+        self._begin_stop(attempt, keep_progress=True)
+        return CommandKind.STOP if attempt.state is AttemptState.STOPPING else None
+
+    def _move_bucket(self, attempt: Attempt, now: float) -> None:
+        if attempt.state is AttemptState.STOPPING:
+            if not self.requests.bucket_running(attempt.task_id):
+                self.requests.drop_bucket(attempt.task_id)
+                attempt.end(AttemptResult.STOPPED)
+            return
+        lapsed = now >= attempt.valid_until
+        attempt.state = AttemptState.PAUSED if lapsed else AttemptState.RUNNING
--- a/src/acaciastand/reasons.py
+++ b/src/acaciastand/reasons.py
@@ -21,6 +21,7 @@
     STALE_GRANT = "stale_grant"
     STALE_EPOCH = "stale_epoch"
     OLD_ATTEMPT = "old_attempt"
+    EARLIER_ATTEMPT_HELD = "earlier_attempt_held"
     BUCKET_NOT_HELD = "bucket_not_held"
     WORKER_UNAVAILABLE = "worker_unavailable"
     BODY_TOO_LARGE = "body_too_large"
@@ -43,3 +44,4 @@
     KEY_FORGOTTEN = "key_forgotten"
     HOME_MOVED = "home_moved"
     TARGET_BROKE_OFF = "target_broke_off"
+    DUPLICATE_REQUEST = "duplicate_request"
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -255,9 +255,11 @@
         Shards the entry owns; the agent refuses lower epochs of these shards from then on.
     renewed
         Attempts that are current and renewed.
+    grant_seconds
+        Length of the renewed grants; 0 leaves the length of the first grant.
     """
 
-    __slots__ = ("sequence", "settings_revision", "owned_shards", "renewed")
+    __slots__ = ("sequence", "settings_revision", "owned_shards", "renewed", "grant_seconds")
     type_number = 5
     nested_lists = {"owned_shards": ShardEpoch, "renewed": AttemptName}
 
@@ -267,11 +269,13 @@
         settings_revision: int = 0,
         owned_shards: list[ShardEpoch] | None = None,
         renewed: list[AttemptName] | None = None,
+        grant_seconds: float = 0.0,
     ) -> None:
         self.sequence = sequence
         self.settings_revision = settings_revision
         self.owned_shards = owned_shards or []
         self.renewed = renewed or []
+        self.grant_seconds = grant_seconds
 
 
 class Execute(Message):
