Add routing decisions of the entry

Cause: entries need to choose targets, limit retries and route keyed requests. Ruled out: choosing the least loaded of all targets, because every entry would pick the same one between reports; a token bucket for retries, because unused tokens would allow a burst above the share.

--- /dev/null
+++ b/src/acaciastand/routing/budget.py
@@ -0,0 +1,51 @@
+"""Limit of retries as a share of requests."""
+
+from __future__ import annotations
+
+from collections import deque
+
+WINDOW_SECONDS = 10
+
+
+class _Second:
+    __slots__ = ("start", "requests", "retries")
+
+    def __init__(self, start: int) -> None:
+        self.start = start
+        self.requests = 0
+        self.retries = 0
+
+
+class RetryBudget:
+    """Allows a retry while retries stay within `share` of the requests in the window.
+
+    The window is the current whole second and the `WINDOW_SECONDS` - 1 before it, so memory is
+    bounded. There is no allowance beyond the share: a fixed minimum per entry would multiply with
+    the number of entries when the load is low.
+    """
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self._seconds: deque[_Second] = deque(maxlen=WINDOW_SECONDS)
+
+    def record_request(self, now: float) -> None:
+        """Count a first attempt."""
+        self._current(now).requests += 1
+
+    def try_retry(self, now: float) -> bool:
+        """Count a retry and return True if the budget allows it."""
+        current = self._current(now)
+        requests = sum(second.requests for second in self._seconds)
+        retries = sum(second.retries for second in self._seconds)
+        if retries + 1 > self.share * requests:
+            return False
+        current.retries += 1
+        return True
+
+    def _current(self, now: float) -> _Second:
+        start = int(now)
+        while self._seconds and self._seconds[0].start <= start - WINDOW_SECONDS:
+            self._seconds.popleft()
+        if not self._seconds or self._seconds[-1].start < start:
+            self._seconds.append(_Second(start))
+        return self._seconds[-1]
--- /dev/null
+++ b/src/acaciastand/routing/router.py
@@ -0,0 +1,126 @@
+"""State of routing at one entry: targets, health, budgets and bucket homes."""
+
+from __future__ import annotations
+
+import random
+
+from acaciastand.routing.budget import RetryBudget
+from acaciastand.routing.chooser import TargetChooser
+from acaciastand.routing.health import TargetHealth
+from acaciastand.routing.keys import BucketHomes
+from acaciastand.routing.target import TargetView
+
+MAX_SERVICES = 1024  # services with their own health and budget
+
+
+class Service:
+    """Health and retry budget of one service."""
+
+    __slots__ = ("health", "budget")
+
+    def __init__(self, max_ejected: float, retry_budget: float) -> None:
+        self.health = TargetHealth(max_ejected)
+        self.budget = RetryBudget(retry_budget)
+
+
+class Router:
+    """Chooses targets and learns from their answers.
+
+    Parameters
+    ----------
+    chooser
+        Policy that picks among targets that accept the request.
+    rng
+        Source of randomness.
+    max_ejected, retry_budget
+        Shares from the settings tree.
+    """
+
+    def __init__(
+        self,
+        chooser: TargetChooser,
+        rng: random.Random,
+        max_ejected: float,
+        retry_budget: float,
+    ) -> None:
+        self.chooser = chooser
+        self.rng = rng
+        self.max_ejected = max_ejected
+        self.retry_budget = retry_budget
+        self.targets: dict[str, TargetView] = {}
+        self.homes = BucketHomes()
+        self.services: dict[str, Service] = {}
+
+    def configure(self, max_ejected: float, retry_budget: float) -> None:
+        """Put changed shares in force."""
+        self.max_ejected = max_ejected
+        self.retry_budget = retry_budget
+        for service in self.services.values():
+            service.health.max_share = max_ejected
+            service.budget.share = retry_budget
+
+    def add(self, target: TargetView) -> None:
+        """Add a target or replace what is known of it."""
+        self.remove(target.agent_id)
+        self.targets[target.agent_id] = target
+        for name in target.services:
+            service = self.service(name)
+            if service is not None:
+                service.health.add(target.agent_id)
+
+    def remove(self, agent_id: str) -> None:
+        """Forget a target and its buckets; a service without targets is forgotten as well."""
+        target = self.targets.pop(agent_id, None)
+        self.homes.remove(agent_id)
+        for name in target.services if target else ():
+            if name in self.services:
+                self.services[name].health.remove(agent_id)
+            if not any(name in other.services for other in self.targets.values()):
+                self.services.pop(name, None)
+
+    def service(self, name: str) -> Service | None:
+        """Return the state of a service, made on first use; None beyond `MAX_SERVICES`."""
+        service = self.services.get(name)
+        if service is None and len(self.services) < MAX_SERVICES:
+            service = Service(self.max_ejected, self.retry_budget)
+            self.services[name] = service
+        return service
+
+    def knows(self, service: str) -> bool:
+        """Return whether any target announced the service."""
+        return service in self.services
+
+    def choose(self, service: str, tried: set[str], now: float) -> TargetView | None:
+        """Return the target for a request without a key; None when no target accepts it.
+
+        Parameters
+        ----------
+        tried
+            Agents that already refused or failed this request.
+        """
+        candidates = [
+            target
+            for target in self.targets.values()
+            if target.agent_id not in tried and target.accepts(service)
+        ]
+        state = self.services.get(service)
+        if state is None:
+            return self.chooser.choose(candidates, self.rng)
+        probe = state.health.take_probe([target.agent_id for target in candidates], now)
+        if probe is not None:
+            return self.targets[probe]
+        available = [target for target in candidates if state.health.is_available(target.agent_id)]
+        return self.chooser.choose(available or candidates, self.rng)
+
+    def home_of(self, service: str, key: str) -> TargetView | None:
+        """Return the target whose agent is home of the key's bucket."""
+        agent_id = self.homes.home_of(service, key)
+        return self.targets.get(agent_id) if agent_id else None
+
+    def free_slots(self) -> dict[str, int]:
+        """Return, by service, the free slots over targets that accept requests."""
+        free: dict[str, int] = {}
+        for target in self.targets.values():
+            for name in target.services if target.healthy and not target.draining else ():
+                free[name] = free.get(name, 0) + max(target.slots - target.estimated_in_flight, 0)
+        return free
