Generate the capacity pages from measured slopes

Cause: page and measurement must not drift. Change: tables per role with the limit, the factor by which it is exceeded and the mechanism; rows without a slope name what is not measured.

--- /dev/null
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -0,0 +1,421 @@
+"""Works out state, messages, processor time and memory of each role."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from acaciastand.record import Record
+from acaciastand_lab.measurements import Slope
+from acaciastand_lab.scale import SECONDS_PER_DAY, Scale
+
+BYTES_LIMIT = 10_000  # bytes a second for control, of one daemon
+PROCESSOR_LIMIT = 0.013  # share of a core for control, of one daemon
+MEMORY_LIMIT_MB = 32
+MB = 1_000_000
+SNAPSHOT_INTERVAL_ENTRIES = 32
+LEASE_RENEWAL_SECONDS = 4.0 / 3
+
+
+class Row(Record):
+    """One quantity of a role.
+
+    Parameters
+    ----------
+    value
+        None when a slope is missing; `missing` names it.
+    limit
+        Limit of the value; None when there is none.
+    mechanism
+        What carries the quantity, or which change would.
+    """
+
+    __slots__ = ("quantity", "value", "unit", "limit", "mechanism", "missing")
+
+    def __init__(
+        self,
+        quantity: str,
+        value: float | None,
+        unit: str,
+        limit: float | None,
+        mechanism: str,
+        missing: str = "",
+    ) -> None:
+        self.quantity = quantity
+        self.value = value
+        self.unit = unit
+        self.limit = limit
+        self.mechanism = mechanism
+        self.missing = missing
+
+    @property
+    def verdict(self) -> str:
+        """Whether the limit holds, and by what factor it is exceeded if not."""
+        if self.limit is None or self.value is None:
+            return ""
+        if self.value <= self.limit:
+            return "holds"
+        return f"**exceeded {self.value / self.limit:.1f}x**"
+
+
+class MissingSlope(Exception):
+    """A slope has not been measured."""
+
+
+class Slopes:
+    """Measured slopes by name."""
+
+    __slots__ = ("by_name",)
+
+    def __init__(self, by_name: dict[str, Slope]) -> None:
+        self.by_name = by_name
+
+    def find(self, name: str) -> Slope:
+        """Return the slope `name`.
+
+        Raises
+        ------
+        MissingSlope
+            It has not been measured.
+        """
+        if name not in self.by_name:
+            raise MissingSlope(name)
+        return self.by_name[name]
+
+    def per_item(self, name: str) -> float:
+        """Return the value per item."""
+        return self.find(name).per_item
+
+    def at(self, name: str, items: float) -> float:
+        """Return the value of the line at `items`."""
+        slope = self.find(name)
+        return slope.base + slope.per_item * items
+
+
+class Table:
+    """Collects the rows of one role."""
+
+    __slots__ = ("rows",)
+
+    def __init__(self) -> None:
+        self.rows: list[Row] = []
+
+    def add(
+        self,
+        quantity: str,
+        value: Callable[[], float],
+        unit: str,
+        mechanism: str,
+        limit: float | None = None,
+    ) -> None:
+        """Add a row; a missing slope is shown by name."""
+        try:
+            self.rows.append(Row(quantity, value(), unit, limit, mechanism))
+        except MissingSlope as missing:
+            self.rows.append(Row(quantity, None, unit, limit, mechanism, str(missing)))
+
+
+def heartbeat_bytes(scale: Scale, slopes: Slopes) -> float:
+    """Return the bytes of one heartbeat of an agent."""
+    return slopes.at("bytes.heartbeat", scale.attempts_per_agent)
+
+
+def start_bytes(slopes: Slopes) -> float:
+    """Return the bytes between owner and agent over the life of one attempt."""
+    names = ("bytes.grant", "bytes.grant_reply", "bytes.report", "bytes.report_confirmed")
+    return sum(slopes.per_item(name) for name in names)
+
+
+def agent_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of the agent."""
+    table = Table()
+    beats = scale.entry_fanout / scale.heartbeat_seconds
+    starts = scale.starts / scale.workers
+    table.add(
+        "batch attempts held",
+        lambda: scale.attempts_per_agent,
+        "attempts",
+        "ledger of `host.Host`, bounded",
+    )
+    table.add(
+        "connections", lambda: scale.entry_fanout, "connections", "`entry_fanout`, nearest first"
+    )
+    table.add(
+        "control bytes out",
+        lambda: (
+            beats * heartbeat_bytes(scale, slopes)
+            + starts * (slopes.per_item("bytes.grant_reply") + slopes.per_item("bytes.report"))
+        ),
+        "bytes a second",
+        "heartbeat interval set by the entry",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "control bytes in",
+        lambda: (
+            beats * slopes.at("bytes.heartbeat_reply", scale.attempts_per_agent)
+            + starts * (slopes.per_item("bytes.grant") + slopes.per_item("bytes.report_confirmed"))
+            + scale.changes * scale.entry_fanout * slopes.per_item("bytes.settings_update")
+        ),
+        "bytes a second",
+        "settings pushed once per connection, only effective values",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "processor for control",
+        lambda: (
+            beats * slopes.per_item("processor.heartbeat_sender")
+            + starts * slopes.per_item("processor.attempt_agent")
+        ),
+        "of a core",
+        "heartbeats and attempts; requests are the service's own work",
+        PROCESSOR_LIMIT,
+    )
+    table.add(
+        "memory, proportional",
+        lambda: (
+            slopes.find("memory.agent_proportional").base / MB
+            + scale.entry_fanout * slopes.per_item("memory.connection_dialled") / MB
+        ),
+        "MB",
+        "no HTTP server framework and no command-line framework in the process",
+        MEMORY_LIMIT_MB,
+    )
+    table.add(
+        "memory, resident",
+        lambda: slopes.find("memory.agent_resident").base / MB,
+        "MB",
+        "shared pages of the interpreter and libraries counted in full",
+        MEMORY_LIMIT_MB,
+    )
+    table.add(
+        "memory, anonymous",
+        lambda: slopes.find("memory.agent_anonymous").base / MB,
+        "MB",
+        "what the process alone adds to its host",
+    )
+    return table.rows
+
+
+def entry_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of an entry without its shards."""
+    table = Table()
+    beats = scale.agents_per_entry / scale.heartbeat_seconds
+    peers = scale.entries / scale.regions - 1
+    table.add("agents connected", lambda: scale.agents_per_entry, "agents", "fan-out over entries")
+    table.add(
+        "peer connections", lambda: max(peers, 0.0), "connections", "full mesh within a region"
+    )
+    table.add(
+        "heartbeat bytes in",
+        lambda: beats * heartbeat_bytes(scale, slopes),
+        "bytes a second",
+        "interval up to 5 s; a digest of attempts in place of the list would carry it",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "heartbeat bytes out",
+        lambda: beats * slopes.at("bytes.heartbeat_reply", scale.attempts_per_agent),
+        "bytes a second",
+        "a digest confirmed in place of the list would carry it",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "processor for heartbeats",
+        lambda: beats * slopes.per_item("processor.heartbeat_receiver"),
+        "of a core",
+        "entries are few and larger than agents; more entries per zone divide it",
+        PROCESSOR_LIMIT,
+    )
+    table.add(
+        "memory of connections and agents",
+        lambda: (
+            scale.agents_per_entry
+            * (
+                slopes.per_item("memory.connection_accepted")
+                + slopes.per_item("memory.agent_session")
+            )
+            / MB
+        ),
+        "MB",
+        "protocol objects without I/O",
+        MEMORY_LIMIT_MB,
+    )
+    return table.rows
+
+
+def owner_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of the owner role of one entry."""
+    table = Table()
+    starts = scale.starts_per_entry
+    commits = min(scale.shards_per_entry / scale.commit_seconds, 2 * starts)
+    table.add(
+        "shards owned", lambda: scale.shards_per_entry, "shards", "rendezvous hash over entries"
+    )
+    table.add("tasks owned", lambda: scale.owned_per_entry, "tasks", "`shard.Shard`, bounded")
+    table.add(
+        "starts", lambda: starts, "a second", "group commit, then grants over the connections"
+    )
+    table.add(
+        "bytes to and from agents",
+        lambda: starts * start_bytes(slopes),
+        "bytes a second",
+        "more owners: agents can carry the role, the aggregate needs nothing of the entry",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "bytes to the store",
+        lambda: (
+            commits * slopes.find("bytes.commit").base
+            + 2 * starts * slopes.per_item("bytes.commit")
+        ),
+        "bytes a second",
+        "ring journal: only new events are written",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "processor for starts",
+        lambda: starts * slopes.per_item("processor.start_owner"),
+        "of a core",
+        "placement, commit and grant",
+        PROCESSOR_LIMIT,
+    )
+    table.add(
+        "memory of tasks",
+        lambda: scale.owned_per_entry * slopes.per_item("memory.task_owned") / MB,
+        "MB",
+        "slotted classes",
+        MEMORY_LIMIT_MB,
+    )
+    return table.rows
+
+
+def settings_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of settings distribution."""
+    table = Table()
+    table.add("changes", lambda: scale.changes, "a second", "multi-writer journal")
+    table.add(
+        "store writes", lambda: scale.changes, "a second", "one slot write a change", limit=None
+    )
+    table.add(
+        "watches waiting", lambda: scale.entries, "calls", "one for each entry, on the next slot"
+    )
+    table.add(
+        "pushes of one entry",
+        lambda: (scale.changes * scale.agents_per_entry * slopes.per_item("bytes.settings_update")),
+        "bytes a second",
+        "only agents whose effective values changed; the others confirm by heartbeat",
+        BYTES_LIMIT,
+    )
+    table.add(
+        "time until in force",
+        lambda: scale.heartbeat_seconds + 1.0,
+        "s",
+        "push, confirmed by the next heartbeat; peers a second later",
+        19.0,
+    )
+    table.add(
+        "memory of the tree",
+        lambda: scale.settings_nodes * slopes.per_item("memory.settings_node") / MB,
+        "MB",
+        "whole tree at entries, effective values at agents",
+    )
+    return table.rows
+
+
+def store_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of one region's key-value service."""
+    table = Table()
+    regional_shards = scale.shards / scale.regions
+    regional_starts = scale.starts / scale.regions
+    regional_entries = scale.entries / scale.regions
+    commits = min(regional_shards / scale.commit_seconds, 2 * regional_starts)
+    snapshots = commits / SNAPSHOT_INTERVAL_ENTRIES
+    leases = regional_entries / LEASE_RENEWAL_SECONDS
+    table.add("commits", lambda: commits, "writes a second", "group commit")
+    table.add(
+        "writes in all",
+        lambda: commits + snapshots + leases + scale.changes,
+        "a second",
+        "commits, snapshots, lease renewals of entries, settings",
+        scale.store_writes_limit,
+    )
+    table.add(
+        "writes without group commit",
+        lambda: 2 * regional_starts,
+        "a second",
+        "what one write per start and end would take",
+        scale.store_writes_limit,
+    )
+    table.add(
+        "watches waiting",
+        lambda: regional_entries + regional_shards,
+        "calls",
+        "next settings slot and the owner keys of shards",
+        scale.store_reads_limit,
+    )
+    table.add(
+        "reads after the loss of an entry",
+        lambda: scale.shards_per_entry * 65,
+        "reads",
+        "snapshot and 64 slots of each shard, spread over the surviving entries",
+        scale.store_reads_limit,
+    )
+    return table.rows
+
+
+def event_rows(scale: Scale, slopes: Slopes) -> list[Row]:
+    """Return the rows of ordinary and rare events."""
+    table = Table()
+    zone_agents = scale.workers / scale.availability_zones
+    churn = (scale.hosts_failed_per_day + scale.hosts_replaced_per_day) / SECONDS_PER_DAY
+    table.add(
+        "agents that announce themselves anew, ordinary day",
+        lambda: churn,
+        "a second",
+        "one announcement and one settings snapshot each",
+    )
+    table.add(
+        "attempts that end with hosts, ordinary day",
+        lambda: scale.hosts_failed_per_day * scale.attempts_per_agent,
+        "a day",
+        "restarted by proof 3 after 20.75 s, earlier when the host is replaced",
+    )
+    table.add(
+        "agents back at once after an availability zone",
+        lambda: zone_agents,
+        "agents",
+        "reconnection with jittered back-off up to 5 s",
+    )
+    table.add(
+        "attempts to restart after an availability zone",
+        lambda: zone_agents * scale.attempts_per_agent,
+        "attempts",
+        "owners spread restarts over commits; bounded events a commit",
+    )
+    table.add(
+        "announcements a second while a zone comes back",
+        lambda: zone_agents * scale.entry_fanout / 5.0 / scale.entries_per_zone,
+        "a second and entry",
+        "jitter over 5 s",
+    )
+    table.add(
+        "urgent start through a takeover",
+        lambda: 4.0 + 1.0 + scale.shards_per_entry * 65 / 500 + scale.commit_seconds + 0.1,
+        "s",
+        "lease 4 s, claim within 1 s, journal read at 500 reads a second, commit, grant",
+        9.0,
+    )
+    return table.rows
+
+
+def role_tables(scale: Scale, by_name: dict[str, Slope]) -> list[tuple[str, list[Row]]]:
+    """Return title and rows of each role."""
+    slopes = Slopes(by_name)
+    return [
+        ("Agent", agent_rows(scale, slopes)),
+        ("Entry, without its shards", entry_rows(scale, slopes)),
+        ("Owner of shards, per entry", owner_rows(scale, slopes)),
+        ("Settings distribution", settings_rows(scale, slopes)),
+        ("Key-value service, per region", store_rows(scale, slopes)),
+        ("Events", event_rows(scale, slopes)),
+    ]
