--- /dev/null
+++ b/src/acaciastand/entry/requests.py
@@ -0,0 +1,240 @@
+"""From a caller's request to its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from acaciastand.entry.agents import AgentRegistry, AgentSession
+from acaciastand.entry.call import Answer, CallerRequest, Failure, RequestRefused
+from acaciastand.errors import Outcome
+from acaciastand.reasons import Reason
+from acaciastand.routing import Router, TargetView, may_retry
+from acaciastand.telemetry import Counters
+from acaciastand.wire.codec import ProtocolError
+from acaciastand.wire.connection import ConnectionClosed, NotSent, ReplyTimeout
+from acaciastand.wire.messages import Execute, ExecuteReply, Message
+
+MAX_REQUESTS = 4096  # requests of callers in progress at one entry
+REPLY_GRACE_SECONDS = 0.02  # the agent's own report of a timeout tells more than silence
+LOWEST_STATUS = 100
+HIGHEST_STATUS = 599
+
+
+class Forwarder(Protocol):
+    """Sends a request to another entry."""
+
+    def forward_execute(self, request: CallerRequest) -> Answer | Failure | None:
+        """Return the other entry's result; None when no entry announces a target."""
+
+
+class RequestService:
+    """Runs callers' requests on targets.
+
+    Parameters
+    ----------
+    router, registry
+        Targets and the sessions of their agents.
+    forwarder
+        Other entries.
+    clock
+        Seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        registry: AgentRegistry,
+        forwarder: Forwarder,
+        counters: Counters,
+        clock: Callable[[], float],
+    ) -> None:
+        self.router = router
+        self.registry = registry
+        self.forwarder = forwarder
+        self.counters = counters
+        self.clock = clock
+        self.in_progress = 0
+        self.draining = False
+
+    def execute(self, request: CallerRequest) -> Answer:
+        """Return the target's answer.
+
+        Raises
+        ------
+        RequestRefused
+            The request did not run.
+        RequestUnknown
+            The request may have run.
+        """
+        if self.in_progress >= MAX_REQUESTS:
+            self.counters.increment(f"refused.{Reason.QUEUE_FULL}")
+            raise RequestRefused(Reason.QUEUE_FULL, f"{MAX_REQUESTS} requests are in progress")
+        self.in_progress += 1
+        started = self.clock()
+        try:
+            result = self._attempts(request)
+        finally:
+            self.in_progress -= 1
+        if isinstance(result, Failure):
+            self.counters.increment(f"refused.{result.reason}")
+            raise result.error()
+        self.counters.timing("requests.answered", (self.clock() - started) * 1000)
+        return result
+
+    def _attempts(self, request: CallerRequest) -> Answer | Failure:
+        tried: set[str] = set()
+        failure: Failure | None = None
+        unknown: Failure | None = None
+        self._count_request(request)
+        while True:
+            attempts = len(tried)
+            result = self._attempt(request, tried, failure)
+            if isinstance(result, Answer):
+                return result
+            if unknown is None and result.outcome is Outcome.UNKNOWN:
+                unknown = result  # a later refusal does not prove that this attempt did not run
+            if len(tried) == attempts or not self._may_retry(request, result, tried):
+                return unknown or result
+            failure = result
+
+    def _attempt(
+        self, request: CallerRequest, tried: set[str], earlier: Failure | None
+    ) -> Answer | Failure:
+        """Make one attempt and add its agent to `tried`; a retry is paid from the budget."""
+        hopeless = self._hopeless(request)
+        if hopeless is not None:
+            return hopeless
+        target = self._select(request, tried)
+        if target is None:
+            return earlier or self._elsewhere(request)
+        if earlier is not None and not self._take_from_budget(request, earlier):
+            message = f"the retry budget is spent; the last attempt ended with {earlier.reason}"
+            return Failure(Outcome.NOT_RUN, Reason.RETRY_BUDGET_SPENT, message)
+        tried.add(target.agent_id)
+        return self._send(request, target)
+
+    def _select(self, request: CallerRequest, tried: set[str]) -> TargetView | None:
+        if not request.routed_key:
+            return self.router.choose(request.service, tried, self.clock())
+        home = self.router.home_of(request.service, request.routed_key)
+        return None if home is None or home.agent_id in tried else home
+
+    def _elsewhere(self, request: CallerRequest) -> Answer | Failure:
+        if request.forwarded:
+            return Failure(
+                Outcome.NOT_RUN,
+                Reason.FORWARD_LIMIT,
+                f"the request was forwarded once and no target of {request.service} is here either",
+            )
+        result = self.forwarder.forward_execute(request)
+        if result is not None:
+            return result
+        return Failure(
+            Outcome.NOT_RUN, Reason.NO_TARGET, f"no target accepts requests of {request.service}"
+        )
+
+    def _hopeless(self, request: CallerRequest) -> Failure | None:
+        now = self.clock()
+        service = self.router.services.get(request.service)
+        usual = service.health.usual_seconds(now) if service else None
+        if not request.deadline.is_hopeless(now, usual):
+            return None
+        remaining = request.deadline.remaining_ms(now)
+        reason = Reason.DEADLINE_TOO_SHORT if remaining else Reason.DEADLINE_PASSED
+        return Failure(Outcome.NOT_RUN, reason, f"{remaining} ms are left of the deadline")
+
+    def _count_request(self, request: CallerRequest) -> None:
+        service = self.router.services.get(request.service)
+        if service is not None and not request.forwarded:
+            service.budget.record_request(self.clock())
+
+    def _may_retry(self, request: CallerRequest, failure: Failure, tried: set[str]) -> bool:
+        return may_retry(
+            failure.outcome, failure.reason, request.idempotent, len(tried), request.forwarded
+        )
+
+    def _take_from_budget(self, request: CallerRequest, earlier: Failure) -> bool:
+        service = self.router.services.get(request.service)
+        if service is None or not service.budget.try_retry(self.clock()):
+            return False
+        self.counters.increment(f"retried.{earlier.reason}")
+        return True
+
+    def _send(self, request: CallerRequest, target: TargetView) -> Answer | Failure:
+        session = self.registry.get(target.agent_id)
+        if session is None:
+            return Failure(Outcome.NOT_RUN, Reason.NO_TARGET, "the agent has just left")
+        started = self.clock()
+        target.own_in_flight += 1
+        try:
+            result = self._exchange(request, target, session)
+        finally:
+            target.own_in_flight -= 1
+        self._record_health(request, target, result, started)
+        return result
+
+    def _exchange(
+        self, request: CallerRequest, target: TargetView, session: AgentSession
+    ) -> Answer | Failure:
+        now = self.clock()
+        message = _execute_message(request, request.deadline.remaining_ms(now))
+        timeout = request.deadline.remaining_seconds(now) + REPLY_GRACE_SECONDS
+        try:
+            reply = session.request(message, timeout)
+        except NotSent as error:
+            return Failure(Outcome.NOT_RUN, Reason.NO_CONNECTION, error.message)
+        except ProtocolError as error:  # raised before anything was sent
+            return Failure(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, error.message)
+        except ReplyTimeout as error:
+            return Failure(Outcome.UNKNOWN, Reason.TIMED_OUT, error.message)
+        except ConnectionClosed as error:
+            return Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST, error.message)
+        if isinstance(reply, ExecuteReply) and reply.request_id == request.request_id:
+            target.report(max(reply.in_flight, 0))
+        return result_of(request.request_id, reply)
+
+    def _record_health(
+        self,
+        request: CallerRequest,
+        target: TargetView,
+        result: Answer | Failure,
+        started: float,
+    ) -> None:
+        service = self.router.services.get(request.service)
+        if service is None:
+            return
+        now = self.clock()
+        if isinstance(result, Answer):
+            service.health.record(target.agent_id, True, now - started, now)
+        elif result.outcome is Outcome.UNKNOWN:
+            service.health.record(target.agent_id, False, now - started, now)
+
+
+def _execute_message(request: CallerRequest, timeout_ms: int) -> Execute:
+    return Execute(
+        request_id=request.request_id,
+        service=request.service,
+        body=request.body,
+        timeout_ms=timeout_ms,
+        idempotent=request.idempotent,
+        key=request.routed_key,
+        attempt_number=request.attempt_number,
+        content_type=request.content_type,
+        key_age_ms=request.key_age_ms,
+    )
+
+
+def result_of(request_id: str, reply: Message) -> Answer | Failure:
+    """Return what a reply says; a reply that makes no sense leaves the outcome unknown."""
+    if not isinstance(reply, ExecuteReply) or reply.request_id != request_id:
+        return Failure(
+            Outcome.UNKNOWN, Reason.TARGET_BROKE_OFF, "the agent answered another request"
+        )
+    if LOWEST_STATUS <= reply.status <= HIGHEST_STATUS:
+        return Answer(reply.status, reply.body, reply.content_type)
+    reason = reply.reason or Reason.TARGET_BROKE_OFF
+    message = f"the agent reported {reason}"
+    if reply.status == 0 and reply.outcome == Outcome.NOT_RUN.value:
+        return Failure(Outcome.NOT_RUN, reason, message)
+    return Failure(Outcome.UNKNOWN, reason, message)
--- a/src/acaciastand/routing/router.py
+++ b/src/acaciastand/routing/router.py
@@ -14,11 +14,12 @@
 
 
 class Service:
-    """Health and retry budget of one service."""
+    """Targets, health and retry budget of one service."""
 
-    __slots__ = ("health", "budget")
+    __slots__ = ("targets", "health", "budget")
 
     def __init__(self, max_ejected: float, retry_budget: float) -> None:
+        self.targets: dict[str, TargetView] = {}
         self.health = TargetHealth(max_ejected)
         self.budget = RetryBudget(retry_budget)
 
@@ -60,35 +61,31 @@
             service.budget.share = retry_budget
 
     def add(self, target: TargetView) -> None:
-        """Add a target or replace what is known of it."""
+        """Add a target or replace what is known of it.
+
+        Services beyond `MAX_SERVICES` are left out; requests for them find no target.
+        """
         self.remove(target.agent_id)
         self.targets[target.agent_id] = target
         for name in target.services:
-            service = self.service(name)
-            if service is not None:
-                service.health.add(target.agent_id)
+            if name not in self.services and len(self.services) >= MAX_SERVICES:
+                continue
+            service = self.services.setdefault(name, Service(self.max_ejected, self.retry_budget))
+            service.targets[target.agent_id] = target
+            service.health.add(target.agent_id)
 
     def remove(self, agent_id: str) -> None:
         """Forget a target and its buckets; a service without targets is forgotten as well."""
         target = self.targets.pop(agent_id, None)
         self.homes.remove(agent_id)
         for name in target.services if target else ():
-            if name in self.services:
-                self.services[name].health.remove(agent_id)
-            if not any(name in other.services for other in self.targets.values()):
-                self.services.pop(name, None)
-
-    def service(self, name: str) -> Service | None:
-        """Return the state of a service, made on first use; None beyond `MAX_SERVICES`."""
-        service = self.services.get(name)
-        if service is None and len(self.services) < MAX_SERVICES:
-            service = Service(self.max_ejected, self.retry_budget)
-            self.services[name] = service
-        return service
-
-    def knows(self, service: str) -> bool:
-        """Return whether any target announced the service."""
-        return service in self.services
+            service = self.services.get(name)
+            if service is None:
+                continue
+            service.targets.pop(agent_id, None)
+            service.health.remove(agent_id)
+            if not service.targets:
+                del self.services[name]
 
     def choose(self, service: str, tried: set[str], now: float) -> TargetView | None:
         """Return the target for a request without a key; None when no target accepts it.
@@ -98,14 +95,14 @@
         tried
             Agents that already refused or failed this request.
         """
+        state = self.services.get(service)
+        if state is None:
+            return None
         candidates = [
             target
-            for target in self.targets.values()
+            for target in state.targets.values()
             if target.agent_id not in tried and target.accepts(service)
         ]
-        state = self.services.get(service)
-        if state is None:
-            return self.chooser.choose(candidates, self.rng)
         probe = state.health.take_probe([target.agent_id for target in candidates], now)
         if probe is not None:
             return self.targets[probe]
--- a/src/acaciastand/routing/target.py
+++ b/src/acaciastand/routing/target.py
@@ -4,6 +4,9 @@
 
 from acaciastand.record import Record
 
+# A connection carries 64 messages at once; the others are left for grants, stops and heartbeats.
+MAX_OWN_IN_FLIGHT = 48
+
 
 class TargetView(Record):
     """A target as one entry sees it; a hint, because only its agent admits work.
@@ -83,4 +86,9 @@
 
     def accepts(self, service: str) -> bool:
         """Return whether new requests of `service` may be sent to the target."""
-        return service in self.services and self.healthy and not self.draining
+        return (
+            service in self.services
+            and self.healthy
+            and not self.draining
+            and self.own_in_flight < MAX_OWN_IN_FLIGHT
+        )
