Add the agent daemon and its clients of worker and target

Cause: the host aggregate needs wiring to entries, target and worker. Ruled out: leases sent as a length. A call delayed by a frozen agent would start its lease late and outlive the grant, so leases are times of the worker's clock, learned with each status poll. Ruled out: geventhttpclient's connection pool, which loses a connection's permit when a timeout hits while the request is being sent; idle connections are kept in a list instead.

--- /dev/null
+++ b/src/acaciastand/agent/executor.py
@@ -0,0 +1,153 @@
+"""Executes callers' requests at the target."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from gevent.event import Event
+
+from acaciastand.errors import Outcome
+from acaciastand.host import Admission, Decision, Host, RequestFacts
+from acaciastand.host.keyed import KeyRecord, KeyState
+from acaciastand.platform.http import CallBrokeOff, CallNotSent, CallTimedOut, HttpAnswer
+from acaciastand.platform.target_client import TargetClient
+from acaciastand.reasons import Reason
+from acaciastand.wire.codec import MAX_BODY_BYTES
+from acaciastand.wire.messages import Execute, ExecuteReply
+
+
+class CounterSink(Protocol):
+    """What the agent needs of `acaciastand.telemetry.Counters`."""
+
+    def increment(self, name: str) -> None:
+        """Add one to a counter."""
+
+
+class Executor:
+    """Runs admitted requests; the host decides which ones are.
+
+    Parameters
+    ----------
+    clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        target: TargetClient,
+        counters: CounterSink,
+        clock: Callable[[], float],
+    ) -> None:
+        self.host = host
+        self.target = target
+        self.counters = counters
+        self.clock = clock
+
+    def execute(self, message: Execute) -> ExecuteReply:
+        """Return the target's answer, or why there is none."""
+        facts = _facts(message)
+        admission = self.host.requests.admit(facts, self.clock())
+        if admission.decision is Decision.REFUSE:
+            return self._refusal(facts.request_id, admission)
+        try:
+            return self._perform(message, facts, admission)
+        finally:
+            self.host.requests.leave()
+
+    def _perform(self, message: Execute, facts: RequestFacts, admission: Admission) -> ExecuteReply:
+        record = admission.record
+        if record is None or admission.decision is Decision.RUN:
+            return self._run(message, facts, admission)
+        if admission.decision is Decision.JOIN:
+            record.waiter.wait(facts.timeout_seconds)
+        return self._recorded(facts.request_id, record)
+
+    def _run(self, message: Execute, facts: RequestFacts, admission: Admission) -> ExecuteReply:
+        if admission.record is not None:
+            admission.record.waiter = Event()
+        try:
+            return self._call_target(message, facts, admission.timeout_seconds)
+        finally:
+            if admission.record is not None:
+                admission.record.waiter.set()
+
+    def _call_target(
+        self, message: Execute, facts: RequestFacts, timeout_seconds: float
+    ) -> ExecuteReply:
+        desk = self.host.requests
+        try:
+            answer = self.target.execute(
+                message.request_id,
+                message.service,
+                message.key,
+                message.body,
+                message.content_type,
+                timeout_seconds,
+            )
+        except CallNotSent:
+            self.host.target_up = False
+            desk.not_run(facts, self.clock())
+            return self._reply(facts.request_id, Outcome.NOT_RUN, Reason.TARGET_DOWN)
+        except (CallTimedOut, CallBrokeOff) as error:
+            desk.unknown(facts, self.clock())
+            timed_out = isinstance(error, CallTimedOut)
+            reason = Reason.TIMED_OUT if timed_out else Reason.TARGET_BROKE_OFF
+            return self._reply(facts.request_id, Outcome.UNKNOWN, reason)
+        except BaseException:
+            desk.unknown(facts, self.clock())
+            raise
+        return self._answered(facts, answer)
+
+    def _answered(self, facts: RequestFacts, answer: HttpAnswer) -> ExecuteReply:
+        if len(answer.body) > MAX_BODY_BYTES:
+            self.host.requests.unknown(facts, self.clock())
+            return self._reply(facts.request_id, Outcome.UNKNOWN, Reason.BODY_TOO_LARGE)
+        self.host.requests.answered(facts, answer, len(answer.body), self.clock())
+        self.counters.increment("agent.requests.answered")
+        return self._answer(facts.request_id, answer)
+
+    def _recorded(self, request_id: str, record: KeyRecord) -> ExecuteReply:
+        if record.state is KeyState.ANSWERED:
+            self.counters.increment("agent.requests.recorded_answer")
+            return self._answer(request_id, record.answer)
+        if record.state is KeyState.NOT_RUN:
+            return self._reply(request_id, Outcome.NOT_RUN, Reason.TARGET_DOWN)
+        running = record.state is KeyState.RUNNING
+        reason = Reason.TIMED_OUT if running else Reason.TARGET_BROKE_OFF
+        return self._reply(request_id, Outcome.UNKNOWN, reason)
+
+    def _answer(self, request_id: str, answer: HttpAnswer) -> ExecuteReply:
+        return ExecuteReply(
+            request_id=request_id,
+            status=answer.status,
+            body=answer.body,
+            content_type=answer.content_type,
+            in_flight=self.host.requests.slots.in_flight,
+        )
+
+    def _refusal(self, request_id: str, admission: Admission) -> ExecuteReply:
+        assert admission.outcome is not None and admission.reason is not None
+        return self._reply(request_id, admission.outcome, admission.reason)
+
+    def _reply(self, request_id: str, outcome: Outcome, reason: Reason) -> ExecuteReply:
+        self.counters.increment(f"agent.requests.{outcome.value}.{reason}")
+        return ExecuteReply(
+            request_id=request_id,
+            outcome=outcome.value,
+            reason=reason,
+            in_flight=self.host.requests.slots.in_flight,
+        )
+
+
+def _facts(message: Execute) -> RequestFacts:
+    return RequestFacts(
+        message.request_id,
+        message.service,
+        len(message.body),
+        message.timeout_ms / 1000.0,
+        message.key,
+        message.attempt_number,
+        message.key_age_ms / 1000.0 if message.key_age_ms >= 0 else None,
+    )
--- a/src/acaciastand/host/attempts.py
+++ b/src/acaciastand/host/attempts.py
@@ -43,22 +43,22 @@
 
 
 class Command(Record):
-    """One call to the worker; `lease_seconds` is what is left of the grant."""
+    """One call to the worker; a lease ends at `valid_until`, monotonic seconds."""
 
-    __slots__ = ("kind", "task_id", "attempt", "lease_seconds", "keep_progress")
+    __slots__ = ("kind", "task_id", "attempt", "valid_until", "keep_progress")
 
     def __init__(
         self,
         kind: CommandKind,
         task_id: str,
         attempt: int,
-        lease_seconds: float = 0.0,
+        valid_until: float = 0.0,
         keep_progress: bool = False,
     ) -> None:
         self.kind = kind
         self.task_id = task_id
         self.attempt = attempt
-        self.lease_seconds = lease_seconds
+        self.valid_until = valid_until
         self.keep_progress = keep_progress
 
 
@@ -222,6 +222,11 @@
             return Resources()
         return self.grant.size.largest(self.observed)
 
+    @property
+    def stop_result(self) -> AttemptResult:
+        """Result of a stop; only a stop that the owner did not ask for is an eviction."""
+        return AttemptResult.EVICTED if self.evicting else AttemptResult.STOPPED
+
     def end(self, result: AttemptResult, detail: str = "") -> None:
         """Record the result; it is kept until the owner confirms it."""
         self.state = AttemptState.ENDED
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -139,6 +139,8 @@
         """
         if not self.observe_epoch(shard, epoch):
             return Reason.STALE_EPOCH
+        if self.recovering:
+            return Reason.RECOVERING  # the task may run at the worker without being known here
         if not self.ledger.close(task_id, number, now):
             return Reason.LEDGER_FULL
         held = self.ledger.attempts.get(task_id)
@@ -161,8 +163,13 @@
         """Admit nothing from now on and stop all attempts with their progress."""
         self.draining = True
         for attempt in self.ledger.active():
+            attempt.evicting = attempt.evicting or attempt.state is not AttemptState.STOPPING
             self._begin_stop(attempt, keep_progress=True)
 
+    def end_drain(self) -> None:
+        """Admit work again."""
+        self.draining = False
+
     def reports(self) -> list[Attempt]:
         """Return the ended attempts whose result waits for confirmation."""
         return self.ledger.ended()
@@ -235,8 +242,7 @@
         attempt = self.ledger.find(command.task_id, command.attempt)
         if attempt is None or attempt.state is AttemptState.ENDED:
             return
-        result = AttemptResult.EVICTED if attempt.evicting else AttemptResult.STOPPED
-        attempt.end(AttemptResult.COMPLETED if completed else result)
+        attempt.end(AttemptResult.COMPLETED if completed else attempt.stop_result)
         attempt.end_checkpoint = checkpoint or attempt.grant.checkpoint
         attempt.run_seconds = run_seconds
 
@@ -278,7 +284,7 @@
             attempt.state = AttemptState.STOPPING
             return
         if attempt.state is AttemptState.STARTING and not attempt.start_sent:
-            attempt.end(AttemptResult.STOPPED, "stopped before it started")
+            attempt.end(attempt.stop_result, "stopped before it started")
             attempt.end_checkpoint = attempt.grant.checkpoint
             return
         attempt.keep_progress = attempt.keep_progress or keep_progress
@@ -323,10 +329,11 @@
         if kind is None:
             return None
         attempt.busy = True
-        remaining = max(0.0, attempt.valid_until - now)
         if kind in (CommandKind.START, CommandKind.RENEW, CommandKind.RESUME):
             attempt.lease_until = attempt.valid_until
-        return Command(kind, attempt.task_id, attempt.number, remaining, attempt.keep_progress)
+        return Command(
+            kind, attempt.task_id, attempt.number, attempt.valid_until, attempt.keep_progress
+        )
 
     def _next_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
         lapsed = now >= attempt.valid_until
@@ -348,6 +355,7 @@
         if not lapsed:
             attempt.start_sent = True
             return CommandKind.START
+        attempt.evicting = True
         self._begin_stop(attempt, keep_progress=True)
         return CommandKind.STOP if attempt.state is AttemptState.STOPPING else None
 
@@ -355,7 +363,7 @@
         if attempt.state is AttemptState.STOPPING:
             if not self.requests.bucket_running(attempt.task_id):
                 self.requests.drop_bucket(attempt.task_id)
-                attempt.end(AttemptResult.STOPPED)
+                attempt.end(attempt.stop_result)
             return
         lapsed = now >= attempt.valid_until
         attempt.state = AttemptState.PAUSED if lapsed else AttemptState.RUNNING
--- a/src/acaciastand/host/keyed.py
+++ b/src/acaciastand/host/keyed.py
@@ -32,6 +32,7 @@
     RUNNING = 1
     ANSWERED = 2
     UNKNOWN = 3
+    NOT_RUN = 4
 
 
 class KeyRecord:
@@ -103,7 +104,7 @@
 
     def not_run(self, key: str) -> None:
         """Forget `key`, whose request certainly did not run."""
-        self._records.pop(key, None)
+        self._records.pop(key).state = KeyState.NOT_RUN
 
     def running(self, bucket: int) -> bool:
         """Return whether a request of `bucket` is running."""
--- /dev/null
+++ b/src/acaciastand/platform/http.py
@@ -0,0 +1,138 @@
+"""HTTP calls that return whole answers or tell whether the call may have had an effect."""
+
+from __future__ import annotations
+
+import gevent
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from acaciastand.errors import AcaciastandError, Outcome
+from acaciastand.record import Record
+
+MAX_ANSWER_BYTES = 1 << 20
+MAX_IDLE_CONNECTIONS = 8
+CONNECT_SECONDS = 2.0
+READ_BYTES = 16 << 10
+
+
+class CallNotSent(AcaciastandError):
+    """The server was not reached, so the call had no effect."""
+
+    code = "call_not_sent"
+    outcome = Outcome.NOT_RUN
+    http_status = 503
+
+
+class CallTimedOut(AcaciastandError):
+    """No whole answer arrived in time; the call may have had its effect."""
+
+    code = "call_timed_out"
+    outcome = Outcome.UNKNOWN
+    http_status = 504
+
+
+class CallBrokeOff(AcaciastandError):
+    """The answer was truncated, malformed or too large; the call may have had its effect."""
+
+    code = "call_broke_off"
+    outcome = Outcome.UNKNOWN
+    http_status = 502
+
+
+class HttpAnswer(Record):
+    """A whole answer."""
+
+    __slots__ = ("status", "body", "content_type")
+
+    def __init__(self, status: int, body: bytes, content_type: str = "") -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+class HttpCaller:
+    """Calls one server over kept connections; a connection that failed is never used again.
+
+    Parameters
+    ----------
+    url
+        Base URL, ``http://ip:port``.
+    """
+
+    def __init__(self, url: str) -> None:
+        self.url = url
+        self._idle: list[HTTPClient] = []
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_seconds: float = 2.0,
+    ) -> HttpAnswer:
+        """Send one request, never twice, and return the whole answer.
+
+        Raises
+        ------
+        CallNotSent
+            The server refused the connection.
+        CallTimedOut, CallBrokeOff
+            The call may have had its effect.
+        """
+        client = self._idle.pop() if self._idle else self._connect()
+        try:
+            with gevent.Timeout(timeout_seconds):
+                answer = _exchange(client, method, path, body, headers or {})
+        except BaseException as error:
+            client.close()
+            raise self._typed(error, timeout_seconds) from error
+        if len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(client)
+        else:
+            client.close()
+        return answer
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _connect(self) -> HTTPClient:
+        # The deadline of a call is enforced outside, so the client's own limit is a long one.
+        return HTTPClient.from_url(
+            self.url, concurrency=1, connection_timeout=CONNECT_SECONDS, network_timeout=120.0
+        )
+
+    def _typed(self, error: BaseException, timeout_seconds: float) -> BaseException:
+        if isinstance(error, ConnectionRefusedError):
+            return CallNotSent(f"{self.url} refuses connections", "check that it is running")
+        if isinstance(error, gevent.Timeout | TimeoutError):
+            return CallTimedOut(
+                f"no whole answer from {self.url} within {timeout_seconds:.3f} s",
+                "treat the outcome as unknown",
+            )
+        if isinstance(error, OSError | HTTPParseError | ValueError):
+            return CallBrokeOff(
+                f"the answer of {self.url} broke off: {error}", "treat the outcome as unknown"
+            )
+        return error
+
+
+def _exchange(
+    client: HTTPClient, method: str, path: str, body: bytes, headers: dict[str, str]
+) -> HttpAnswer:
+    response = client.request(method, path, body=body, headers=headers)
+    parts: list[bytes] = []
+    size = 0
+    while data := response.read(READ_BYTES):
+        parts.append(data)
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            raise ValueError(f"more than {MAX_ANSWER_BYTES} bytes")
+    length = response.content_length
+    chunked = str(response.get("transfer-encoding", "")).lower() == "chunked"
+    # An answer that ends with the connection cannot be told from a truncated one.
+    if not response.message_complete or (length != size and not chunked):
+        raise ValueError(f"{size} of {length} bytes arrived")
+    return HttpAnswer(response.status_code, b"".join(parts), str(response.get("content-type", "")))
