--- /dev/null
+++ b/src/acaciastand/placement/placer.py
@@ -0,0 +1,103 @@
+"""Choice of a worker for a task."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Iterable
+
+from acaciastand.placement.worker import WorkerView
+from acaciastand.record import Record
+from acaciastand.resources import Resources
+
+
+class PlacementRequest(Record):
+    """A task that needs a worker.
+
+    Parameters
+    ----------
+    size
+        Resources it needs.
+    service
+        Only workers of this service are suitable; empty for any worker.
+    avoid
+        Agents that recently failed or refused the task.
+    spread
+        Workers that already run tasks of the same job, as (availability zone, rack, agent id).
+    """
+
+    __slots__ = ("size", "service", "avoid", "spread")
+
+    def __init__(
+        self,
+        size: Resources,
+        service: str = "",
+        avoid: Iterable[str] = (),
+        spread: Iterable[tuple[str, str, str]] = (),
+    ) -> None:
+        self.size = size
+        self.service = service
+        self.avoid = frozenset(avoid)
+        self.spread = list(spread)
+
+
+class Placer(ABC):
+    """Chooses a worker with enough free resources."""
+
+    @abstractmethod
+    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+        """Return a worker for the task, or None when none has room now."""
+
+
+def has_room(request: PlacementRequest, worker: WorkerView) -> bool:
+    """Return whether `worker` can take the task now."""
+    return (
+        not worker.draining
+        and worker.agent_id not in request.avoid
+        and request.size.fits_in(worker.free)
+        and worker.suits(request.size, request.service)
+    )
+
+
+class FirstFit(Placer):
+    """Takes the first worker with room; the baseline."""
+
+    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+        """Return the first worker with room."""
+        return next((worker for worker in workers if has_room(request, worker)), None)
+
+
+class BestFit(Placer):
+    """Spreads a job over availability zones and racks, then leaves the least room behind.
+
+    Tight packing keeps whole workers free for large tasks. Workers without accelerators come first
+    for tasks that need none.
+    """
+
+    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+        """Return the worker with the lowest rank among those with room."""
+        zones = Counter(zone for zone, _, _ in request.spread)
+        racks = Counter((zone, rack) for zone, rack, _ in request.spread)
+        hosts = Counter(agent_id for _, _, agent_id in request.spread)
+
+        def rank(worker: WorkerView) -> tuple[object, ...]:
+            zone = worker.availability_zone
+            return (
+                zones[zone],
+                racks[zone, worker.rack],
+                hosts[worker.agent_id],
+                worker.free.accelerators - request.size.accelerators,
+                _share_left(request.size, worker),
+                worker.agent_id,
+            )
+
+        return min(
+            (worker for worker in workers if has_room(request, worker)), key=rank, default=None
+        )
+
+
+def _share_left(size: Resources, worker: WorkerView) -> float:
+    left = worker.free.minus(size)
+    cores = left.cores / max(worker.capacity.cores, 1e-9)
+    memory = left.memory_mb / max(worker.capacity.memory_mb, 1)
+    return cores + memory
--- a/src/acaciastand/shard/__init__.py
+++ b/src/acaciastand/shard/__init__.py
@@ -1,1 +1,1 @@
-"""The aggregate of one shard of batch jobs."""
+"""The aggregate of a shard's owner: jobs, tasks, attempts, quotas and buckets."""
--- /dev/null
+++ b/src/acaciastand/shard/scheduling.py
@@ -0,0 +1,190 @@
+"""Assigns waiting tasks and buckets of a shard to workers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from hashlib import blake2b
+
+from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.placer import PlacementRequest, Placer
+from acaciastand.placement.worker import WorkerView
+from acaciastand.resources import Resources
+from acaciastand.shard.job import JobSpec
+from acaciastand.shard.limits import (
+    BUCKET_SETTLE_SECONDS,
+    BUCKETS_PER_SERVICE,
+    MAX_BUCKETS,
+    MAX_EVENTS_PER_COMMIT,
+)
+from acaciastand.shard.shard import Shard
+from acaciastand.shard.state import BUCKET_PREFIX, Job, Task, TaskState, job_id_of
+
+BUCKET_SIZE = Resources()  # a home takes no capacity of its own
+
+
+class Scheduler:
+    """Starts what fits: urgent jobs before normal ones, each in the order of submission.
+
+    Parameters
+    ----------
+    shard
+        The shard whose tasks are started.
+    shard_count
+        Number of shards; a bucket belongs to the shard of its number modulo this.
+    placer
+        Chooses the workers.
+    estimator
+        Knows sizes of earlier tasks.
+    """
+
+    def __init__(
+        self, shard: Shard, shard_count: int, placer: Placer, estimator: SizeEstimator
+    ) -> None:
+        self.shard = shard
+        self.shard_count = shard_count
+        self.placer = placer
+        self.estimator = estimator
+
+    def run(self, workers: Iterable[WorkerView], quotas: Mapping[str, float], now: float) -> int:
+        """Assign waiting buckets and tasks, at most one commit's worth, and return their number."""
+        views = {view.agent_id: view for view in self._with_reservations(workers)}
+        started = self._start_buckets(views, now)
+        blocked: set[tuple[object, ...]] = set()
+        for job in self._jobs_in_order():
+            if started >= MAX_EVENTS_PER_COMMIT:
+                break
+            started += self._start_job(job, views, quotas, blocked, now)
+        return started
+
+    def never_fits(self, spec: JobSpec, workers: Iterable[WorkerView]) -> bool:
+        """Return whether there are workers but none could ever run a task of this job."""
+        views = list(workers)
+        return bool(views) and not any(view.suits(spec.size, spec.service) for view in views)
+
+    def _with_reservations(self, workers: Iterable[WorkerView]) -> Iterator[WorkerView]:
+        reserved: dict[str, Resources] = {}
+        for task in self.shard.state.running.values():
+            agent = self.shard.agents.get(task.agent_id)
+            if task.is_bucket or agent is None:
+                continue
+            if (task.task_id, task.attempt) not in agent.listed:
+                spec = self.shard.state.jobs[job_id_of(task.task_id)].spec
+                size = reserved.get(task.agent_id, Resources())
+                reserved[task.agent_id] = size.plus(self._size(spec))
+        for worker in workers:
+            known = self.shard.agents.get(worker.agent_id)
+            refused = known is not None and known.refused_at == known.sequence
+            free = worker.free.minus(reserved.get(worker.agent_id, Resources()))
+            # An agent that refused has less room than it announced; wait for its next heartbeat.
+            yield worker.replace(free=Resources(-1.0, -1, -1) if refused else free)
+
+    def _jobs_in_order(self) -> list[Job]:
+        jobs = [
+            job
+            for job in self.shard.state.jobs.values()
+            if job.counts[TaskState.WAITING] and job.job_id not in self.shard.uncommitted_jobs
+        ]
+        return [job for job in jobs if job.spec.urgent] + [j for j in jobs if not j.spec.urgent]
+
+    def _size(self, spec: JobSpec) -> Resources:
+        return self.estimator.size(spec.team, spec.batch_class, spec.size)
+
+    def _start_job(
+        self,
+        job: Job,
+        views: dict[str, WorkerView],
+        quotas: Mapping[str, float],
+        blocked: set[tuple[object, ...]],
+        now: float,
+    ) -> int:
+        size = self._size(job.spec)
+        shape = (*size.values(), job.spec.service)
+        started = 0
+        for task in job.tasks:
+            if shape in blocked or started >= MAX_EVENTS_PER_COMMIT:
+                break
+            if task.state != TaskState.WAITING or not self.shard.may_start(task.task_id, now):
+                continue
+            if not self._within_quota(job.spec, quotas):
+                break
+            worker = self._choose(job, task, size, views)
+            if worker is None:
+                if task.task_id not in self.shard.avoid:
+                    blocked.add(shape)
+                continue
+            self._start(task, worker, size, views)
+            started += 1
+        return started
+
+    def _within_quota(self, spec: JobSpec, quotas: Mapping[str, float]) -> bool:
+        limit = quotas.get(spec.team)
+        used = self.shard.state.team_cores[spec.team] + spec.size.cores
+        return limit is None or used <= limit + 1e-9  # sums of fractions are inexact
+
+    def _choose(
+        self, job: Job, task: Task, size: Resources, views: dict[str, WorkerView]
+    ) -> WorkerView | None:
+        running = (views.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
+        spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
+        avoid = [self.shard.avoid[task.task_id]] if task.task_id in self.shard.avoid else []
+        others = any(
+            view.agent_id not in avoid and view.suits(size, job.spec.service)
+            for view in views.values()
+        )
+        # The only suitable worker is used again even if the task failed there.
+        request = PlacementRequest(size, job.spec.service, avoid if others else [], spread)
+        return self.placer.choose(request, views.values())
+
+    def _start(
+        self, task: Task, worker: WorkerView, size: Resources, views: dict[str, WorkerView]
+    ) -> None:
+        views[worker.agent_id] = worker.replace(free=worker.free.minus(size))
+        self.shard.start(task, worker.agent_id, worker.incarnation, size)
+
+    # Buckets
+
+    def _start_buckets(self, views: dict[str, WorkerView], now: float) -> int:
+        homes: dict[str, list[WorkerView]] = {}
+        for view in views.values():
+            for service in () if view.draining else view.services:
+                homes.setdefault(service, []).append(view)
+        self._leave_draining(views)
+        return sum(self._start_service(name, homes[name], now) for name in sorted(homes))
+
+    def _leave_draining(self, views: dict[str, WorkerView]) -> None:
+        for task in list(self.shard.state.running.values()):
+            view = views.get(task.agent_id)
+            if task.is_bucket and view is not None and view.draining:
+                self.shard.stop_bucket(task.task_id)
+
+    def _start_service(self, service: str, homes: list[WorkerView], now: float) -> int:
+        seen = self.shard.service_seen.setdefault(service, now)
+        if now < seen + BUCKET_SETTLE_SECONDS:
+            return 0
+        buckets = [
+            self._bucket(f"{BUCKET_PREFIX}{service}/{number}")
+            for number in range(BUCKETS_PER_SERVICE)
+            if number % self.shard_count == self.shard.state.number
+        ]
+        held = Counter(task.agent_id for task in buckets if task.state == TaskState.RUNNING)
+        started = 0
+        for task in buckets:
+            full = len(self.shard.state.buckets) >= MAX_BUCKETS and not task.attempt
+            if task.state == TaskState.RUNNING or full:
+                continue
+            if self.shard.may_start(task.task_id, now):
+                home = min(homes, key=lambda view: (held[view.agent_id], _rank(task, view)))
+                held[home.agent_id] += 1
+                self.shard.start(task, home.agent_id, home.incarnation, BUCKET_SIZE)
+                started += 1
+        return started
+
+    def _bucket(self, task_id: str) -> Task:
+        return self.shard.state.buckets.get(task_id) or Task(task_id)
+
+
+def _rank(task: Task, view: WorkerView) -> bytes:
+    # Shards choose independently; the hash keeps them from all preferring the same agent.
+    name = f"{task.task_id}\x00{view.agent_id}"
+    return blake2b(name.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/acaciastand/shard/state.py
@@ -0,0 +1,368 @@
+"""Durable state of a shard, folded from its events."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import IntEnum
+from typing import Any
+
+from acaciastand.errors import AcaciastandError
+from acaciastand.record import Record
+from acaciastand.shard.events import (
+    UNREPORTED_ENDS,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptStarted,
+    Event,
+    JobCancelled,
+    JobSubmitted,
+    OwnerChanged,
+    OwnerReleased,
+    OwnershipAffirmed,
+)
+from acaciastand.shard.job import JobSpec
+from acaciastand.shard.limits import MAX_FINISHED_JOBS, MAX_TASK_FAILURES, Timings
+
+BUCKET_PREFIX = "bucket/"
+SNAPSHOT_VERSION = 1
+
+
+class CorruptJournal(AcaciastandError):
+    """An event contradicts the state it is applied to."""
+
+    code = "corrupt_journal"
+
+
+class TaskState(IntEnum):
+    """State of a task."""
+
+    WAITING = 0
+    RUNNING = 1  # an attempt is committed and its end is not
+    DONE = 2
+    FAILED = 3
+    CANCELLED = 4
+
+
+class Task(Record):
+    """A task of a job, or a bucket of a service.
+
+    Parameters
+    ----------
+    attempt
+        Number of the last attempt; 0 before the first.
+    failures
+        Attempts that ended as failed.
+    checkpoint
+        Reference that the next attempt resumes from.
+    agent_id, incarnation, epoch
+        Agent and worker incarnation of the last attempt, and the owner's epoch when it started.
+    last_end
+        End of the last attempt; empty while it runs and before the first.
+    """
+
+    __slots__ = (
+        "task_id",
+        "state",
+        "attempt",
+        "failures",
+        "checkpoint",
+        "agent_id",
+        "incarnation",
+        "epoch",
+        "last_end",
+    )
+
+    def __init__(
+        self,
+        task_id: str,
+        state: int = TaskState.WAITING,
+        attempt: int = 0,
+        failures: int = 0,
+        checkpoint: str = "",
+        agent_id: str = "",
+        incarnation: str = "",
+        epoch: int = 0,
+        last_end: str = "",
+    ) -> None:
+        self.task_id = task_id
+        self.state = TaskState(state)
+        self.attempt = attempt
+        self.failures = failures
+        self.checkpoint = checkpoint
+        self.agent_id = agent_id
+        self.incarnation = incarnation
+        self.epoch = epoch
+        self.last_end = last_end
+
+    @property
+    def is_bucket(self) -> bool:
+        """Whether the task is a bucket of a service's keys."""
+        return self.task_id.startswith(BUCKET_PREFIX)
+
+
+class Job(Record):
+    """A job with its tasks."""
+
+    __slots__ = ("job_id", "key", "spec", "cancelled", "tasks", "counts")
+
+    def __init__(self, job_id: str, key: str, spec: JobSpec, cancelled: bool = False) -> None:
+        self.job_id = job_id
+        self.key = key
+        self.spec = spec
+        self.cancelled = cancelled
+        self.tasks = [Task(f"{job_id}/{number}") for number in range(spec.tasks)]
+        self.counts = dict.fromkeys(TaskState, 0)
+        self.counts[TaskState.WAITING] = spec.tasks
+
+    @property
+    def finished(self) -> bool:
+        """Whether no task waits or runs."""
+        return not self.counts[TaskState.WAITING] and not self.counts[TaskState.RUNNING]
+
+
+class FinishedJob(Record):
+    """What is kept of a finished job."""
+
+    __slots__ = ("job_id", "key", "name", "cancelled", "counts")
+
+    def __init__(
+        self, job_id: str, key: str, name: str, cancelled: bool, counts: list[int]
+    ) -> None:
+        self.job_id = job_id
+        self.key = key
+        self.name = name
+        self.cancelled = cancelled
+        self.counts = counts
+
+
+def job_id_of(task_id: str) -> str:
+    """Return the id of the job that a task belongs to."""
+    return task_id.rpartition("/")[0]
+
+
+class ShardState:
+    """State after a prefix of the journal.
+
+    Parameters
+    ----------
+    number
+        Number of the shard.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.epoch = 0
+        self.owner = ""
+        self.timings = Timings()
+        self.released: OwnerReleased | None = None
+        self.jobs: dict[str, Job] = {}
+        self.finished: dict[str, FinishedJob] = {}
+        self.buckets: dict[str, Task] = {}
+        self.job_of_key: dict[str, str] = {}
+        self.team_cores: defaultdict[str, float] = defaultdict(float)
+        self.running: dict[str, Task] = {}
+        self.unfinished_tasks = 0
+
+    def task(self, task_id: str) -> Task | None:
+        """Return a task of an unfinished job or a bucket; None when there is none."""
+        if task_id.startswith(BUCKET_PREFIX):
+            return self.buckets.get(task_id)
+        job_id, _, number = task_id.rpartition("/")
+        job = self.jobs.get(job_id)
+        if job is None or not number.isdecimal() or int(number) >= len(job.tasks):
+            return None
+        return job.tasks[int(number)]
+
+    def apply(self, event: Event) -> None:
+        """Change the state by one event.
+
+        Raises
+        ------
+        CorruptJournal
+            The event contradicts the state.
+        """
+        match event:
+            case JobSubmitted():
+                self._add_job(event)
+            case AttemptStarted():
+                self._start(event)
+            case AttemptEnded():
+                self._end(event)
+            case JobCancelled():
+                self._cancel(event.job_id)
+            case OwnerChanged():
+                self.epoch = event.epoch
+                self.owner = event.owner
+                self.timings = (
+                    event.timings.largest(self.timings) if self.running else event.timings
+                )
+                self.released = None
+            case OwnerReleased():
+                self.released = event
+            case OwnershipAffirmed():
+                pass
+
+    def withdraw_job(self, job_id: str) -> None:
+        """Undo a submission that certainly was not committed."""
+        job = self.jobs.pop(job_id)
+        self.job_of_key.pop(job.key, None)
+        self.unfinished_tasks -= job.spec.tasks
+
+    def _add_job(self, event: JobSubmitted) -> None:
+        job = Job(event.job_id, event.key, event.spec)
+        self.jobs[job.job_id] = job
+        self.unfinished_tasks += job.spec.tasks
+        if job.key:
+            self.job_of_key[job.key] = job.job_id
+
+    def _start(self, event: AttemptStarted) -> None:
+        if event.task_id.startswith(BUCKET_PREFIX):
+            self.buckets.setdefault(event.task_id, Task(event.task_id))
+        task = self.task(event.task_id)
+        if task is None or task.state != TaskState.WAITING or event.attempt != task.attempt + 1:
+            raise _corrupt(event)
+        task.attempt = event.attempt
+        task.agent_id = event.agent_id
+        task.incarnation = event.incarnation
+        task.epoch = event.epoch
+        task.last_end = ""
+        self._move(task, TaskState.RUNNING)
+
+    def _end(self, event: AttemptEnded) -> None:
+        task = self.task(event.task_id)
+        if task is None or event.attempt != task.attempt:
+            raise _corrupt(event)
+        late = task.state == TaskState.WAITING and task.last_end in UNREPORTED_ENDS
+        if task.state != TaskState.RUNNING and not late:
+            raise _corrupt(event)
+        task.last_end = str(event.end)
+        if event.checkpoint:
+            task.checkpoint = event.checkpoint
+        if event.end in (AttemptEnd.FAILED, AttemptEnd.START_FAILED):
+            task.failures += 1
+        self._move(task, self._state_after(task, event.end))
+
+    def _state_after(self, task: Task, end: AttemptEnd) -> TaskState:
+        if task.is_bucket:
+            return TaskState.WAITING
+        if end == AttemptEnd.COMPLETED:
+            return TaskState.DONE
+        if self.jobs[job_id_of(task.task_id)].cancelled:
+            return TaskState.CANCELLED
+        if task.failures >= MAX_TASK_FAILURES:
+            return TaskState.FAILED
+        return TaskState.WAITING
+
+    def _cancel(self, job_id: str) -> None:
+        job = self.jobs[job_id]
+        job.cancelled = True
+        for task in job.tasks:
+            if task.state == TaskState.WAITING:
+                self._move(task, TaskState.CANCELLED, finish=False)
+        self._finish(job)
+
+    def _move(self, task: Task, state: TaskState, finish: bool = True) -> None:
+        before = task.state
+        task.state = state
+        if state == TaskState.RUNNING:
+            self.running[task.task_id] = task
+        else:
+            self.running.pop(task.task_id, None)
+        if not task.is_bucket:
+            self._count(self.jobs[job_id_of(task.task_id)], before, state, finish)
+
+    def _count(self, job: Job, before: TaskState, after: TaskState, finish: bool) -> None:
+        job.counts[before] -= 1
+        job.counts[after] += 1
+        running = (after == TaskState.RUNNING) - (before == TaskState.RUNNING)
+        self.team_cores[job.spec.team] += running * job.spec.size.cores
+        self.unfinished_tasks -= after > TaskState.RUNNING
+        if finish:
+            self._finish(job)
+
+    def _finish(self, job: Job) -> None:
+        if not job.finished:
+            return
+        del self.jobs[job.job_id]
+        counts = [job.counts[state] for state in TaskState]
+        self._keep(FinishedJob(job.job_id, job.key, job.spec.name, job.cancelled, counts))
+
+    def _keep(self, finished: FinishedJob) -> None:
+        self.finished[finished.job_id] = finished
+        if len(self.finished) > MAX_FINISHED_JOBS:
+            oldest = self.finished.pop(next(iter(self.finished)))
+            self.job_of_key.pop(oldest.key, None)
+
+    def snapshot(self) -> list[Any]:
+        """Return the CBOR form of the whole state."""
+        released = self.released.plain()[1:] if self.released else None
+        return [
+            SNAPSHOT_VERSION,
+            self.epoch,
+            self.owner,
+            list(self.timings.values()),
+            released,
+            [_job_plain(job) for job in self.jobs.values()],
+            [list(job.values()) for job in self.finished.values()],
+            [_task_plain(task) for task in self.buckets.values()],
+        ]
+
+    @classmethod
+    def from_snapshot(cls, number: int, items: list[Any]) -> ShardState:
+        """Return the state in its CBOR form."""
+        state = cls(number)
+        state.epoch, state.owner = items[1], items[2]
+        state.timings = Timings(*items[3])
+        state.released = OwnerReleased(*items[4]) if items[4] is not None else None
+        for finished in items[6]:
+            state._restore_finished(FinishedJob(*finished))
+        for job_id, key, spec, cancelled, tasks in items[5]:
+            state._restore_job(Job(job_id, key, JobSpec.from_plain(spec), cancelled), tasks)
+        for fields in items[7]:
+            task = Task(*fields)
+            state.buckets[task.task_id] = task
+            if task.state == TaskState.RUNNING:
+                state.running[task.task_id] = task
+        return state
+
+    def _restore_finished(self, finished: FinishedJob) -> None:
+        self.finished[finished.job_id] = finished
+        if finished.key:
+            self.job_of_key[finished.key] = finished.job_id
+
+    def _restore_job(self, job: Job, tasks: list[list[Any]]) -> None:
+        self._add_restored(job)
+        for number, *fields in tasks:
+            task = Task(f"{job.job_id}/{number}", *fields)
+            job.tasks[number] = task
+            job.counts[TaskState.WAITING] -= 1
+            job.counts[task.state] += 1
+            if task.state == TaskState.RUNNING:
+                self.running[task.task_id] = task
+                self.team_cores[job.spec.team] += job.spec.size.cores
+            self.unfinished_tasks -= task.state > TaskState.RUNNING
+
+    def _add_restored(self, job: Job) -> None:
+        self.jobs[job.job_id] = job
+        self.unfinished_tasks += job.spec.tasks
+        if job.key:
+            self.job_of_key[job.key] = job.job_id
+
+
+def _corrupt(event: Event) -> CorruptJournal:
+    return CorruptJournal(f"{event} contradicts the shard's state", "report this as a defect")
+
+
+def _task_plain(task: Task) -> list[Any]:
+    fields = list(task.values())
+    fields[1] = int(task.state)
+    return fields
+
+
+def _job_plain(job: Job) -> list[Any]:
+    touched = [
+        [number, *_task_plain(task)[1:]]
+        for number, task in enumerate(job.tasks)
+        if task.attempt or task.state != TaskState.WAITING
+    ]
+    return [job.job_id, job.key, job.spec.plain(), job.cancelled, touched]
