Add the owner service over the shard aggregate

Cause: entries need jobs, grants and buckets that survive takeovers. A second, durable state is folded at commit instead. The state machine proofs are not written yet.

--- /dev/null
+++ b/src/acaciastand/entry/owned_shard.py
@@ -0,0 +1,339 @@
+"""One shard that this entry owns: its commit loop and the messages that follow commits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult, Event
+from gevent.pool import Pool
+
+from acaciastand.coordination.journal import (
+    AppendUnresolved,
+    CompactionNeeded,
+    Fenced,
+    Journal,
+)
+from acaciastand.coordination.ownership import Ownership
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
+from acaciastand.record import Record
+from acaciastand.shard.effects import Effect, Grant, Stop
+from acaciastand.shard.events import Event as ShardEvent
+from acaciastand.shard.knowledge import Authority
+from acaciastand.shard.scheduling import Scheduler
+from acaciastand.shard.shard import Shard
+from acaciastand.wire.messages import GrantAttempt, GrantReply, StopAttempt
+
+GRANT_REPLY_SECONDS = 5.0  # wait for the reply to a grant
+BUCKET_INTERVAL_SECONDS = 0.5  # between two looks at buckets without a home
+RETRY_SECONDS = 0.25  # between two appends while the store is unavailable
+MAX_SENDING = 512  # grants and stops of one shard that are sent at once
+RELEASE_SECONDS = 5.0  # for the commits of a graceful release
+
+
+class NotOwner(Refused):
+    """Another entry owns the shard, or nobody does."""
+
+    code = "no_owner"
+
+    def __init__(self, shard: int) -> None:
+        super().__init__(f"this entry does not own shard {shard}", "send it to the owner or later")
+        self.shard = shard
+
+
+class ShardLost(Refused):
+    """The shard moved to another owner before the change was committed."""
+
+    code = "no_owner"
+
+
+class CommitUnknown(OutcomeUnknown):
+    """The change may have been committed."""
+
+    code = "store_answer_lost"
+
+
+class Waiter(Record):
+    """Somebody who waits for the commit of a ticket."""
+
+    __slots__ = ("ticket", "job_id", "result")
+
+    def __init__(self, ticket: int, job_id: str) -> None:
+        self.ticket = ticket
+        self.job_id = job_id
+        self.result = AsyncResult()
+
+
+class OwnedShard:
+    """A shard in the hands of this entry, from its takeover to its release or loss.
+
+    Parameters
+    ----------
+    journal
+        Journal that this entry took over.
+    context
+        The owner service, which knows sessions, settings, workers and the clock.
+    on_lost
+        Called once when the shard was fenced.
+    """
+
+    def __init__(
+        self,
+        shard: Shard,
+        scheduler: Scheduler,
+        journal: Journal,
+        ownership: Ownership,
+        context: Any,
+        on_lost: Callable[[OwnedShard], None],
+    ) -> None:
+        self.shard = shard
+        self.scheduler = scheduler
+        self.journal = journal
+        self.ownership = ownership
+        self.context = context
+        self.on_lost = on_lost
+        self.number = shard.state.number
+        self.store_down = False
+        self.lost = False
+        self.stopping = Event()
+        self.last_renewal = ownership.session.last_renewal if ownership.session else float("-inf")
+        self._in_doubt = 0
+        self._waiters: list[Waiter] = []
+        self._sending = Pool(MAX_SENDING)
+        self._next_buckets = 0.0
+        self._loop = gevent.spawn(self._run)
+
+    def authority(self, now: float) -> Authority:
+        """Return until when this entry may renew attempts of the shard."""
+        session = self.ownership.session
+        holds = session is not None and session.lease_id == self.ownership.lease_id
+        if session is not None and holds:
+            self.last_renewal = session.last_renewal
+        hold = min(
+            self.shard.timings.outage_hold_seconds, self.shard.state.timings.outage_hold_seconds
+        )
+        valid_until = session.valid_until if session is not None and holds else float("-inf")
+        return Authority(valid_until, self.last_renewal + hold)
+
+    def wait(self, ticket: int, seconds: float, job_id: str = "") -> None:
+        """Wait until a ticket is committed.
+
+        Raises
+        ------
+        StoreUnavailable, ShardLost
+            It was not committed and will not be.
+        CommitUnknown
+            It was not committed in time and may be later.
+        """
+        if ticket <= self.shard.committed:
+            return
+        if self.lost:
+            raise self._lost_error()
+        waiter = Waiter(ticket, job_id)
+        self._waiters.append(waiter)
+        try:
+            waiter.result.get(timeout=max(seconds, 0.0))
+        except gevent.Timeout as error:
+            raise CommitUnknown(
+                f"a change of shard {self.number} was not committed in {seconds:.1f} s",
+                "query it before you send it again, or repeat it with the same key",
+            ) from error
+        finally:
+            self._waiters = [other for other in self._waiters if other is not waiter]
+
+    def release(self) -> None:
+        """Commit a graceful release and give up the owner key."""
+        ticket = self.shard.release()
+        try:
+            self.wait(ticket, RELEASE_SECONDS)
+        except AcaciastandError:
+            self.context.counters.increment("owner.release_not_committed")
+        self.stop()
+        try:
+            self.ownership.release()
+        except AcaciastandError:
+            self.context.counters.increment("owner.key_not_released")
+
+    def stop(self) -> None:
+        """End the commit loop without a release."""
+        self.lost = True
+        self.stopping.set()
+        if gevent.getcurrent() is not self._loop:
+            self._loop.join(timeout=RELEASE_SECONDS)
+        self._fail_waiters(self._lost_error())
+
+    def _lost_error(self) -> AcaciastandError:
+        return ShardLost(f"shard {self.number} moved to another owner", "send it again")
+
+    # Commit loop
+
+    def _run(self) -> None:
+        while not self.stopping.is_set():
+            interval = self.context.settings().commit_interval_ms / 1000.0
+            self.stopping.wait(RETRY_SECONDS if self.store_down else interval)
+            if not self.lost and not self.context.holds(self.ownership):
+                self._lose()
+            if self.lost:
+                return
+            self._step()
+
+    def _step(self) -> None:
+        now = self.context.clock()
+        self.shard.expire(now)
+        if not self.store_down and not self.shard.releasing:
+            self._schedule(now)
+        try:
+            self._commit()
+        except (Fenced, AppendUnresolved):
+            self._lose()
+
+    def _schedule(self, now: float) -> None:
+        if now >= self._next_buckets:
+            self._next_buckets = now + BUCKET_INTERVAL_SECONDS
+            self.scheduler.start_buckets(self.context.workers(), now)
+        if self.scheduler.waiting():
+            quotas = self.context.settings().team_quotas
+            self.scheduler.start_tasks(self.context.workers(), quotas, now)
+
+    def _commit(self) -> None:
+        events = self.shard.batch()
+        try:
+            if self.journal.unresolved:
+                self._resolve()
+            elif events:
+                self._append(events)
+            self.store_down = False
+        except StoreAnswerLost:
+            self.store_down = True
+        except StoreUnavailable as error:
+            self.store_down = True
+            self._refuse_submissions(error)
+        self._send_effects()
+
+    def _append(self, events: list[ShardEvent]) -> None:
+        plain = [event.plain() for event in events]
+        self._compact_if_due()
+        self._in_doubt = len(events)
+        try:
+            self.journal.append(plain)
+        except CompactionNeeded:
+            self._in_doubt = 0
+            raise StoreUnavailable("the journal has no free slot", "wait for the store") from None
+        self._committed()
+
+    def _resolve(self) -> None:
+        self.journal.resolve()
+        self._committed()
+
+    def _committed(self) -> None:
+        self.shard.batch_committed(self._in_doubt)
+        self._in_doubt = 0
+        for waiter in list(self._waiters):
+            if waiter.ticket <= self.shard.committed:
+                waiter.result.set(None)
+
+    def _compact_if_due(self) -> None:
+        if not self.journal.compaction_due:
+            return
+        try:
+            self.journal.compact(self.shard.durable.snapshot())
+        except (StoreAnswerLost, StoreUnavailable):
+            self.context.counters.increment("owner.compaction_failed")
+
+    def _refuse_submissions(self, error: StoreUnavailable) -> None:
+        self._in_doubt = 0
+        withdrawn = set(self.shard.withdraw_uncommitted_jobs())
+        for waiter in list(self._waiters):
+            if waiter.job_id in withdrawn:
+                waiter.result.set_exception(error)
+
+    def _lose(self) -> None:
+        self.lost = True
+        self.stopping.set()
+        self.context.counters.increment("owner.shard_lost")
+        self._fail_waiters(self._lost_error())
+        self.on_lost(self)
+
+    def _fail_waiters(self, error: AcaciastandError) -> None:
+        in_doubt = self.shard.committed + self._in_doubt
+        unknown = CommitUnknown(
+            f"shard {self.number} moved while the outcome of a commit was unknown",
+            "query it before you send it again, or repeat it with the same key",
+        )
+        for waiter in list(self._waiters):
+            if not waiter.result.ready():
+                waiter.result.set_exception(unknown if waiter.ticket <= in_doubt else error)
+
+    # Messages
+
+    def _send_effects(self) -> None:
+        for effect in self.shard.take_effects():
+            self._sending.spawn(self._send, effect)
+
+    def send_ready(self) -> None:
+        """Send effects that need no commit, such as stops of unknown attempts."""
+        if not self.lost:
+            self._send_effects()
+
+    def _send(self, effect: Effect) -> None:
+        if isinstance(effect, Grant):
+            self._send_grant(effect)
+        elif isinstance(effect, Stop):
+            self._send_stop(effect)
+
+    def _send_stop(self, stop: Stop) -> None:
+        session = self.context.registry.get(stop.agent_id)
+        if session is None:
+            return
+        epoch = self.shard.state.epoch
+        message = StopAttempt(self.number, epoch, stop.task_id, stop.attempt, stop.keep_progress)
+        try:
+            session.send(message)
+        except AcaciastandError:
+            self.context.counters.increment("owner.stop_not_sent")  # the next heartbeat repeats it
+
+    def _send_grant(self, grant: Grant) -> None:
+        session = self.context.registry.get(grant.agent_id)
+        if self.lost:
+            return
+        if session is None or not session.last_heartbeat_sequence:
+            self.shard.grant_not_sent(grant.task_id, grant.attempt, self.context.clock())
+            return
+        if not self.shard.grant_sending(grant.task_id, grant.attempt, self.context.clock()):
+            return
+        try:
+            reply = session.request(self._message(grant, session), GRANT_REPLY_SECONDS)
+        except AcaciastandError as error:
+            self._grant_failed(grant, error)
+            return
+        accepted = isinstance(reply, GrantReply) and reply.accepted
+        if not accepted and isinstance(reply, GrantReply):
+            self.context.counters.increment(f"owner.grant_refused.{reply.reason}")
+        if not self.lost:
+            now = self.context.clock()
+            self.shard.grant_answered(grant.task_id, grant.attempt, accepted, now)
+
+    def _grant_failed(self, grant: Grant, error: AcaciastandError) -> None:
+        self.context.counters.increment(f"owner.grant_failed.{error.code}")
+        if self.lost:
+            return
+        if error.code == "not_sent":
+            self.shard.grant_not_sent(grant.task_id, grant.attempt, self.context.clock())
+        else:
+            self.shard.grant_unknown(grant.task_id, grant.attempt)
+
+    def _message(self, grant: Grant, session: Any) -> GrantAttempt:
+        return GrantAttempt(
+            self.number,
+            self.shard.state.epoch,
+            grant.task_id,
+            grant.attempt,
+            grant.size,
+            grant.run_seconds,
+            grant.checkpoint,
+            grant.batch_class,
+            session.last_heartbeat_sequence,
+            self.shard.timings.grant_seconds,
+        )
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -46,10 +46,16 @@
         self.placer = placer
         self.estimator = estimator
 
-    def run(self, workers: Iterable[WorkerView], quotas: Mapping[str, float], now: float) -> int:
-        """Assign waiting buckets and tasks, at most one commit's worth, and return their number."""
+    def waiting(self) -> bool:
+        """Return whether any committed job has a waiting task."""
+        return any(job.counts[TaskState.WAITING] for job in self.shard.state.jobs.values())
+
+    def start_tasks(
+        self, workers: Iterable[WorkerView], quotas: Mapping[str, float], now: float
+    ) -> int:
+        """Assign waiting tasks, about one commit's worth at most, and return their number."""
         views = {view.agent_id: view for view in self._with_reservations(workers)}
-        started = self._start_buckets(views, now)
+        started = 0
         blocked: set[tuple[object, ...]] = set()
         for job in self._jobs_in_order():
             if started >= MAX_EVENTS_PER_COMMIT:
@@ -144,7 +150,9 @@
 
     # Buckets
 
-    def _start_buckets(self, views: dict[str, WorkerView], now: float) -> int:
+    def start_buckets(self, workers: Iterable[WorkerView], now: float) -> int:
+        """Assign buckets without a home, and ask draining homes to give theirs up."""
+        views = {view.agent_id: view for view in workers}
         homes: dict[str, list[WorkerView]] = {}
         for view in views.values():
             for service in () if view.draining else view.services:
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -97,6 +97,8 @@
 
     Attributes
     ----------
+    durable
+        State after the committed events only; snapshots and answers to callers come from it.
     sequence
         Number of events decided; commands return it as the ticket of their last event.
     committed
@@ -105,6 +107,7 @@
 
     def __init__(self, state: ShardState, timings: Timings) -> None:
         self.state = state
+        self.durable = ShardState.from_snapshot(state.number, state.snapshot())
         self.timings = timings
         self.sequence = 0
         self.committed = 0
@@ -130,6 +133,7 @@
         released = self.state.released
         former = self.state.timings
         self.state.apply(event)
+        self.durable.apply(event)
         full = former.largest(self.timings).takeover_seconds()
         short = former.largest(self.timings).expiry_seconds()
         for task_id in self.state.running:
@@ -155,6 +159,7 @@
         for _ in range(count):
             transition = self.pending.popleft()
             self.committed += 1
+            self.durable.apply(transition.event)
             self.ready.extend(transition.effects)
             if isinstance(transition.event, JobSubmitted):
                 self.uncommitted_jobs.discard(transition.event.job_id)
@@ -267,9 +272,8 @@
     def _check_missing(self, contact: Contact, agent: AgentKnowledge) -> None:
         missing = [
             task
-            for task in self.state.running.values()
-            if task.agent_id == contact.agent_id
-            and (task.task_id, task.attempt) not in agent.listed
+            for task in self.state.running_on(contact.agent_id)
+            if (task.task_id, task.attempt) not in agent.listed
         ]
         for task in missing:
             replaced = contact.incarnation and contact.incarnation != task.incarnation
@@ -292,9 +296,9 @@
 
     def agent_gone(self, agent_id: str) -> None:
         """Take note that the connection of an agent ended; its attempts wait for a proof."""
-        for task in self.state.running.values():
+        for task in self.state.running_on(agent_id):
             known = self.attempts[task.task_id]
-            if task.agent_id == agent_id and known.grant_state is GrantState.SENT:
+            if known.grant_state is GrantState.SENT:
                 known.grant_state = GrantState.UNKNOWN
 
     def stop_bucket(self, task_id: str) -> None:
@@ -467,11 +471,11 @@
         NotFound
             No job has this id.
         """
-        job = self.state.jobs.get(job_id)
-        if job is not None and job_id not in self.uncommitted_jobs:
+        job = self.durable.jobs.get(job_id)
+        if job is not None:
             counts = [job.counts[state] for state in TaskState]
             return _description(job_id, job.spec.name, job.cancelled, counts)
-        finished = self.state.finished.get(job_id)
+        finished = self.durable.finished.get(job_id)
         if finished is None:
             raise job_not_found(job_id)
         return _description(job_id, finished.name, finished.cancelled, finished.counts)
--- a/src/acaciastand/shard/state.py
+++ b/src/acaciastand/shard/state.py
@@ -161,6 +161,7 @@
         self.job_of_key: dict[str, str] = {}
         self.team_cores: defaultdict[str, float] = defaultdict(float)
         self.running: dict[str, Task] = {}
+        self.on_agent: defaultdict[str, dict[str, Task]] = defaultdict(dict)
         self.unfinished_tasks = 0
 
     def task(self, task_id: str) -> Task | None:
@@ -202,6 +203,10 @@
             case OwnershipAffirmed():
                 pass
 
+    def running_on(self, agent_id: str) -> list[Task]:
+        """Return the tasks whose current attempt is assigned to an agent."""
+        return list(self.on_agent.get(agent_id, {}).values())
+
     def withdraw_job(self, job_id: str) -> None:
         """Undo a submission that certainly was not committed."""
         job = self.jobs.pop(job_id)
@@ -209,11 +214,7 @@
         self.unfinished_tasks -= job.spec.tasks
 
     def _add_job(self, event: JobSubmitted) -> None:
-        job = Job(event.job_id, event.key, event.spec)
-        self.jobs[job.job_id] = job
-        self.unfinished_tasks += job.spec.tasks
-        if job.key:
-            self.job_of_key[job.key] = job.job_id
+        self._register(Job(event.job_id, event.key, event.spec))
 
     def _start(self, event: AttemptStarted) -> None:
         if event.task_id.startswith(BUCKET_PREFIX):
@@ -265,12 +266,22 @@
         before = task.state
         task.state = state
         if state == TaskState.RUNNING:
-            self.running[task.task_id] = task
-        else:
-            self.running.pop(task.task_id, None)
+            self._add_running(task)
+        elif before == TaskState.RUNNING:
+            self._remove_running(task)
         if not task.is_bucket:
             self._count(self.jobs[job_id_of(task.task_id)], before, state, finish)
 
+    def _add_running(self, task: Task) -> None:
+        self.running[task.task_id] = task
+        self.on_agent[task.agent_id][task.task_id] = task
+
+    def _remove_running(self, task: Task) -> None:
+        del self.running[task.task_id]
+        del self.on_agent[task.agent_id][task.task_id]
+        if not self.on_agent[task.agent_id]:
+            del self.on_agent[task.agent_id]
+
     def _count(self, job: Job, before: TaskState, after: TaskState, finish: bool) -> None:
         job.counts[before] -= 1
         job.counts[after] += 1
@@ -322,7 +333,7 @@
             task = Task(*fields)
             state.buckets[task.task_id] = task
             if task.state == TaskState.RUNNING:
-                state.running[task.task_id] = task
+                state._add_running(task)
         return state
 
     def _restore_finished(self, finished: FinishedJob) -> None:
@@ -331,18 +342,18 @@
             self.job_of_key[finished.key] = finished.job_id
 
     def _restore_job(self, job: Job, tasks: list[list[Any]]) -> None:
-        self._add_restored(job)
+        self._register(job)
         for number, *fields in tasks:
             task = Task(f"{job.job_id}/{number}", *fields)
             job.tasks[number] = task
             job.counts[TaskState.WAITING] -= 1
             job.counts[task.state] += 1
             if task.state == TaskState.RUNNING:
-                self.running[task.task_id] = task
+                self._add_running(task)
                 self.team_cores[job.spec.team] += job.spec.size.cores
             self.unfinished_tasks -= task.state > TaskState.RUNNING
 
-    def _add_restored(self, job: Job) -> None:
+    def _register(self, job: Job) -> None:
         self.jobs[job.job_id] = job
         self.unfinished_tasks += job.spec.tasks
         if job.key:
