Give each entry its share of the team quotas and route keys as the entry does

Cause: the entry routes a submission by its key, so the jobs of a team are in several shards and a quota per shard would forbid tasks larger than the quota divided by the shards. Change: an entry uses quota x (owned shards / all shards), summed over its shards.

--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -95,6 +95,10 @@
         gevent.sleep(0.005)
 
 
+def later(seconds=WAIT_SECONDS):
+    return time.monotonic() + seconds
+
+
 def start_service(context, entry_id):
     session = LeaseSession(context.store, LEASE_SECONDS)
     session.start(time.monotonic())
@@ -128,7 +132,7 @@
 def step_submit(context, tasks, key):
     context.payload = {**DOCUMENT, "tasks": tasks}
     context.key = key
-    context.answer = context.service.submit_job(context.payload, key, WAIT_SECONDS)
+    context.answer = context.service.submit_job(context.payload, key, later())
 
 
 @then("the agent is granted {count:d} attempts")
@@ -155,7 +159,7 @@
 
 @when("the same submission is sent again")
 def step_again(context):
-    context.second = context.service.submit_job(context.payload, context.key, WAIT_SECONDS)
+    context.second = context.service.submit_job(context.payload, context.key, later())
 
 
 @then("it is answered with the same job")
@@ -176,7 +180,7 @@
 @then('a submission is refused with "{code}" and outcome "{outcome}"')
 def step_refused(context, code, outcome):
     try:
-        context.service.submit_job(DOCUMENT, "", WAIT_SECONDS)
+        context.service.submit_job(DOCUMENT, "", later())
     except AcaciastandError as error:
         assert (error.code, error.outcome.value) == (code, outcome), error
     else:
@@ -186,7 +190,7 @@
 @then("a submission is accepted")
 def step_accepted(context):
     wait_for(lambda: not any(owned.store_down for owned in context.service.owned.values()))
-    assert context.service.submit_job(DOCUMENT, "", WAIT_SECONDS)["state"] == "waiting"
+    assert context.service.submit_job(DOCUMENT, "", later())["state"] == "waiting"
 
 
 @when('the next answers of the store are lost until the deadline of a submission with key "{key}"')
@@ -195,7 +199,7 @@
     context.plan.add(FaultKind.LOSE_ANSWER, frozenset({CallKind.PUT}), "shards/", 1)
     context.plan.add(FaultKind.UNAVAILABLE, key_prefix="shards/", calls=1_000_000)
     try:
-        context.service.submit_job(DOCUMENT, key, 0.1)
+        context.service.submit_job(DOCUMENT, key, later(0.1))
     except AcaciastandError as error:
         context.error = error
 
@@ -208,7 +212,7 @@
 @then("the same submission is accepted and there is one job")
 def step_one_job(context):
     wait_for(lambda: not any(owned.store_down for owned in context.service.owned.values()))
-    context.service.submit_job(DOCUMENT, context.key, WAIT_SECONDS)
+    context.service.submit_job(DOCUMENT, context.key, later())
     jobs = [job for owned in context.service.owned.values() for job in owned.shard.durable.jobs]
     assert len(jobs) == 1, jobs
 
@@ -228,7 +232,7 @@
 
 @when("a job that needs 64 cores is submitted")
 def step_submit_large(context):
-    context.answer = context.service.submit_job({**DOCUMENT, "cores": 64.0}, "", WAIT_SECONDS)
+    context.answer = context.service.submit_job({**DOCUMENT, "cores": 64.0}, "", later())
 
 
 @then('its answer has the reason "{reason}"')
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -194,8 +194,7 @@
             self._next_buckets = now + BUCKET_INTERVAL_SECONDS
             self.scheduler.start_buckets(self.context.workers(), now)
         if self.scheduler.waiting():
-            quotas = self.context.settings().team_quotas
-            self.scheduler.start_tasks(self.context.workers(), quotas, now)
+            self.scheduler.start_tasks(self.context.workers(), self.context.quota_room(), now)
 
     def _commit(self) -> None:
         events = self.shard.batch()
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -4,8 +4,9 @@
 
 import os
 import time
+import zlib
+from collections import Counter
 from collections.abc import Callable
-from hashlib import blake2b
 from typing import Any
 
 import gevent
@@ -166,11 +167,6 @@
 
     # Jobs
 
-    def shard_of_submission(self, payload: dict[str, Any], key: str) -> int:
-        """Return the shard of a new job; all jobs of a team are in one, so its quota is exact."""
-        digest = blake2b(str(payload.get("team", "")).encode(), digest_size=8).digest()
-        return int.from_bytes(digest, "big") % self.shard_count
-
     def shard_of_job(self, job_id: str) -> int:
         """Return the shard in a job id.
 
@@ -186,11 +182,18 @@
             raise job_not_found(job_id)
         return int(number)
 
-    def submit_job(
-        self, payload: dict[str, Any], key: str, deadline_seconds: float
-    ) -> dict[str, Any]:
+    def submit_job(self, payload: dict[str, Any], key: str, deadline: float) -> dict[str, Any]:
         """Accept a job and return its description after it is committed.
 
+        Parameters
+        ----------
+        payload
+            Job fields as callers state them.
+        key
+            Makes the submission repeatable; empty for none. It determines the shard.
+        deadline
+            When the caller stops waiting, seconds of the monotonic clock.
+
         Raises
         ------
         InvalidInput, ShardFull, CommandsQueued, NotOwner, StoreUnavailable
@@ -201,7 +204,7 @@
         spec = parse_job(payload)
         if not isinstance(key, str) or len(key.encode()) > MAX_KEY_BYTES:
             raise InvalidInput(f"the key exceeds {MAX_KEY_BYTES} bytes", "use a shorter key")
-        owned = self._owned(self.shard_of_submission(payload, key))
+        owned = self._owned(self._shard_for(key))
         if owned.store_down:
             raise StoreUnavailable(
                 "the store does not take changes at present", "submit the job again later"
@@ -209,7 +212,7 @@
         job_id = f"j{owned.number}-{os.urandom(JOB_ID_BYTES).hex()}"
         scoped = f"{spec.team}/{key}" if key else ""
         submission = owned.shard.submit(spec, scoped, job_id)
-        owned.wait(submission.ticket, deadline_seconds, submission.job_id)
+        owned.wait(submission.ticket, deadline - self.clock(), submission.job_id)
         return self._describe(owned, submission.job_id)
 
     def query_job(self, job_id: str) -> dict[str, Any]:
@@ -222,6 +225,32 @@
         owned.wait(owned.shard.cancel(job_id), CANCEL_SECONDS)
         return self._describe(owned, job_id)
 
+    def quota_room(self) -> dict[str, float]:
+        """Return the cores that each team with a quota may still take here.
+
+        The entry uses the share of a quota that its shards are of all shards, so the shares of
+        all entries never exceed the quota.
+        """
+        quotas: dict[str, float] = self.settings().team_quotas
+        share = len(self.owned) / self.shard_count
+        used: Counter[str] = Counter()
+        for owned in self.owned.values():
+            used.update(owned.shard.state.team_cores)
+        return {team: quota * share - used[team] for team, quota in quotas.items()}
+
+    def grant_seconds(self) -> float:
+        """Return the length that heartbeat replies must state for the grants they renew."""
+        timings = [owned.shard.timings.grant_seconds for owned in self.owned.values()]
+        return min(timings, default=0.0)
+
+    def _shard_for(self, key: str) -> int:
+        if key:
+            return zlib.crc32(key.encode()) % self.shard_count
+        free = [owned for owned in self.owned.values() if not owned.shard.releasing]
+        if not free:
+            raise NotOwner(0)
+        return min(free, key=lambda owned: (len(owned.shard.state.jobs), owned.number)).number
+
     def _describe(self, owned: OwnedShard, job_id: str) -> dict[str, Any]:
         description = owned.shard.describe(job_id)
         job = owned.shard.durable.jobs.get(job_id)
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -51,16 +51,21 @@
         return any(job.counts[TaskState.WAITING] for job in self.shard.state.jobs.values())
 
     def start_tasks(
-        self, workers: Iterable[WorkerView], quotas: Mapping[str, float], now: float
+        self, workers: Iterable[WorkerView], quota_room: Mapping[str, float], now: float
     ) -> int:
-        """Assign waiting tasks, about one commit's worth at most, and return their number."""
+        """Assign waiting tasks, about one commit's worth at most, and return their number.
+
+        `quota_room` holds the cores that each team may still take; teams without a quota are
+        absent.
+        """
+        room = dict(quota_room)
         views = {view.agent_id: view for view in self._with_reservations(workers)}
         started = 0
         blocked: set[tuple[object, ...]] = set()
         for job in self._jobs_in_order():
             if started >= MAX_EVENTS_PER_COMMIT:
                 break
-            started += self._start_job(job, views, quotas, blocked, now)
+            started += self._start_job(job, views, room, blocked, now)
         return started
 
     def never_fits(self, spec: JobSpec, workers: Iterable[WorkerView]) -> bool:
@@ -100,7 +105,7 @@
         self,
         job: Job,
         views: dict[str, WorkerView],
-        quotas: Mapping[str, float],
+        room: dict[str, float],
         blocked: set[tuple[object, ...]],
         now: float,
     ) -> int:
@@ -112,7 +117,7 @@
                 break
             if task.state != TaskState.WAITING or not self.shard.may_start(task.task_id, now):
                 continue
-            if not self._within_quota(job.spec, quotas):
+            if not _within_quota(job.spec, room):
                 break
             worker = self._choose(job, task, size, views)
             if worker is None:
@@ -120,14 +125,11 @@
                     blocked.add(shape)
                 continue
             self._start(task, worker, size, views)
+            if job.spec.team in room:
+                room[job.spec.team] -= job.spec.size.cores
             started += 1
         return started
 
-    def _within_quota(self, spec: JobSpec, quotas: Mapping[str, float]) -> bool:
-        limit = quotas.get(spec.team)
-        used = self.shard.state.team_cores[spec.team] + spec.size.cores
-        return limit is None or used <= limit + 1e-9  # sums of fractions are inexact
-
     def _choose(
         self, job: Job, task: Task, size: Resources, views: dict[str, WorkerView]
     ) -> WorkerView | None:
@@ -192,6 +194,11 @@
         return self.shard.state.buckets.get(task_id) or Task(task_id)
 
 
+def _within_quota(spec: JobSpec, room: Mapping[str, float]) -> bool:
+    # Sums of fractions are inexact.
+    return spec.team not in room or spec.size.cores <= room[spec.team] + 1e-9
+
+
 def _rank(task: Task, view: WorkerView) -> bytes:
     # Shards choose independently; the hash keeps them from all preferring the same agent.
     name = f"{task.task_id}\x00{view.agent_id}"
