--- a/src/acaciastand/entry/agents.py
+++ b/src/acaciastand/entry/agents.py
@@ -49,6 +49,7 @@
         "target_healthy",
         "draining",
         "settings_revision",
+        "path",
         "last_heartbeat_sequence",
         "last_heard",
     )
@@ -69,6 +70,7 @@
         self.target_healthy = hello.target_healthy
         self.draining = hello.draining
         self.settings_revision = hello.settings_revision
+        self.path = hello.path
         self.last_heartbeat_sequence = 0
         self.last_heard = now
 
--- /dev/null
+++ b/src/acaciastand/entry/http.py
@@ -0,0 +1,93 @@
+"""HTTP server for callers, operators and the balancer."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import falcon
+import gevent
+from gevent import socket
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from acaciastand.entry.http_errors import add_error_handlers
+from acaciastand.wire.connection import split_address
+
+MAX_CALLER_CONNECTIONS = 8192  # open connections of callers; further ones wait in the backlog
+IDLE_SECONDS = 75.0  # between two requests of a connection, and for one request line
+HEADER_SECONDS = 10.0  # a caller has this long to send its headers
+IO_SECONDS = 20.0  # without progress in reading or writing
+
+logger = logging.getLogger(__name__)
+
+
+class CallerHandler(WSGIHandler):
+    """One connection of a caller; slow callers are disconnected."""
+
+    def read_requestline(self) -> str:
+        """Return the request line; empty when none arrives in time."""
+        with gevent.Timeout(IDLE_SECONDS, False):
+            self.socket.settimeout(IDLE_SECONDS)
+            return super().read_requestline()
+        return ""
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the headers."""
+        self.socket.settimeout(IO_SECONDS)
+        with gevent.Timeout(HEADER_SECONDS, socket.timeout("headers are too slow")):
+            return super().read_request(raw_requestline)
+
+    def handle_one_response(self) -> None:
+        """Run the application and write its answer; counted as in progress."""
+        self.server.in_progress += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.in_progress -= 1
+            if self.server.stopping:
+                self.close_connection = True
+
+    def log_request(self) -> None:
+        """Write no access log; counters and timings cover requests."""
+
+
+class CallerServer(WSGIServer):
+    """Listens for callers.
+
+    Attributes
+    ----------
+    in_progress
+        Calls that are being answered.
+    """
+
+    def __init__(self, address: str, app: falcon.App) -> None:
+        super().__init__(
+            split_address(address),
+            app,
+            spawn=Pool(MAX_CALLER_CONNECTIONS),
+            handler_class=CallerHandler,
+            log=None,
+            error_log=logger,
+        )
+        self.in_progress = 0
+        self.stopping = False
+
+    @property
+    def bound_address(self) -> str:
+        """Address that the server is bound to."""
+        return f"{self.server_host}:{self.server_port}"
+
+    def stop_accepting(self) -> None:
+        """Accept no further connections; calls in progress go on."""
+        self.stopping = True
+        self.close()
+
+
+def build_app(routes: dict[str, Any]) -> falcon.App:
+    """Return the application with a resource by path."""
+    app = falcon.App()
+    add_error_handlers(app)
+    for path, resource in routes.items():
+        app.add_route(path, resource)
+    return app
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -104,7 +104,13 @@
 
 
 class Hello(Message):
-    """First message of an agent on a connection to an entry."""
+    """First message of an agent on a connection to an entry.
+
+    Parameters
+    ----------
+    path
+        Site of the agent in the settings tree; empty for the site of the entry.
+    """
 
     __slots__ = (
         "agent_id",
@@ -119,6 +125,7 @@
         "draining",
         "settings_revision",
         "attempts",
+        "path",
     )
     type_number = 1
     nested = {"capacity": Resources}
@@ -138,6 +145,7 @@
         draining: bool = False,
         settings_revision: int = 0,
         attempts: list[HeldAttempt] | None = None,
+        path: str = "",
     ) -> None:
         self.agent_id = agent_id
         self.incarnation = incarnation
@@ -151,6 +159,7 @@
         self.draining = draining
         self.settings_revision = settings_revision
         self.attempts = attempts or []
+        self.path = path
 
 
 class Welcome(Message):
@@ -569,6 +578,8 @@
         Lowest revision confirmed by the sender and its agents.
     free_slots
         Free slots by service over the sender's agents.
+    bucket_masks
+        Buckets of keys held by the sender's agents, by service, as bits of a number.
     """
 
     __slots__ = (
@@ -577,6 +588,7 @@
         "owned_shards",
         "free_slots",
         "draining",
+        "bucket_masks",
     )
     type_number = 16
     nested_lists = {"owned_shards": ShardEpoch}
@@ -588,12 +600,14 @@
         owned_shards: list[ShardEpoch] | None = None,
         free_slots: dict[str, int] | None = None,
         draining: bool = False,
+        bucket_masks: dict[str, int] | None = None,
     ) -> None:
         self.settings_revision = settings_revision
         self.in_force_revision = in_force_revision
         self.owned_shards = owned_shards or []
         self.free_slots = free_slots or {}
         self.draining = draining
+        self.bucket_masks = bucket_masks or {}
 
 
 class Forward(Message):
