--- a/src/acaciastand/entry/agents.py
+++ b/src/acaciastand/entry/agents.py
@@ -12,6 +12,10 @@
 
 MAX_AGENTS = 8192  # agents connected to one entry
 MISSED_HEARTBEATS = 3
+HEARTBEAT_SECONDS = 1.0
+MAX_HEARTBEAT_SECONDS = 5.0
+HEARTBEAT_BYTES = 400  # one heartbeat with its reply, a few attempts each
+BYTES_PER_SECOND = 10_000  # share of an entry's bandwidth for heartbeats
 
 
 class TooManyAgents(Refused):
@@ -48,8 +52,10 @@
         "attempts",
         "target_healthy",
         "draining",
+        "settings_draining",
         "settings_revision",
         "path",
+        "heartbeat_seconds",
         "last_heartbeat_sequence",
         "last_heard",
     )
@@ -71,9 +77,16 @@
         self.draining = hello.draining
         self.settings_revision = hello.settings_revision
         self.path = hello.path
+        self.settings_draining = False
+        self.heartbeat_seconds = HEARTBEAT_SECONDS
         self.last_heartbeat_sequence = 0
         self.last_heard = now
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the agent drains, by its own word or by the settings tree."""
+        return self.draining or self.settings_draining
+
     @property
     def connected(self) -> bool:
         """Whether messages can still be sent."""
@@ -97,10 +110,14 @@
         self.free = heartbeat.free
         self.settings_revision = heartbeat.settings_revision
         self.target_healthy = heartbeat.target_healthy
-        self.draining = self.draining or heartbeat.draining
+        self.draining = heartbeat.draining
         self.attempts = heartbeat.attempts
         return True
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether the agent missed `MISSED_HEARTBEATS` heartbeats."""
+        return now - self.last_heard > MISSED_HEARTBEATS * self.heartbeat_seconds
+
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
@@ -127,8 +144,6 @@
     ----------
     router
         Receives targets, loads and bucket homes.
-    heartbeat_seconds
-        Interval that `Welcome` states.
     on_gone
         Called with each session that ended, also when a newer one replaced it.
     """
@@ -136,11 +151,9 @@
     def __init__(
         self,
         router: Router,
-        heartbeat_seconds: float,
         on_gone: Callable[[AgentSession], None],
     ) -> None:
         self.router = router
-        self.heartbeat_seconds = heartbeat_seconds
         self.on_gone = on_gone
         self._sessions: dict[str, AgentSession] = {}
 
@@ -166,6 +179,7 @@
         if earlier is not None:
             self.remove(earlier)
         session = AgentSession(connection, hello, now)
+        session.heartbeat_seconds = heartbeat_seconds_for(len(self._sessions) + 1)
         connection.user_data = session
         self._sessions[hello.agent_id] = session
         self.router.add(_target_of(session))
@@ -181,7 +195,7 @@
         target = self.router.targets[session.agent_id]
         target.report(session.in_flight)
         target.healthy = session.target_healthy
-        target.draining = session.draining
+        target.draining = session.leaving
         self._announce(session)
         return True
 
@@ -191,6 +205,12 @@
         if self._sessions.get(session.agent_id) is session:
             self.router.targets[session.agent_id].draining = True
 
+    def drain_by_settings(self, session: AgentSession, draining: bool) -> None:
+        """Follow the settings key ``draining``, without waiting for the agent."""
+        session.settings_draining = draining
+        if self._sessions.get(session.agent_id) is session:
+            self.router.targets[session.agent_id].draining = session.leaving
+
     def remove(self, session: AgentSession) -> None:
         """End a membership; a session that was replaced leaves its successor alone."""
         if self._sessions.get(session.agent_id) is not session:
@@ -202,8 +222,7 @@
 
     def expire(self, now: float) -> list[AgentSession]:
         """Remove and return the agents that missed `MISSED_HEARTBEATS` heartbeats."""
-        limit = MISSED_HEARTBEATS * self.heartbeat_seconds
-        silent = [session for session in self.sessions() if now - session.last_heard > limit]
+        silent = [session for session in self.sessions() if session.is_silent(now)]
         for session in silent:
             self.remove(session)
         return silent
@@ -217,6 +236,12 @@
         self.router.homes.announce(session.agent_id, attempts)
 
 
+def heartbeat_seconds_for(agents: int) -> float:
+    """Return the interval at which the heartbeats of `agents` agents fit into the budget."""
+    seconds = agents * HEARTBEAT_BYTES / BYTES_PER_SECOND
+    return min(max(seconds, HEARTBEAT_SECONDS), MAX_HEARTBEAT_SECONDS)
+
+
 def _target_of(session: AgentSession) -> TargetView:
     return TargetView(
         agent_id=session.agent_id,
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -38,6 +38,12 @@
         with gevent.Timeout(HEADER_SECONDS, socket.timeout("headers are too slow")):
             return super().read_request(raw_requestline)
 
+    def start_response(self, status: str, headers: list[Any], exc_info: Any = None) -> Any:
+        """Begin the answer; during a stop the caller is told to connect anew next time."""
+        if self.server.stopping:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
     def handle_one_response(self) -> None:
         """Run the application and write its answer; counted as in progress."""
         self.server.in_progress += 1
@@ -45,8 +51,6 @@
             super().handle_one_response()
         finally:
             self.server.in_progress -= 1
-            if self.server.stopping:
-                self.close_connection = True
 
     def log_request(self) -> None:
         """Write no access log; counters and timings cover requests."""
--- a/src/acaciastand/wire/connection.py
+++ b/src/acaciastand/wire/connection.py
@@ -9,6 +9,7 @@
 
 import itertools
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -150,7 +151,8 @@
         """Close the connection; waiting requests fail with `ConnectionClosed`."""
         if self.closed.is_set():
             return
-        with gevent.Timeout(1.0, False), self._send_lock:
+        # A peer that is gone already needs no close frame.
+        with gevent.Timeout(1.0, False), suppress(ConnectionClosed), self._send_lock:
             if self.protocol.state is OPEN:
                 self.protocol.send_close()
                 self._flush()
