--- a/src/acaciastand/programs/entry.py
+++ b/src/acaciastand/programs/entry.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from contextlib import ExitStack
+from functools import partial
 from importlib.metadata import PackageNotFoundError, version
 
 import gevent
@@ -98,7 +99,8 @@
     store = HttpStore(settings.store_url, STORE_SECONDS)
     stack.callback(store.close)
     settings_service = SettingsService(store, settings, counters)
-    return EntryDaemon(settings, store, settings_service, OwnerService, counters)
+    make_owner = partial(OwnerService, counters=counters, path=settings.path)
+    return EntryDaemon(settings, store, settings_service, make_owner, counters)
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/src/acaciastand_standin/program.py
+++ b/src/acaciastand_standin/program.py
@@ -22,6 +22,30 @@
     module.serve(listen)
 
 
+@app.command()
+def worker(
+    listen: str = Listen,
+    cores: float = typer.Option(32.0, help="Processor cores."),
+    memory_mb: int = typer.Option(125_000, help="Memory in megabytes."),
+    accelerators: int = typer.Option(0, help="Accelerators."),
+) -> None:
+    """Serve one worker."""
+    from acaciastand_standin import worker as module
+
+    module.serve(listen, cores, memory_mb, accelerators)
+
+
+@app.command()
+def target(
+    listen: str = Listen,
+    service_seconds: float = typer.Option(0.005, help="Time to answer one request, in seconds."),
+) -> None:
+    """Serve one target."""
+    from acaciastand_standin import target as module
+
+    module.serve(listen, service_seconds)
+
+
 def main() -> None:
     """Run the command line."""
     app()
