Run the whole path in the demo: settings, drain, killed agent, planned stop

Cause of the failed planned stop: the entry's HTTP server defined stop_accepting, which gevent calls from close, so the two called each other. Ruled out: the owner's release and the agents, which ended with code 0. Change: the method is named begin_stop; the settings routes are mounted and report the revision in force from agents and peers. Before: exit code 1 with RecursionError at both entries.

--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -25,8 +25,11 @@
 from acaciastand.entry.membership import StoreMembership
 from acaciastand.entry.peers import Peer, Peers
 from acaciastand.entry.requests import RequestService
+from acaciastand.entry.settings_http import add_settings_routes
+from acaciastand.entry.settings_service import SettingsService
 from acaciastand.errors import AcaciastandError
 from acaciastand.routing import Deadline, LeastLoadedOfTwo, Router
+from acaciastand.settings.confirmation import Confirmations, InForce
 from acaciastand.settings.process import EntrySettings
 from acaciastand.telemetry import Counters
 from acaciastand.wire.connection import Connection, Listener
@@ -102,7 +105,7 @@
         self,
         settings: EntrySettings,
         store: KeyValueStore,
-        settings_service: Settings,
+        settings_service: SettingsService,
         make_owner: OwnerFactory,
         counters: Counters,
         rng: random.Random | None = None,
@@ -157,6 +160,7 @@
             settings.peer_address, self._handle, self.desk.closed, self._protocol_error
         )
         self.app = build_app(self._routes())
+        add_settings_routes(self.app, settings_service, self.in_force)
         self.http = CallerServer(settings.http_address, self.app)
 
     def start(self) -> None:
@@ -192,7 +196,7 @@
         self.stopping = True
         logger.info("entry stops", extra={"entry_id": self.own.entry_id})
         gevent.sleep(READY_SECONDS)
-        self.http.stop_accepting()
+        self.http.begin_stop()
         self.listener.stop_accepting()
         self._wait_for_requests()
         self._stack.close()
@@ -299,6 +303,22 @@
             return "the entry is stopping"
         return "" if self.started else "the entry is starting"
 
+    def in_force(self) -> InForce:
+        """Return the settings revision that every reachable process has confirmed."""
+        now = self.clock()
+        confirmations = Confirmations()
+        for session in self.registry.sessions():
+            confirmations.join(session.agent_id, session.settings_revision, now)
+        connected = self.peers.connected()
+        for peer in connected:
+            confirmations.join(peer.entry.entry_id, peer.heartbeat.in_force_revision, now)
+        names = {peer.entry.entry_id for peer in connected} | {self.own.entry_id}
+        for entry in self.peers.directory():
+            if entry.entry_id not in names:
+                confirmations.join(entry.entry_id, 0, now)
+                confirmations.lose(entry.entry_id, now)
+        return confirmations.in_force(self.settings_service.revision)
+
     def status(self) -> dict[str, Any]:
         """Return what operators see of this entry."""
         agents = [AgentStatus(session) for session in self.registry.sessions()]
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -82,7 +82,7 @@
         """Address that the server is bound to."""
         return f"{self.server_host}:{self.server_port}"
 
-    def stop_accepting(self) -> None:
+    def begin_stop(self) -> None:
         """Accept no further connections; calls in progress go on."""
         self.stopping = True
         self.close()
--- a/src/acaciastand_lab/demo.py
+++ b/src/acaciastand_lab/demo.py
@@ -125,7 +125,9 @@
 def edit(deployment: Deployment, key: str, value: Any) -> int:
     """Set one key at the site and wait until it is in force everywhere."""
     url = f"{deployment.url('entry-0')}/v1/settings/{FIRM_PATH}/{key}"
-    answer = call_json("PUT", url, {"value": value, "author": "demo"})
+    current = call("GET", f"{deployment.url('entry-0')}/v1/settings").json()["revision"]
+    payload = {"value": value, "if_revision": current, "author": "demo"}
+    answer = call_json("PUT", url, payload)
     expect(answer.status == 200, f"edit: {answer.status} {answer.body!r}")
     revision = answer.json()["revision"]
 
