--- /dev/null
+++ b/features/machines/__init__.py
@@ -0,0 +1,1 @@
+"""State machines of hypothesis that the steps run with fixed seeds."""
--- /dev/null
+++ b/features/machines/host_machine.py
@@ -0,0 +1,410 @@
+"""Stateful fuzzing of `Host` with several owners, bad links, a bad worker and restarts."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from acaciastand.errors import Outcome
+from acaciastand.host import (
+    CommandKind,
+    Decision,
+    Grant,
+    Host,
+    RequestFacts,
+    WorkerTask,
+    bucket_task_id,
+)
+from acaciastand.resources import Resources
+from machines.host_model import FakeTarget, FakeWorker
+
+CORES = 4.0
+SLOTS = 2
+CONNECTIONS = 3
+GRANT_SECONDS = 4.0
+KEY_WINDOW_SECONDS = 30.0
+SERVICE = "shop"
+KEYS = ("k1", "k2")
+TASKS = ("job/a", "job/b", "job/c")
+OWNERS = (1, 2, 3)  # the epoch of each owner of the one shard
+
+index = st.integers(0, 30)
+
+
+def task_id(name):
+    """Return the task id of a task or of the bucket of a key."""
+    return bucket_task_id(SERVICE, name) if name in KEYS else name
+
+
+class Call:
+    """A call in transit to the worker; the agent may have given up waiting for it."""
+
+    def __init__(self, host, session, command, grant):
+        self.host = host
+        self.session = session
+        self.command = command
+        self.grant = grant
+        self.awaited = True
+
+
+class HostMachine(RuleBasedStateMachine):
+    """Owners, links, worker and target are adversaries; the checks are the oracle's."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.worker = FakeWorker()
+        self.target = FakeTarget()
+        self.messages = []  # (kind, link, payload) in transit; delivered in any order
+        self.calls = []  # in transit to the worker
+        self.attempts = dict.fromkeys((*TASKS, *(bucket_task_id(SERVICE, k) for k in KEYS)), 0)
+        self.sent = {}  # (link, sequence) -> time
+        self.allowed = {}  # (task, attempt) -> latest end of any grant sent by an owner
+        self.over = {}  # task -> highest attempt reported as ended
+        self.seen_epoch = 0
+        self.key_attempts = dict.fromkeys(KEYS, 1)
+        self.key_since = {}
+        self.waiting = []  # admitted requests that the agent waits for
+        self.joined = 0
+        self.number = 0
+        self.generation = 0
+        self.new_host()
+
+    def new_host(self):
+        self.generation += 1
+        self.host = Host([SERVICE], SLOTS, CONNECTIONS, GRANT_SECONDS, KEY_WINDOW_SECONDS)
+        self.host.capacity = Resources(CORES, 1000, 0)
+        self.host.worker_up = True
+        self.worker.session += 1
+        self.sequences = dict.fromkeys(OWNERS, 0)
+        self.seen_epoch = 0
+
+    def link(self, owner):
+        return f"{owner}#{self.generation}"
+
+    @initialize()
+    def recover(self):
+        self.poll_target()
+        self.poll_worker(0.5)
+
+    @rule(seconds=st.sampled_from([0.1, 0.7, 2.0, 5.0, 20.0]))
+    def time_passes(self, seconds):
+        self.now += seconds
+        self.worker.advance(self.now)
+
+    @rule(owner=st.sampled_from(OWNERS))
+    def heartbeat(self, owner):
+        self.sequences[owner] += 1
+        self.sent[(self.link(owner), self.sequences[owner])] = self.now
+        self.host.heartbeat_sent(self.link(owner), self.sequences[owner], self.now)
+
+    @rule(
+        owner=st.sampled_from(OWNERS),
+        task=st.sampled_from(TASKS),
+        cores=st.sampled_from([0.5, 1.5, 3.0]),
+    )
+    def send_task_grant(self, owner, task, cores):
+        self.send_grant(owner, task, Resources(cores, 10, 0))
+
+    @rule(owner=st.sampled_from(OWNERS), key=st.sampled_from(KEYS))
+    def send_bucket_grant(self, owner, key):
+        self.send_grant(owner, bucket_task_id(SERVICE, key), Resources())
+
+    @rule(
+        task=st.sampled_from(TASKS + KEYS),
+        cores=st.sampled_from([1.5, 3.0]),
+        delay=st.sampled_from([0.0, 0.0, 2.0, 5.0]),
+    )
+    def place(self, task, cores, delay):
+        owner = max(self.seen_epoch, 1)
+        self.heartbeat(owner)
+        size = Resources() if task in KEYS else Resources(cores, 10, 0)
+        self.send_grant(owner, task_id(task), size)
+        self.time_passes(delay)
+        self.deliver_grant(*self.messages[-1][1:])
+        self.serve_calls()
+
+    @rule(seconds=st.sampled_from([0.0, 1.0, 16.0]))
+    def renew_all(self, seconds):
+        self.time_passes(seconds)
+        owner = max(self.seen_epoch, 1)
+        self.heartbeat(owner)
+        link, sequence = self.link(owner), self.sequences[owner]
+        for attempt in self.host.ledger:
+            name = (attempt.task_id, attempt.number)
+            self.allow(name, link, sequence)
+            self.deliver_renew(link, (sequence, name))
+        self.serve_calls()
+
+    @rule(task=st.sampled_from(TASKS + KEYS), late_grant=st.booleans())
+    def stop_now(self, task, late_grant):
+        task = task_id(task)
+        owner = max(self.seen_epoch, 1)
+        self.deliver_stop(self.link(owner), (owner, task, self.attempts[task]))
+        self.serve_calls()
+        self.collect_reports()
+        grants = [m for m in self.messages if m[0] == "grant" and m[2].task_id == task]
+        if late_grant and grants:
+            self.deliver_grant(*grants[-1][1:])
+
+    def serve_calls(self):
+        self.take_commands()
+        while self.calls:
+            self.worker_call(0, "arrives")
+
+    def send_grant(self, owner, task, size):
+        sequence = self.sequences[owner]
+        if sequence == 0:
+            return
+        self.attempts[task] += 1
+        name = (task, self.attempts[task])
+        grant = Grant(1, owner, *name, size, 1.0, "", "", sequence, GRANT_SECONDS)
+        self.allow(name, self.link(owner), sequence)
+        self.messages.append(("grant", self.link(owner), grant))
+
+    def allow(self, name, link, sequence):
+        end = self.sent[(link, sequence)] + GRANT_SECONDS
+        self.allowed[name] = max(end, self.allowed.get(name, 0.0))
+
+    @rule(owner=st.sampled_from(OWNERS), which=index)
+    def send_renewal(self, owner, which):
+        held = sorted((a.task_id, a.number) for a in self.host.ledger)
+        if held and self.sequences[owner]:
+            name = held[which % len(held)]
+            sequence = self.sequences[owner]
+            self.allow(name, self.link(owner), sequence)
+            self.messages.append(("renew", self.link(owner), (sequence, name)))
+
+    @rule(owner=st.sampled_from(OWNERS), task=st.sampled_from(TASKS + KEYS))
+    def send_stop(self, owner, task):
+        task = task_id(task)
+        self.messages.append(("stop", self.link(owner), (owner, task, self.attempts[task])))
+
+    @precondition(lambda self: self.messages)
+    @rule(which=index, keep=st.booleans())
+    def deliver(self, which, keep):
+        position = -1 - which % len(self.messages)
+        kind, link, payload = self.messages[position]
+        if not keep:
+            del self.messages[position]
+        getattr(self, f"deliver_{kind}")(link, payload)
+
+    def deliver_grant(self, link, grant):
+        sent_number = grant.attempt
+        before = self.host.ledger.find(grant.task_id, sent_number)
+        reason = self.host.grant(link, grant.replace(), self.now)
+        if reason is None:
+            assert grant.epoch >= self.seen_epoch, "a grant of a former owner was accepted"
+            over = self.over.get(grant.task_id, 0)
+            assert before or sent_number > over, "an ended attempt was accepted again"
+        self.seen_epoch = max(self.seen_epoch, grant.epoch)
+
+    def deliver_renew(self, link, payload):
+        sequence, name = payload
+        self.host.renew(link, sequence, *name, 0.0, self.now)
+
+    def deliver_stop(self, link, payload):
+        epoch, task, number = payload
+        if link.endswith(f"#{self.generation}"):  # a closed connection delivers no stop
+            reason = self.host.stop(1, epoch, task, number, True, self.now)
+            self.seen_epoch = max(self.seen_epoch, epoch)
+            held = self.host.ledger.attempts.get(task)
+            if reason is None and (held is None or held.number > number):
+                self.over[task] = max(number, self.over.get(task, 0))
+
+    @rule()
+    def take_commands(self):
+        for command in self.host.commands(self.now):
+            held = self.host.ledger.find(command.task_id, command.attempt)
+            grant = held.grant.replace() if held else None
+            self.calls.append(Call(self.host, self.worker.session, command, grant))
+
+    @precondition(lambda self: self.calls)
+    @rule(which=index, answer=st.sampled_from(["arrives", "lost", "dropped", "late", "refused"]))
+    def worker_call(self, which, answer):
+        call = self.calls[which % len(self.calls)]
+        if answer == "late" and call.awaited:  # the agent gives up, the call arrives later
+            self.give_up(call)
+            return
+        self.calls.remove(call)
+        if answer == "dropped" or call.session != self.worker.session:
+            self.give_up(call)
+        elif answer == "refused" and call.command.kind is CommandKind.START:
+            if call.awaited:
+                self.host.start_refused(call.command, "fault")
+        else:
+            started = self.carry_out(call)
+            if answer == "lost":
+                self.give_up(call)
+            elif call.awaited:
+                self.tell_host(call.command, started)
+
+    def give_up(self, call):
+        if call.awaited and call.host is self.host:
+            self.host.command_unknown(call.command)
+        call.awaited = False
+
+    def tell_host(self, command, started):
+        if command.kind in (CommandKind.STOP, CommandKind.FORGET):
+            self.host.stopped(command, "", 0.0, False)
+        elif started:
+            self.host.command_done(command, self.now)
+        else:
+            self.host.start_refused(command, "refused")
+
+    def carry_out(self, call):
+        command = call.command
+        name = (command.task_id, command.attempt)
+        if command.kind is CommandKind.START:
+            known = name in self.worker.tasks
+            started = self.worker.start(call.grant, command.valid_until, self.now)
+            new = started and not known
+            assert not new or name[1] > self.over.get(name[0], 0), "an ended attempt starts"
+            return started
+        if command.kind in (CommandKind.STOP, CommandKind.FORGET):
+            self.worker.stop(*name, self.now)
+        else:
+            self.worker.change(command.kind, name, command.valid_until, self.now)
+        return True
+
+    @rule(unlikely=st.integers(0, 3))
+    def restart_worker(self, unlikely):
+        if unlikely:
+            return
+        for name in list(self.worker.tasks):
+            self.worker.stop(*name, self.now)
+        self.worker.over.clear()
+        self.worker.session += 1
+
+    @rule(factor=st.sampled_from([0.1, 1.0, 4.0]))
+    def poll_worker(self, factor):
+        listed = []
+        for (task, attempt), grant in self.worker.tasks.items():
+            running = self.worker.is_running((task, attempt))
+            lease = max(0.0, self.worker.leases[(task, attempt)] - self.now)
+            size = grant.size
+            usage = Resources(size.cores * factor, size.memory_mb, 0)
+            state = "running" if running else "paused"
+            listed.append(WorkerTask(task, attempt, 1, state, size, usage, lease))
+        self.host.worker_listed(listed, self.now, self.now)
+
+    @rule()
+    def poll_target(self):
+        self.host.target_listed(True, list(self.target.active), self.now)
+
+    @rule()
+    def collect_reports(self):
+        for attempt in self.host.reports():
+            name = attempt.task_id
+            self.over[name] = max(attempt.number, self.over.get(name, 0))
+            self.host.confirm(attempt.task_id, attempt.number, self.now)
+
+    @rule()
+    def restart_agent(self):
+        self.waiting, self.joined = [], 0
+        for key in KEYS:
+            self.bump(key)
+        self.new_host()
+
+    @precondition(lambda self: not self.host.recovering)
+    @rule(stay=st.integers(0, 3))
+    def drain(self, stay):
+        self.host.drain()
+        if stay:
+            self.serve_calls()
+            self.host.end_drain()
+
+    @rule()
+    def end_drain(self):
+        self.host.end_drain()
+
+    @rule()
+    def restart_and_recover(self):
+        self.restart_agent()
+        self.recover()
+
+    @rule(
+        key=st.sampled_from(("", *KEYS)), with_age=st.booleans(), times=st.sampled_from([1, 2, 5])
+    )
+    def requests(self, key, with_age, times):
+        if self.waiting and times == 2:
+            self.end_request(0, False)
+        if key and times > 1:
+            self.place(key, 1.5, 0.0)
+        if key and times == 5:
+            self.renew_all(16.0)  # held for longer than any keyed request may take
+        for _ in range(times):
+            self.request(key, with_age)
+
+    def request(self, key, with_age):
+        self.number += 1
+        number = self.key_attempts.get(key, 0)
+        since = self.key_since.setdefault(key, self.now)  # of the caller's first attempt
+        age = self.now - since if key and with_age else None
+        facts = RequestFacts(f"r{self.number}", SERVICE, 1, 1.0, key, number, age)
+        admission = self.host.requests.admit(facts, self.now)
+        if admission.decision is Decision.RUN:
+            self.target.begin(facts)
+            self.waiting.append(facts)
+        elif admission.decision is Decision.JOIN:
+            self.joined += 1
+        elif admission.decision is Decision.ANSWER:
+            self.host.requests.leave()
+        if key and admission.outcome is not Outcome.NOT_RUN:
+            self.bump(key)
+
+    def bump(self, key):
+        # The caller goes on to a higher number unless its request was refused as not run.
+        if key in self.key_since:
+            self.key_attempts[key] = max(2, self.key_attempts[key] + 1)
+
+    @precondition(lambda self: self.joined)
+    @rule()
+    def joined_caller_leaves(self):
+        self.joined -= 1
+        self.host.requests.leave()
+
+    @precondition(lambda self: self.waiting)
+    @rule(which=index, answered=st.booleans())
+    def end_request(self, which, answered):
+        facts = self.waiting.pop(which % len(self.waiting))
+        if answered and facts.request_id in self.target.active:
+            del self.target.active[facts.request_id]
+            self.host.requests.answered(facts, "answer", 6, self.now)
+        else:
+            self.host.requests.unknown(facts, self.now)
+        self.host.requests.leave()
+
+    @precondition(lambda self: self.target.active)
+    @rule(which=index)
+    def target_finishes(self, which):
+        names = sorted(self.target.active)
+        del self.target.active[names[which % len(names)]]
+
+    @invariant()
+    def capacity_is_respected(self):
+        assert self.worker.declared_cores() <= CORES + 1e-9, "the worker holds too much"
+
+    @invariant()
+    def slots_are_respected(self):
+        assert len(self.target.active) <= SLOTS, "the target runs more than its slots"
+        assert len(self.waiting) + self.joined <= CONNECTIONS, "too many callers wait"
+
+    @invariant()
+    def no_run_outlives_its_grant(self):
+        for span in self.worker.spans:
+            end = self.now if span.stopped is None else span.stopped
+            assert end <= self.allowed[span.name] + 1e-6, f"{span.name} runs past its grant"
+
+    @invariant()
+    def ended_attempts_do_not_run(self):
+        for task, attempt in self.worker.tasks:
+            if attempt <= self.over.get(task, 0):
+                assert self.worker.is_running((task, attempt)) is False, "it was reported ended"
+
+    @invariant()
+    def a_task_runs_once(self):
+        running = [span.name[0] for span in self.worker.spans if span.stopped is None]
+        assert len(running) == len(set(running)), "two attempts of one task run"
+
+    @invariant()
+    def a_key_runs_at_most_once(self):
+        assert all(count <= 1 for count in self.target.by_key.values()), "a key runs twice"
--- a/src/acaciastand/host/attempts.py
+++ b/src/acaciastand/host/attempts.py
@@ -163,6 +163,13 @@
         End of the current grant, monotonic seconds.
     held_since
         When the host took it, monotonic seconds.
+
+    Attributes
+    ----------
+    stop_result
+        Result that a stop will have; only a stop that the owner asked for is ``stopped``.
+    start_unknown
+        Whether a start call without an answer may still reach the worker.
     """
 
     __slots__ = (
@@ -176,7 +183,8 @@
         "confirmed_at",
         "busy",
         "keep_progress",
-        "evicting",
+        "stop_result",
+        "start_unknown",
         "result",
         "end_checkpoint",
         "run_seconds",
@@ -194,7 +202,8 @@
         self.confirmed_at = held_since
         self.busy = False
         self.keep_progress = False
-        self.evicting = False
+        self.stop_result = AttemptResult.STOPPED
+        self.start_unknown = False
         self.result: AttemptResult | None = None
         self.end_checkpoint = ""
         self.run_seconds = 0.0
@@ -222,11 +231,6 @@
             return Resources()
         return self.grant.size.largest(self.observed)
 
-    @property
-    def stop_result(self) -> AttemptResult:
-        """Result of a stop; only a stop that the owner did not ask for is an eviction."""
-        return AttemptResult.EVICTED if self.evicting else AttemptResult.STOPPED
-
     def end(self, result: AttemptResult, detail: str = "") -> None:
         """Record the result; it is kept until the owner confirms it."""
         self.state = AttemptState.ENDED
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -18,7 +18,7 @@
 from acaciastand.resources import Resources
 
 MAX_SHARDS = 1024  # shards whose highest epoch is remembered
-MIN_LEASE_EXTENSION_SECONDS = 0.5  # smaller gains are not worth a call to the worker
+RENEW_BELOW = 2 / 3  # share of the grant left on the lease at which the lease is extended
 
 LISTED_RESULTS = {"finished": AttemptResult.COMPLETED, "failed": AttemptResult.FAILED}
 
@@ -163,7 +163,8 @@
         """Admit nothing from now on and stop all attempts with their progress."""
         self.draining = True
         for attempt in self.ledger.active():
-            attempt.evicting = attempt.evicting or attempt.state is not AttemptState.STOPPING
+            if attempt.state is not AttemptState.STOPPING:
+                attempt.stop_result = AttemptResult.EVICTED
             self._begin_stop(attempt, keep_progress=True)
 
     def end_drain(self) -> None:
@@ -228,12 +229,21 @@
             return
         attempt.busy = False
         attempt.lease_until = 0.0
+        attempt.start_unknown = attempt.start_unknown or command.kind is CommandKind.START
 
     def start_refused(self, command: Command, detail: str) -> None:
-        """Record that the worker certainly did not start a task."""
+        """Record that the worker refused to start a task."""
         attempt = self.ledger.find(command.task_id, command.attempt)
-        if attempt is not None and attempt.state in (AttemptState.STARTING, AttemptState.STOPPING):
+        if attempt is None or attempt.state not in (AttemptState.STARTING, AttemptState.STOPPING):
+            return
+        if not attempt.start_unknown:
             attempt.end(AttemptResult.START_FAILED, detail)
+            return
+        # An earlier start call may still arrive; a stop makes the worker refuse it.
+        attempt.busy = False
+        attempt.stop_result = AttemptResult.START_FAILED
+        attempt.detail = detail
+        attempt.state = AttemptState.STOPPING
 
     def stopped(
         self, command: Command, checkpoint: str, run_seconds: float, completed: bool
@@ -301,8 +311,12 @@
         if task.state in LISTED_RESULTS:
             attempt.end(LISTED_RESULTS[task.state])
             attempt.end_checkpoint = task.checkpoint
-        elif attempt.state is AttemptState.STARTING and attempt.start_sent and not attempt.busy:
+            return
+        settled = attempt.start_sent and not attempt.busy and attempt.confirmed_at < asked_at
+        if attempt.state is AttemptState.STARTING and settled:
             attempt.state = AttemptState.RUNNING
+        elif attempt.state is AttemptState.RUNNING and settled and task.state == "paused":
+            attempt.state = AttemptState.PAUSED  # a lapsed lease or a late pause; resumed if valid
 
     def _adopt(self, task: WorkerTask, asked_at: float, now: float) -> Attempt | None:
         # Only a former agent process can have started a task that the ledger does not hold.
@@ -347,15 +361,16 @@
         if attempt.state is AttemptState.PAUSED and not lapsed:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
-        gained = attempt.valid_until - attempt.lease_until
+        due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
+        extended = attempt.valid_until > attempt.lease_until
         running = attempt.state is AttemptState.RUNNING
-        return CommandKind.RENEW if running and gained >= MIN_LEASE_EXTENSION_SECONDS else None
+        return CommandKind.RENEW if running and due and extended else None
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
             attempt.start_sent = True
             return CommandKind.START
-        attempt.evicting = True
+        attempt.stop_result = AttemptResult.EVICTED
         self._begin_stop(attempt, keep_progress=True)
         return CommandKind.STOP if attempt.state is AttemptState.STOPPING else None
 
--- a/src/acaciastand_standin/target.py
+++ b/src/acaciastand_standin/target.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from acaciastand_standin.http import Answer, Truncated, serve_json
+from acaciastand_standin.serving import serve_until_signal
 
 
 class Target:
@@ -87,4 +88,4 @@
 
 def serve(listen: str, service_seconds: float = 0.005) -> None:
     """Serve one target on ``ip:port`` until killed."""
-    serve_json(listen, Target(service_seconds).answer).serve_forever()
+    serve_until_signal(serve_json(listen, Target(service_seconds).answer), "target")
--- a/src/acaciastand_standin/worker.py
+++ b/src/acaciastand_standin/worker.py
@@ -11,6 +11,7 @@
 import gevent
 
 from acaciastand_standin.http import Answer, serve_json
+from acaciastand_standin.serving import serve_until_signal
 
 TICK_SECONDS = 0.02
 USAGE_LAG_SECONDS = 0.2
@@ -234,4 +235,4 @@
     capacity = {"cores": cores, "memory_mb": memory_mb, "accelerators": accelerators}
     worker = Worker(capacity, guard)
     gevent.spawn(worker.run_timer)
-    serve_json(listen, worker.answer).serve_forever()
+    serve_until_signal(serve_json(listen, worker.answer), "worker")
