--- /dev/null
+++ b/features/steps/coordination_steps.py
@@ -0,0 +1,143 @@
+"""Steps on the coordination library; the rules of the contract are in store_contract.py."""
+
+import contextlib
+import io
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import gevent
+from behave import given, then, when
+from bounds import BOUNDS
+from store_contract import RULES, HttpBench, MemoryBench, fails_with
+
+from acaciastand.coordination import (
+    CallKind,
+    LeaseSession,
+    MemoryStore,
+    StoreAnswerLost,
+    StoreUnavailable,
+    preferred_owner,
+)
+from acaciastand.platform.store_client import HttpStore
+from acaciastand_lab.fuzz import load_machines, run_machine
+
+PAGE = Path("docs/COORDINATION.md")
+SLOW_SECONDS = 0.3
+START_SECONDS = 20.0
+STEPS_PER_EXAMPLE = 50
+
+
+@given("the {kind} store")
+def step_store(context, kind):
+    context.bench = {"memory": MemoryBench, "http": HttpBench}[kind](context.stack)
+
+
+@when("its service takes longer than the timeout")
+def step_slow(context):
+    context.bench.service.faults.slow_seconds = SLOW_SECONDS
+    context.client = HttpStore(context.bench.store.url, SLOW_SECONDS / 6)
+    context.stack.callback(context.client.close)
+
+
+@when("its service has stopped")
+def step_stopped(context):
+    context.bench.server.stop()
+
+
+@then("a write raises {write_error} and a read raises {read_error}")
+def step_errors(context, write_error, read_error):
+    errors = {"StoreAnswerLost": StoreAnswerLost, "StoreUnavailable": StoreUnavailable}
+    fails_with(errors[write_error], context.client.put_if, "key", b"value", 0)
+    fails_with(errors[read_error], context.client.get, "key")
+
+
+@when("the stand-in program is started and gets SIGTERM")
+def step_program(context):
+    command = [sys.executable, "-m", "acaciastand_standin.program", "store"]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, env=os.environ)
+    context.stack.callback(process.stdout.close)
+    context.stack.callback(process.kill)
+    context.address = json.loads(process.stdout.readline())["address"]
+    store = HttpStore(f"http://{context.address}", START_SECONDS)
+    context.version = store.put_if("key", b"value", 0)
+    store.close()
+    process.send_signal(signal.SIGTERM)
+    context.exit_code = process.wait(START_SECONDS)
+
+
+@then("it answered a call at its address and ended with exit code 0")
+def step_program_ended(context):
+    assert (context.version, context.exit_code) == (1, 0)
+
+
+@when('the machine "{name}" runs {steps:d} steps with seed {seed:d}')
+def step_machine(context, name, steps, seed):
+    run_machine(load_machines()[name], seed, steps, STEPS_PER_EXAMPLE)
+
+
+@then("it found nothing")
+def step_nothing_found(context):
+    """Pass: a violation has failed the step before."""
+
+
+@then('the bound "{bound}" holds')
+def step_bound(context, bound):
+    BOUNDS[bound]()
+
+
+@when("a lease of {ttl:d} seconds is renewed every second for {seconds:d} seconds")
+def step_renew(context, ttl, seconds):
+    context.time = 0.0
+
+    def clock():
+        context.time += 0.25  # each call takes effect some time after it was sent
+        return context.time
+
+    context.store = MemoryStore(clock)
+    context.session = LeaseSession(context.store, ttl)
+    context.session.start(0.0)
+    context.renewed = [now for now in range(1, seconds + 1) if context.session.renew(now)]
+
+
+@then("the store saw {count:d} renewals and the lease holds {ttl:d} / 1.05 seconds from the last")
+def step_renewed(context, count, ttl):
+    assert context.store.faults.calls[CallKind.RENEW] == count
+    last = context.renewed[-1]
+    assert context.session.last_renewal == last
+    assert context.session.valid_until == last + ttl / 1.05
+
+
+@then("removing one of {entries:d} entries changes the owner of only its own of {shards:d} shards")
+def step_rendezvous(context, entries, shards):
+    names = [f"entry-{number}" for number in range(entries)]
+    for shard in range(shards):
+        owner = preferred_owner(shard, names)
+        after = preferred_owner(shard, names[1:])
+        assert after == owner or owner == names[0]
+    owners = {preferred_owner(shard, names) for shard in range(shards)}
+    assert owners == set(names)
+
+
+@when("the example of docs/COORDINATION.md is executed")
+def step_example(context):
+    code, context.expected = re.findall(r"```(?:python|text)\n(.*?)```", PAGE.read_text(), re.S)[:2]
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        exec(compile(code, str(PAGE), "exec"), {})
+    context.output = output.getvalue()
+
+
+@then("it prints what the page says")
+def step_example_output(context):
+    assert context.output == context.expected, context.output
+
+
+@then('the store keeps the rule "{rule}"')
+def step_rule(context, rule):
+    with gevent.Timeout(START_SECONDS):
+        RULES[rule](context.bench)
--- a/src/acaciastand/coordination/journal.py
+++ b/src/acaciastand/coordination/journal.py
@@ -27,7 +27,7 @@
     Versioned,
     VersionMismatch,
 )
-from acaciastand.errors import Conflict, Refused
+from acaciastand.errors import AcaciastandError, Conflict, Refused
 from acaciastand.record import Record
 
 SLOTS = 64  # keys of the ring; one holds one entry
@@ -182,6 +182,11 @@
                 entry = self._append(events(epoch) if events else (), epoch, SLOTS)
             except AppendConflict:
                 continue
+            except AcaciastandError:
+                # The caller has not received the state, and only another takeover settles who
+                # owns the journal: this view must not append.
+                self._reset()
+                raise
             self.owned = True
             state.entries.append(entry)
             return state.replace(position=self.position, epoch=self.epoch)
@@ -245,7 +250,12 @@
         self._check_usable()
         entries: list[Entry] = []
         while True:
-            found = self.store.get(self._slot_key(self.position + 1))
+            try:
+                found = self.store.get(self._slot_key(self.position + 1))
+            except StoreUnavailable:
+                if not entries:
+                    raise
+                return self._state(entries)  # this view has moved past them already
             entry = None if found is None else Entry.decode(found.value)
             if found is None or entry is None or entry.number <= self.position:
                 return self._state(entries)
