--- a/src/acaciastand/settings/repository.py
+++ b/src/acaciastand/settings/repository.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Any
 
 from acaciastand.coordination.entries import Entry, JournalState
@@ -65,9 +66,9 @@
             The store does not answer; `current` stays as it is.
         """
         before = self.revision
-        # A journal with an unresolved append accepts no reads. Loading it forgets the append: its
-        # author was told that the outcome is unknown, and an entry that did land is read here.
-        if self._loaded and not self.journal.unresolved:
+        # After a lost answer the journal is loaded, which forgets the unresolved append: its author
+        # was told that the outcome is unknown, and an entry that did land is read here.
+        if self._loaded:
             self._read(self.journal.refresh())
         else:
             self._read(self.journal.load())
@@ -180,7 +181,9 @@
         except AppendConflict:
             return False
         except CompactionNeeded:
-            self.journal.compact(self._committed.to_item())
+            # The edit was not written; whether the snapshot was, shows when it is tried again.
+            with suppress(StoreAnswerLost):
+                self.journal.compact(self._committed.to_item())
             return False
         except StoreAnswerLost:
             self._loaded = False
