--- a/src/acaciastand/entry/settings_http.py
+++ b/src/acaciastand/entry/settings_http.py
@@ -8,13 +8,12 @@
 
 import falcon
 
+from acaciastand.entry.http_errors import read_body
 from acaciastand.entry.settings_service import SettingsService
-from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.errors import InvalidInput
 from acaciastand.settings.confirmation import InForce
 from acaciastand.settings.edits import Edit
 
-MAX_BODY_BYTES = 512 * 1024  # one body; an import carries the edits of a whole tree
-
 InForceSource = Callable[[], InForce]
 
 
@@ -24,34 +23,17 @@
     Parameters
     ----------
     app
-        WSGI application of the entry.
+        WSGI application of the entry, with the handlers of `add_error_handlers`.
     service
         Settings of this entry.
     in_force
         Returns what is known about the revision in force.
     """
-    app.add_error_handler(AcaciastandError, write_error)
     app.add_route("/v1/settings", TreeResource(service, in_force))
     app.add_route("/v1/settings/{place:path}", ValueResource(service))
     app.add_route("/v1/settings-history", HistoryResource(service))
 
 
-def write_error(
-    _request: falcon.Request,
-    response: falcon.Response,
-    error: AcaciastandError,
-    _parameters: dict[str, Any],
-) -> None:
-    """Write an error as JSON with its code, outcome, message and remedy."""
-    response.status = error.http_status
-    response.media = {
-        "code": error.code,
-        "outcome": error.outcome.value if error.outcome else None,
-        "message": error.message,
-        "remedy": error.remedy,
-    }
-
-
 class TreeResource:
     """The whole tree: reading it, and several edits as one revision."""
 
@@ -154,11 +136,7 @@
 
 
 def _read_object(request: falcon.Request, names: tuple[str, ...]) -> dict[str, Any]:
-    data = request.bounded_stream.read(MAX_BODY_BYTES + 1)
-    if len(data) > MAX_BODY_BYTES:
-        raise InvalidInput(
-            f"the body has more than {MAX_BODY_BYTES} bytes", "send fewer edits at a time"
-        )
+    data = read_body(request)
     remedy = f"send a JSON object with {', '.join(names)}"
     try:
         body = json.loads(data)
--- a/src/acaciastand/programs/cli_jobs.py
+++ b/src/acaciastand/programs/cli_jobs.py
@@ -13,7 +13,7 @@
 from acaciastand.programs.cli_common import EntryOption, JsonOption, client_of, poll, progress, show
 
 WAIT_SECONDS = 3600.0
-SUCCEEDED = "done"
+SUCCEEDED = "completed"
 ENDED = (SUCCEEDED, "failed", "cancelled")
 
 app = typer.Typer(help="Submit and follow batch jobs.", no_args_is_help=True)
@@ -21,10 +21,10 @@
 JobArgument = Annotated[str, typer.Argument(help="Id of the job.")]
 
 
-class JobNotDone(AcaciastandError):
+class JobNotCompleted(AcaciastandError):
     """The job ended without success."""
 
-    code = "job_not_done"
+    code = "job_not_completed"
     http_status = 409
     exit_code = 9
 
@@ -86,7 +86,7 @@
     entry: EntryOption = "",
     as_json: JsonOption = False,
 ):
-    """Wait until a job ends; exit code 9 if it was not done."""
+    """Wait until a job ends; exit code 9 if it was not completed."""
     client = client_of(entry)
     last: dict[str, Any] = {}
 
@@ -99,7 +99,9 @@
     poll(read, wait_seconds, f"job {job_id} has not ended", remedy)
     show(last, as_json, _lines)
     if last["state"] != SUCCEEDED:
-        raise JobNotDone(f"job {job_id} ended as {last['state']}", "see `acaciastand job status`")
+        raise JobNotCompleted(
+            f"job {job_id} ended as {last['state']}", "see `acaciastand job status`"
+        )
 
 
 def _place(job_id: str) -> str:
--- a/src/acaciastand/settings/tree_file.py
+++ b/src/acaciastand/settings/tree_file.py
@@ -54,4 +54,6 @@
     try:
         return edit.checked(firm)
     except InvalidInput as error:
-        raise BadFileValue(file, f"{edit.path}/{edit.key}", error.message, error.remedy) from error
+        place = f"{edit.path}/{edit.key}"
+        problem = error.message.removeprefix(f"{place}: ")
+        raise BadFileValue(file, place, problem, error.remedy) from error
