--- /dev/null
+++ b/features/machines/__init__.py
@@ -0,0 +1,1 @@
+"""State machines that are run from steps."""
--- a/src/acaciastand/routing/health.py
+++ b/src/acaciastand/routing/health.py
@@ -60,7 +60,8 @@
         """Forget a target; if the share is then exceeded, the earliest ejected ones return."""
         self._states.pop(agent_id, None)
         ejected = sorted(self.ejected(), key=self._ejected_until)
-        for name in ejected[: len(ejected) - self.limit()]:
+        excess = max(len(ejected) - self.limit(), 0)
+        for name in ejected[:excess]:
             self._restore(self._states[name])
 
     def limit(self) -> int:
