Prove the request path against faults over loopback sockets

Cause: the path from a request to its answer had only been tried by hand. Ruled out: mocks of connections; the faults are in frames, so real sockets carry them. Change: tables of late, reordered, duplicated, truncated and foreign answers, lost connections, refusals and unknown outcomes by reason, bad callers, drain, silence, forwarding and stop. Error handlers are added after the settings routes, whose own handler had replaced the one that adds Retry-After. A body that is too large is read up to a limit so that its caller gets the answer. A peer that is out of reach counts as not having confirmed a settings revision.

--- a/features/entry_support.py
+++ b/features/entry_support.py
@@ -210,11 +210,19 @@
         self.sequence = 0
         self.connection = None
         self.release = Event()
+        self.mangle = lambda data: [data]
         stack.callback(self.close)
 
     def dial(self, address):
         """Connect and announce this agent."""
-        self.connection = dial(address, self._handle)
+        self.connection = connection = dial(address, self._handle)
+        send = connection._send_frame
+
+        def send_mangled(data):
+            for frame in self.mangle(data):
+                send(frame)
+
+        connection._send_frame = send_mangled
         self.sequence = 0
         hello = Hello(
             agent_id=self.name,
--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,531 @@
+"""Steps on callers' requests, with fake agents over loopback sockets."""
+
+import json
+
+import gevent
+from behave import given, then, when
+from entry_support import SERVICE, WAIT_SECONDS, Entry, FakeAgent, answer_with_name, wait_for
+from gevent import socket
+
+import acaciastand.entry.http_errors as http_errors
+import acaciastand.entry.requests as requests_module
+import acaciastand.routing.deadline as deadline_module
+from acaciastand.errors import AcaciastandError
+from acaciastand.wire.codec import MAX_BODY_BYTES, encode
+from acaciastand.wire.connection import REPLY_BIT
+from acaciastand.wire.messages import (
+    Drain,
+    Execute,
+    ExecuteReply,
+    Heartbeat,
+    HeldAttempt,
+    SettingsUpdate,
+    ShardEpoch,
+)
+
+PATH = f"/v1/services/{SERVICE}/requests"
+LATE_SECONDS = 0.45  # after the timeout of 300 ms
+
+
+def reply(**fields):
+    return lambda _agent, message: ExecuteReply(**{"request_id": message.request_id, **fields})
+
+
+def late(agent, message):
+    gevent.sleep(LATE_SECONDS)
+    return answer_with_name(agent, message)
+
+
+def never(agent, _message):
+    agent.release.wait()
+
+
+def when_released(agent, message):
+    agent.release.wait()
+    return answer_with_name(agent, message)
+
+
+def close(agent, message):
+    agent.old = message.request_id
+    agent.connection.close()
+
+
+def run_and_close(agent, message):
+    answer_with_name(agent, message)
+    agent.connection.close()
+
+
+def truncate(agent, message):
+    agent.mangle = lambda data: [data[:-3]]
+    return answer_with_name(agent, message)
+
+
+def rubbish(agent, message):
+    agent.mangle = lambda _data: [b"\xff\xff"]
+    return answer_with_name(agent, message)
+
+
+def twice(agent, message):
+    agent.mangle = lambda data: [data, data]
+    return answer_with_name(agent, message)
+
+
+def reverse(agent, message):
+    agent.waiting = getattr(agent, "waiting", 0) + 1
+    position = agent.waiting
+    wait_for(lambda: agent.waiting == 12, "all requests arrived")
+    gevent.sleep((12 - position) * 0.005)
+    return answer_with_name(agent, message)
+
+
+BEHAVIOURS = {
+    "answers": answer_with_name,
+    "answers too late": late,
+    "never answers": never,
+    "answers when released": when_released,
+    "answers in reverse": reverse,
+    "answers twice": twice,
+    "answers another request": reply(request_id="another", status=200),
+    "answers without status": reply(),
+    "answers with a bad outcome": reply(outcome="maybe", reason="odd"),
+    "answers a bad status": reply(status=7),
+    "answers with a heartbeat": lambda _agent, _message: Heartbeat(),
+    "answers with rubbish": rubbish,
+    "closes the connection": close,
+    "runs and closes the connection": run_and_close,
+    "truncates its answer": truncate,
+}
+
+
+def behaviour(text):
+    if text.startswith("refuses with "):
+        return reply(outcome="not_run", reason=text.removeprefix("refuses with "))
+    if text.startswith("does not know: "):
+        return reply(outcome="unknown", reason=text.removeprefix("does not know: "))
+    return BEHAVIOURS[text]
+
+
+def add_agent(context, name, script, **options):
+    agent = FakeAgent(context.stack, name, script, **options)
+    context.agents[name] = agent
+    return agent.dial(context.entry.address)
+
+
+def spawn_all(context, count, **headers):
+    jobs = [
+        gevent.spawn(context.entry.ask, f"body {number}".encode(), **headers)
+        for number in range(count)
+    ]
+    return jobs
+
+
+def finish(jobs):
+    gevent.joinall(jobs, timeout=WAIT_SECONDS, raise_error=True)
+    return [job.value for job in jobs]
+
+
+def shorten(context, module, constant, value):
+    context.stack.callback(setattr, module, constant, getattr(module, constant))
+    setattr(module, constant, value)
+
+
+@given("an entry whose store is down")
+def step_entry(context):
+    context.agents = {}
+    context.entry = Entry(context.stack)
+
+
+@given('an agent "{name}" that "{text}"')
+def step_agent(context, name, text):
+    add_agent(context, name, behaviour(text))
+
+
+@given('{count:d} requests were answered by an agent "{name}"')
+def step_answered(context, count, name):
+    add_agent(context, name, answer_with_name)
+    assert all(context.entry.ask().status == 200 for _ in range(count))
+
+
+@given('agent "{name}" now "{text}"')
+def step_now(context, name, text):
+    context.agents[name].script = behaviour(text)
+
+
+@given('an agent "{name}" in the same zone with more room that "{text}"')
+def step_more_room(context, name, text):
+    for agent in context.agents.values():
+        agent.heartbeat(in_flight=7)
+    add_agent(context, name, behaviour(text))
+
+
+@given('agents "{first}" and "{second}" of which "{home}" has the higher attempt of all buckets')
+def step_homes(context, first, second, home):
+    for name in (first, second):
+        attempts = [
+            HeldAttempt(task_id=f"bucket/{SERVICE}/{number}", attempt=2 if name == home else 1)
+            for number in range(32)
+        ]
+        add_agent(context, name, answer_with_name, attempts=attempts)
+
+
+@given("the entry takes {count:d} requests at once")
+def step_limit(context, count):
+    shorten(context, requests_module, "MAX_REQUESTS", count)
+
+
+@given("a second entry that knows the first")
+def step_second(context):
+    context.second = Entry(context.stack, "entry-1", [context.entry.address])
+    context.peers = context.second.daemon.peers
+    wait_for(lambda: context.peers.connected() and context.peers.met(), "the entries met")
+    if context.agents:
+        wait_for(lambda: context.peers.with_target(SERVICE), "the target is announced")
+
+
+@given("the first entry owns shard {shard:d}")
+def step_owns(context, shard):
+    context.entry.owner.shards = [ShardEpoch(shard, 1)]
+    wait_for(lambda: context.peers.owner_of(shard), "the shard is announced")
+
+
+@when("a non-idempotent request is sent with a timeout of {milliseconds:d} ms")
+def step_send(context, milliseconds):
+    context.answer = context.entry.ask(Request_Timeout_Ms=milliseconds)
+
+
+@when("an idempotent request is sent")
+def step_send_idempotent(context):
+    context.answer = context.entry.ask(Idempotent="true")
+
+
+@when('a request with key "{key}" is sent')
+def step_send_keyed(context, key):
+    context.answer = context.entry.ask(Idempotency_Key=key, Attempt_Number=1)
+
+
+@when('a request with key "{key}" is sent to the second entry')
+def step_send_keyed_second(context, key):
+    context.answer = context.second.ask(Idempotency_Key=key, Attempt_Number=1)
+
+
+@when("a request is sent to the second entry")
+def step_send_second(context):
+    context.answer = context.second.ask()
+
+
+@when("{count:d} requests with different keys are sent")
+def step_many_keys(context, count):
+    for number in range(count):
+        answer = context.entry.ask(Idempotency_Key=f"key-{number}", Attempt_Number=1)
+        assert answer.status == 200, answer.body
+
+
+@when("{count:d} callers send a request at once")
+def step_at_once(context, count):
+    context.jobs = spawn_all(context, count)
+
+
+@when("one caller sends {count:d} requests in turn")
+def step_in_turn(context, count):
+    context.jobs = []
+    for number in range(count):
+        job = gevent.spawn(context.entry.ask, f"body {number}".encode())
+        finish([job])
+        context.jobs.append(job)
+
+
+@when("{count:d} non-idempotent requests are sent")
+def step_many(context, count):
+    context.answers = [context.entry.ask() for _ in range(count)]
+
+
+@when('agent "{name}" connects again and repeats its old answer for the next request')
+def step_old_answer(context, name):
+    agent = context.agents[name]
+    wait_for(lambda: not context.entry.daemon.registry.sessions(), "the old session ended")
+
+    def answer_old(agent, _message):
+        old = ExecuteReply(agent.old, 200, b"old answer")
+        agent.connection._send_frame(encode(old, 2 | REPLY_BIT))
+
+    agent.script = answer_old
+    agent.dial(context.entry.address)
+
+
+@when('agent "{name}" sends Drain')
+def step_drain(context, name):
+    context.agents[name].connection.send(Drain("planned stop"))
+    wait_for(lambda: context.entry.daemon.registry.get(name).draining, "the drain arrived")
+
+
+@when('the settings tree drains "{name}" with revision {revision:d}')
+def step_drain_by_tree(context, name, revision):
+    context.entry.settings.change({"draining": [name]}, revision)
+    wait_for(lambda: context.entry.daemon.registry.get(name).leaving, "the settings took effect")
+
+
+@when('agent "{name}" falls silent')
+def step_silent(context, name):
+    context.entry.daemon.registry.get(name).heartbeat_seconds = 0.05
+
+
+@when('agent "{name}" connects a second time and its first connection sends a heartbeat')
+def step_second_connection(context, name):
+    agent = context.agents[name]
+    session = context.entry.daemon.registry.get(name)
+    add_agent(context, name, answer_with_name)
+    context.reply = context.entry.daemon.desk.handle(session.connection, Heartbeat(sequence=1))
+    agent.close()
+
+
+@when("a caller sends a request and goes away")
+def step_caller_gone(context):
+    head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\nContent-Length: 1\r\n\r\nx"
+    caller = open_caller(context, head.encode())
+    agent = context.agents["a"]
+    wait_for(lambda: agent.received, "the request arrived")
+    caller.close()
+    agent.release.set()
+
+
+@when("a caller sends half of its body and goes away")
+def step_half_body(context):
+    head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\nContent-Length: 10\r\n\r\nhalf"
+    caller = open_caller(context, head.encode())
+    wait_for(lambda: context.entry.daemon.http.in_progress, "the request has begun")
+    caller.close()
+
+
+@when('a request that is "{what}" is sent')
+def step_bad_request(context, what):
+    shorten(context, http_errors, "BODY_SECONDS", 0.2)
+    if what == "short of time":
+        shorten(context, deadline_module, "MIN_REMAINING_MS", 5000)
+    headers = {
+        "short of time": {"Request_Timeout_Ms": 4000},
+        "keyed without attempt": {"Idempotency_Key": "k"},
+        "with a bad timeout": {"Request_Timeout_Ms": "soon"},
+        "with a bad flag": {"Idempotent": "perhaps"},
+        "with a long key": {"Idempotency_Key": "k" * 200, "Attempt_Number": 1},
+    }
+    if what in headers:
+        context.answer = context.entry.ask(**headers[what])
+    elif what == "too large":
+        context.answer = context.entry.ask(b"x" * (MAX_BODY_BYTES + 1))
+    else:
+        context.answer = raw_answer(context, what)
+
+
+def raw_answer(context, what):
+    head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\n"
+    if what == "too slow":
+        data = f"{head}Content-Length: 10\r\n\r\nhalf".encode()
+    else:
+        chunk = b"x" * (MAX_BODY_BYTES + 1)
+        data = f"{head}Transfer-Encoding: chunked\r\n\r\n{len(chunk):x}\r\n".encode() + chunk
+        data += b"\r\n0\r\n\r\n"
+    caller = open_caller(context, data)
+    received = b""
+    with gevent.Timeout(WAIT_SECONDS):
+        while more := caller.recv(65536):
+            received += more
+    return RawAnswer(received)
+
+
+class RawAnswer:
+    """Answer read from a socket until it closed."""
+
+    def __init__(self, data):
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        self.status = int(head.split()[1])
+
+    def json(self):
+        """Return the body as a dict."""
+        return json.loads(self.body)
+
+
+def open_caller(context, data):
+    host, port = context.entry.daemon.http.bound_address.split(":")
+    caller = socket.create_connection((host, int(port)))
+    context.stack.callback(caller.close)
+    caller.sendall(data)
+    return caller
+
+
+@when("a request is in progress and the entry is asked to stop")
+def step_stop(context):
+    context.jobs = spawn_all(context, 1)
+    agent = context.agents["a"]
+    wait_for(lambda: agent.received, "the request arrived")
+    context.stopping = gevent.spawn(context.entry.daemon.stop)
+
+
+@when("the settings of the first entry change to revision {revision:d}")
+def step_settings(context, revision):
+    context.entry.settings.change({"retry_budget": 0.1}, revision)
+
+
+@when('job "{job_id}" is queried at the second entry')
+def step_query(context, job_id):
+    context.answer = context.second.call("GET", f"/v1/jobs/{job_id}")
+
+
+@then('the answer is {status:d} with code "{code}" and outcome "{outcome}"')
+def step_refused(context, status, code, outcome):
+    found = context.answer.json()
+    expected = (status, code, outcome)
+    assert (context.answer.status, found["code"], found["outcome"]) == expected, found
+    assert found["message"] and found["remedy"], found
+
+
+@then('the answer is 200 from "{name}"')
+def step_answer_from(context, name):
+    assert context.answer.status == 200, context.answer.body
+    assert context.answer.body.startswith(name.encode() + b":"), context.answer.body
+
+
+@then('the counter of "{reason}" is {count:d}')
+def step_counter(context, reason, count):
+    assert context.entry.count(f"refused.{reason}") == count, context.entry.counters.totals()
+
+
+@then("the answer has Retry-After")
+def step_retry_after(context):
+    assert int(context.answer.headers["retry-after"]) >= 1
+
+
+@then("the next request gets its own answer")
+def step_next(context):
+    context.agents["a"].script = answer_with_name
+    answer = context.entry.ask(b"next")
+    assert (answer.status, answer.body) == (200, b"a:next"), answer.body
+
+
+@then('agent "{name}" executed {count:d} requests')
+def step_executed(context, name, count):
+    assert len(context.agents[name].executed) == count
+
+
+@then('agent "{name}" is not a member')
+def step_no_member(context, name):
+    registry = context.entry.daemon.registry
+    wait_for(lambda: registry.get(name) is None, "the agent is removed")
+    assert name in context.entry.owner.gone
+    assert name not in context.entry.daemon.router.targets
+
+
+@then("each caller has the answer to its own request")
+def step_own_answers(context):
+    bodies = [answer.body for answer in finish(context.jobs)]
+    assert bodies == [f"a:body {number}".encode() for number in range(len(bodies))], bodies
+
+
+@then('some requests were retried with "{reason}" and at most {limit:d}')
+def step_retried(context, reason, limit):
+    assert 1 <= context.entry.count(f"retried.{reason}") <= limit
+
+
+@then("no request ran twice and every refused request ran 0 times")
+def step_no_double(context):
+    executed = [name for agent in context.agents.values() for name in agent.executed]
+    assert len(executed) == len(set(executed))
+    for answer in context.answers:
+        ran = answer.headers["request-id"] in executed
+        outcome = "answered" if answer.status == 200 else answer.json()["outcome"]
+        assert ran or outcome != "answered"
+        assert not (ran and outcome == "not_run"), answer.body
+
+
+@then('one of them is refused with "{code}" and the others are answered')
+def step_one_refused(context, code):
+    wait_for(lambda: any(job.ready() for job in context.jobs), "one is refused")
+    context.agents["a"].release.set()
+    answers = finish(context.jobs)
+    refused = [answer.json()["code"] for answer in answers if answer.status != 200]
+    assert refused == [code], refused
+
+
+@then('agent "{name}" executes 1 request and nothing is left in progress')
+def step_gone_executed(context, name):
+    wait_for(lambda: len(context.agents[name].executed) == 1, "the request ran")
+    step_nothing_left(context, name, 1)
+
+
+@then('nothing is left in progress and agent "{name}" executed {count:d} requests')
+def step_nothing_left(context, name, count):
+    daemon = context.entry.daemon
+    wait_for(lambda: not daemon.http.in_progress, "the call ended")
+    assert daemon.requests.in_progress == 0
+    assert daemon.router.targets[name].own_in_flight == 0
+    assert len(context.agents[name].executed) == count
+
+
+@then('agents "{first}" and "{second}" received the settings of revision {revision:d}')
+def step_received(context, first, second, revision):
+    for name in (first, second):
+        agent = context.agents[name]
+        wait_for(
+            lambda agent=agent: any(
+                isinstance(message, SettingsUpdate) and message.revision == revision
+                for message in agent.received
+            ),
+            "the settings arrived",
+        )
+
+
+@then('the heartbeat is not answered and "{name}" is a member once')
+def step_ended_session(context, name):
+    assert context.reply is None
+    assert [session.agent_id for session in context.entry.daemon.registry.sessions()] == [name]
+
+
+@then('only "{name}" executed them')
+def step_only(context, name):
+    for agent in context.agents.values():
+        assert bool(agent.executed) == (agent.name == name)
+
+
+@then("the agents received {count:d} request in all")
+def step_received_in_all(context, count):
+    received = [
+        message
+        for agent in context.agents.values()
+        for message in agent.received
+        if isinstance(message, Execute)
+    ]
+    assert len(received) == count, received
+
+
+@then("/readyz fails, the request is answered and new connections are refused")
+def step_stopped(context):
+    daemon = context.entry.daemon
+    ready = context.entry.call("GET", "/readyz")
+    assert ready.status == 503, ready.body
+    wait_for(lambda: daemon.http.closed, "the listener closed")
+    assert not context.stopping.ready()
+    context.agents["a"].release.set()
+    assert finish(context.jobs)[0].status == 200
+    finish([context.stopping])
+    try:
+        context.entry.ask()
+    except (OSError, AcaciastandError):
+        return
+    raise AssertionError("a new connection was accepted")
+
+
+@then("the job's state comes from the first entry")
+def step_job_state(context):
+    assert context.answer.json()["state"] == "running", context.answer.body
+    assert context.entry.owner.calls == [("query", "j3-abc")]
+
+
+@then('job "{job_id}" is refused with "{code}"')
+def step_no_owner(context, job_id, code):
+    answer = context.second.call("DELETE", f"/v1/jobs/{job_id}")
+    assert answer.json()["code"] == code
+    assert context.second.count(f"refused.{code}") == 1
+
+
+@then("the second entry has revision {revision:d}")
+def step_adopted(context, revision):
+    wait_for(lambda: context.second.settings.revision == revision, "the settings were adopted")
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -18,6 +18,7 @@
 from acaciastand.entry.desk import AgentDesk, SettingsSource, TaskOwner
 from acaciastand.entry.forwarding import CALL, PeerForwarder, request_of, result_of
 from acaciastand.entry.http import CallerServer, build_app
+from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.entry.http_jobs import JobResource, JobsResource
 from acaciastand.entry.http_requests import RequestsResource
 from acaciastand.entry.http_status import LiveResource, ReadyResource, StatusResource
@@ -161,6 +162,7 @@
         )
         self.app = build_app(self._routes())
         add_settings_routes(self.app, settings_service, self.in_force)
+        add_error_handlers(self.app)  # the latest handler of a type counts
         self.http = CallerServer(settings.http_address, self.app)
 
     def start(self) -> None:
@@ -309,14 +311,10 @@
         confirmations = Confirmations()
         for session in self.registry.sessions():
             confirmations.join(session.agent_id, session.settings_revision, now)
-        connected = self.peers.connected()
-        for peer in connected:
+        for peer in self.peers.met():
             confirmations.join(peer.entry.entry_id, peer.heartbeat.in_force_revision, now)
-        names = {peer.entry.entry_id for peer in connected} | {self.own.entry_id}
-        for entry in self.peers.directory():
-            if entry.entry_id not in names:
-                confirmations.join(entry.entry_id, 0, now)
-                confirmations.lose(entry.entry_id, now)
+            if not peer.connected:
+                confirmations.lose(peer.entry.entry_id, now)
         return confirmations.in_force(self.settings_service.revision)
 
     def status(self) -> dict[str, Any]:
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -11,7 +11,6 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.wire.connection import split_address
 
 MAX_CALLER_CONNECTIONS = 8192  # open connections of callers; further ones wait in the backlog
@@ -89,9 +88,8 @@
 
 
 def build_app(routes: dict[str, Any]) -> falcon.App:
-    """Return the application with a resource by path."""
+    """Return the application with a resource by path; error handlers are added last."""
     app = falcon.App()
-    add_error_handlers(app)
     for path, resource in routes.items():
         app.add_route(path, resource)
     return app
--- a/src/acaciastand/entry/http_errors.py
+++ b/src/acaciastand/entry/http_errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from contextlib import suppress
 from typing import Any
 
 import falcon
@@ -13,6 +14,7 @@
 from acaciastand.wire.codec import MAX_BODY_BYTES
 
 BODY_SECONDS = 10.0  # a caller has this long to send its body
+MAX_DISCARDED_BYTES = 2 * MAX_BODY_BYTES  # read of a body that is too large
 RETRY_AFTER_SECONDS = "1"
 
 logger = logging.getLogger(__name__)
@@ -38,7 +40,7 @@
     code = "body_incomplete"
 
 
-def read_body(request: falcon.Request, seconds: float = BODY_SECONDS) -> bytes:
+def read_body(request: falcon.Request) -> bytes:
     """Return the complete body.
 
     Raises
@@ -47,13 +49,14 @@
         The caller is to be disconnected.
     """
     if (request.content_length or 0) > MAX_BODY_BYTES:
+        _discard(request)
         raise _too_large()
     try:
-        with gevent.Timeout(seconds, TimeoutError()):
+        with gevent.Timeout(BODY_SECONDS, TimeoutError()):
             body = request.env["wsgi.input"].read(MAX_BODY_BYTES + 1)
     except TimeoutError:
         raise SlowCaller(
-            f"the body did not arrive within {seconds:g} s", "send the body without pauses"
+            f"the body did not arrive within {BODY_SECONDS:g} s", "send the body without pauses"
         ) from None
     except OSError as error:
         raise BodyIncomplete(f"the body cannot be read: {error}", "send it completely") from None
@@ -62,6 +65,12 @@
     return body
 
 
+def _discard(request: falcon.Request) -> None:
+    # Closing a connection with unread data resets it, and the caller might lose the answer.
+    with gevent.Timeout(BODY_SECONDS, False), suppress(OSError):
+        request.env["wsgi.input"].read(MAX_DISCARDED_BYTES)
+
+
 def _too_large() -> BodyTooLarge:
     return BodyTooLarge(f"the body exceeds {MAX_BODY_BYTES} bytes", "send a smaller body")
 
--- a/src/acaciastand/entry/peers.py
+++ b/src/acaciastand/entry/peers.py
@@ -156,6 +156,10 @@
         """Return the peers that can be called."""
         return [peer for peer in self.peers.values() if peer.connected]
 
+    def met(self) -> list[Peer]:
+        """Return the peers that answered at least once, also those out of reach now."""
+        return [peer for peer in self.peers.values() if peer.entry.entry_id]
+
     def directory(self) -> list[EntryAddress]:
         """Return this entry and the connected ones."""
         return [self.own, *(peer.entry for peer in self.connected())]
--- a/src/acaciastand/entry/requests.py
+++ b/src/acaciastand/entry/requests.py
@@ -130,9 +130,11 @@
         result = self.forwarder.forward_execute(request)
         if result is not None:
             return result
-        return Failure(
-            Outcome.NOT_RUN, Reason.NO_TARGET, f"no target accepts requests of {request.service}"
-        )
+        if request.routed_key:
+            message = f"no agent announces the bucket of this key of {request.service}"
+            return Failure(Outcome.NOT_RUN, Reason.BUCKET_NOT_HELD, message)
+        message = f"no target accepts requests of {request.service}"
+        return Failure(Outcome.NOT_RUN, Reason.NO_TARGET, message)
 
     def _hopeless(self, request: CallerRequest) -> Failure | None:
         now = self.clock()
@@ -140,9 +142,10 @@
         usual = service.health.usual_seconds(now) if service else None
         if not request.deadline.is_hopeless(now, usual):
             return None
-        remaining = request.deadline.remaining_ms(now)
+        remaining = request.deadline.remaining_seconds(now)
         reason = Reason.DEADLINE_TOO_SHORT if remaining else Reason.DEADLINE_PASSED
-        return Failure(Outcome.NOT_RUN, reason, f"{remaining} ms are left of the deadline")
+        message = f"{remaining * 1000:.1f} ms are left of the deadline"
+        return Failure(Outcome.NOT_RUN, reason, message)
 
     def _count_request(self, request: CallerRequest) -> None:
         service = self.router.services.get(request.service)
