--- a/features/machines/__init__.py
+++ b/features/machines/__init__.py
@@ -1,1 +1,1 @@
-"""State machines of hypothesis that the steps run with fixed seeds."""
+"""Hypothesis state machines; each module lists its machines by name in `MACHINES`."""
