--- /dev/null
+++ b/features/steps/host_bounds_steps.py
@@ -0,0 +1,127 @@
+"""Steps on the bounds of the host and of the agent's tables."""
+
+import random
+
+from behave import given, then, when
+
+from acaciastand.agent.links import MAX_DIRECTORY, Links
+from acaciastand.host import Grant, Host, RequestFacts, bucket_task_id
+from acaciastand.host.grants import KEPT_HEARTBEATS
+from acaciastand.host.host import MAX_SHARDS
+from acaciastand.host.keyed import MAX_ANSWER_BYTES, unknown_key_refusal
+from acaciastand.host.ledger import MAX_ATTEMPTS, MAX_OVER_NUMBERS
+from acaciastand.resources import Resources
+from acaciastand.wire.messages import EntryAddress
+
+SERVICE = "shop"
+NOW = 100.0
+
+
+def ready_host():
+    host = Host([SERVICE])
+    host.capacity = Resources(1e6, 10**6, 0)
+    host.worker_up = True
+    host.target_listed(True, [], NOW)
+    host.worker_listed([], NOW, NOW)
+    host.heartbeat_sent("link", 1, NOW)
+    return host
+
+
+def offer(host, task, shard=1, sequence=1):
+    grant = Grant(shard, 1, task, 1, Resources(), heartbeat_sequence=sequence, grant_seconds=9.0)
+    return host.grant("link", grant, NOW)
+
+
+def keyed(key, size_key="k"):
+    return RequestFacts(key, SERVICE, 1, 1.0, size_key, 1)
+
+
+def fill_heartbeats(host):
+    for sequence in range(2, KEPT_HEARTBEATS + 1):
+        host.heartbeat_sent("link", sequence, NOW)
+    assert offer(host, "job/first") is None
+    host.heartbeat_sent("link", KEPT_HEARTBEATS + 1, NOW)
+    return lambda: offer(host, "job/next")
+
+
+def fill_attempts(host):
+    assert all(offer(host, f"job/{number}") is None for number in range(MAX_ATTEMPTS))
+    return lambda: offer(host, "job/next")
+
+
+def fill_stops(host):
+    for number in range(MAX_OVER_NUMBERS):
+        assert host.stop(1, 1, f"job/{number}", 1, False, NOW) is None
+
+
+def fill_stops_for_grant(host):
+    fill_stops(host)
+    return lambda: offer(host, "job/next")
+
+
+def fill_stops_for_stop(host):
+    fill_stops(host)
+    return lambda: host.stop(1, 1, "job/next", 1, False, NOW)
+
+
+def fill_shards(host):
+    assert all(host.observe_epoch(shard, 1) for shard in range(MAX_SHARDS))
+    return lambda: offer(host, "job/next", shard=MAX_SHARDS)
+
+
+def fill_answers(host):
+    for key in ("k", "other"):
+        assert offer(host, bucket_task_id(SERVICE, key)) is None
+    facts = keyed("r1")
+    assert host.requests.admit(facts, NOW).reason is None
+    host.requests.answered(facts, "answer", MAX_ANSWER_BYTES, NOW)
+    return lambda: host.requests.admit(keyed("r2", "other"), NOW).reason
+
+
+def fill_directory(_host):
+    links = Links([], "zone", None, random.Random(1))
+    entries = [EntryAddress(str(n), f"10.0.0.1:{n}") for n in range(MAX_DIRECTORY + 1)]
+    links.learn(entries)
+    return lambda: len(links.directory)
+
+
+FILL = {
+    "kept heartbeats": fill_heartbeats,
+    "held attempts": fill_attempts,
+    "stopped numbers": fill_stops_for_grant,
+    "stops remembered": fill_stops_for_stop,
+    "shards": fill_shards,
+    "recorded bytes": fill_answers,
+    "entries known": fill_directory,
+}
+
+
+@given('a host at the bound "{bound}"')
+def step_at_bound(context, bound):
+    context.offer = FILL[bound](ready_host())
+
+
+@when("one more is offered")
+def step_offer(context):
+    context.refusal = context.offer()
+
+
+@then('the host answers "{refusal}"')
+def step_refused(context, refusal):
+    assert str(context.refusal) == refusal, context.refusal
+
+
+@given("a bucket held for {held:g} s, a key first sent {age} s ago and a window of {window:g} s")
+def step_key(context, held, age, window):
+    context.key = (None if age == "unknown" else float(age), held, window)
+
+
+@when("the key comes with attempt number {number:d}")
+def step_key_number(context, number):
+    context.refusal = unknown_key_refusal(number, *context.key)
+
+
+@then("the key is decided as {result}")
+def step_key_result(context, result):
+    reason = "run" if context.refusal is None else context.refusal[1]
+    assert reason == result, context.refusal
