--- a/src/acaciastand_lab/demo.py
+++ b/src/acaciastand_lab/demo.py
@@ -100,14 +100,16 @@
     return call("GET", f"{deployment.url(entry)}/v1/jobs/{job_id}").json()
 
 
-def wait_done(deployment: Deployment, entry: str, job_id: str) -> dict[str, Any]:
+def wait_done(
+    deployment: Deployment, entry: str, job_id: str, timeout_seconds: float = JOB_SECONDS
+) -> dict[str, Any]:
     """Wait until the job is complete and return its state."""
 
     def done() -> dict[str, Any] | None:
         job = job_state(deployment, entry, job_id)
         return job if job["state"] == "completed" else None
 
-    return wait_until(done, f"job {job_id} done", JOB_SECONDS)
+    return wait_until(done, f"job {job_id} done", timeout_seconds)
 
 
 def wait_running(deployment: Deployment, entry: str, job_id: str) -> None:
--- a/src/acaciastand_lab/processes.py
+++ b/src/acaciastand_lab/processes.py
@@ -241,9 +241,17 @@
         """Return the base URL of the HTTP listener of `entry`."""
         return f"http://{self.http[entry]}"
 
-    def store_admin(self, payload: dict[str, Any]) -> None:
-        """Set faults of the store stand-in."""
-        call_json("POST", f"http://{self.store_address}/admin/faults", payload)
+    def store_faults(self, payload: dict[str, Any]) -> None:
+        """Switch faults of the store stand-in, such as ``{"outage": true}``."""
+        call_json("POST", f"http://{self.store_address}/v1/admin/faults", payload)
+
+    def end_store_faults(self) -> None:
+        """End all faults of the store stand-in."""
+        call("DELETE", f"http://{self.store_address}/v1/admin/faults")
+
+    def target_faults(self, agent: str, payload: dict[str, Any]) -> None:
+        """Switch faults of the target stand-in beside `agent`, such as ``{"frozen": true}``."""
+        call_json("POST", f"http://{self.targets[agent]}/v1/faults", payload)
 
     def start_store(self) -> Program:
         """Start the stand-in of the key-value service."""
