--- a/features/settings_service.feature
+++ b/features/settings_service.feature
@@ -19,10 +19,13 @@
     And entry 2 restarts
     And entry 2 adopts the snapshot of entry 1
     Then entry 2 sees 5 soon and tells its listener once
+    And entry 2 has failed to read the store
     And an edit at entry 2 is refused as "store_unavailable"
     When the store returns
     And entry 2 sets "entry_fanout" to 6
     Then entry 1 sees 6 soon and tells its listener once
+    When entry 1 sets "entry_fanout" to 7
+    Then entry 2 sees 7 soon and tells its listener once
 
   Scenario: Snapshots that are older, damaged or of another firm are not adopted
     Given two entries on one store
@@ -31,9 +34,16 @@
 
   Scenario: Concurrent edits of one entry are all applied
     Given two entries on one store
+    And other greenlets run during each call to the store
     When 20 edits of different sites arrive at each entry at once
     Then both entries come to revision 40
 
+  Scenario: The edits in progress at one entry are bounded
+    Given two entries on one store
+    And other greenlets run during each call to the store
+    When one edit more than may be in progress arrives at entry 1
+    Then exactly that one is refused as "settings_busy"
+
   Scenario: A listener that fails does not stop the others
     Given two entries on one store
     And entry 1 has a listener that fails
--- a/features/steps/settings_service_steps.py
+++ b/features/steps/settings_service_steps.py
@@ -23,6 +23,17 @@
 WATCH_SECONDS = 0.2
 
 
+class YieldingPlan(FaultPlan):
+    """Lets other greenlets run before and after each call, as a store over the network does."""
+
+    def run(self, kind, key, effect):
+        gevent.sleep(0)
+        try:
+            return super().run(kind, key, effect)
+        finally:
+            gevent.sleep(0)
+
+
 def new_entry(context, number):
     settings = EntrySettings(entry_id=f"entry-{number}", path=SITE)
     service = SettingsService(context.store, settings, watch_seconds=WATCH_SECONDS)
@@ -43,6 +54,11 @@
         new_entry(context, number)
 
 
+@given("other greenlets run during each call to the store")
+def step_yielding(context):
+    context.store.faults = YieldingPlan()
+
+
 @given("the watches of the store never notify")
 def step_lost(context):
     context.store.watch = lambda _key, _version, seconds: gevent.sleep(seconds)
@@ -70,7 +86,7 @@
 
 
 def wait_until(condition):
-    with gevent.Timeout(WAIT_SECONDS):
+    with gevent.Timeout(WAIT_SECONDS, AssertionError("the condition did not come true")):
         while not condition():
             gevent.sleep(0.002)
 
@@ -110,6 +126,11 @@
     assert context.services[number].adopt_snapshot(context.services[peer].snapshot())
 
 
+@then("entry {number:d} has failed to read the store")
+def step_failed_read(context, number):
+    wait_until(lambda: context.services[number].counters.totals().get("settings.read_failed"))
+
+
 @then('an edit at entry {number:d} is refused as "{code}"')
 def step_refused(context, number, code):
     service = context.services[number]
@@ -143,6 +164,28 @@
     assert all(job.successful() for job in jobs)
 
 
+@when("one edit more than may be in progress arrives at entry {number:d}")
+def step_too_many(context, number):
+    service = context.services[number]
+
+    def edit(site):
+        try:
+            service.edit(f"{FIRM}/r/s{site}", "entry_fanout", 2, 0, "ann")
+        except AcaciastandError as error:
+            return error.code
+        return ""
+
+    count = settings_service.MAX_EDITS_IN_PROGRESS + 1
+    jobs = [gevent.spawn(edit, site) for site in range(count)]
+    gevent.joinall(jobs, timeout=WAIT_SECONDS, raise_error=True)
+    context.codes = sorted(job.value for job in jobs)
+
+
+@then('exactly that one is refused as "{code}"')
+def step_one_refused(context, code):
+    assert context.codes == [""] * settings_service.MAX_EDITS_IN_PROGRESS + [code], context.codes
+
+
 @then("both entries come to revision {revision:d}")
 def step_revision(context, revision):
     services = context.services.values()
--- a/src/acaciastand/entry/settings_service.py
+++ b/src/acaciastand/entry/settings_service.py
@@ -16,6 +16,7 @@
 from acaciastand.coordination.store import KeyValueStore, StoreUnavailable
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.settings.edits import Edit, EditBatch, HistoryItem
+from acaciastand.settings.errors import SettingsBusy
 from acaciastand.settings.paths import check_path
 from acaciastand.settings.process import EntrySettings
 from acaciastand.settings.repository import JOURNAL_NAME, SettingsRepository
@@ -31,6 +32,7 @@
 FIRST_BACKOFF_SECONDS = 0.2
 LONGEST_BACKOFF_SECONDS = 5.0
 MAX_CACHED_PATHS = 4_096  # paths whose effective values are kept until the next revision
+MAX_EDITS_IN_PROGRESS = 64  # edits of operators that run or wait at one entry
 NONCE_BYTES = 16
 
 Listener = Callable[[int], None]
@@ -68,6 +70,7 @@
         self._listeners: list[Listener] = []
         self._cache: dict[str, EffectiveSettings] = {}
         self._announced = 0
+        self._edits = 0
         self._loop: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -147,8 +150,7 @@
         """Commit edits as one revision, or none of them; see `SettingsRepository.edit`."""
         batch = EditBatch(edits, if_revision, author, edited_at=time.time())
         try:
-            with self._lock:
-                revision = self.repository.edit(batch)
+            revision = self._commit(batch)
         except AcaciastandError as error:
             self.counters.increment(f"settings.edit_refused.{error.code}")
             raise
@@ -158,6 +160,19 @@
         _log.info("settings changed", extra={"revision": revision, "author": author})
         return revision
 
+    def _commit(self, batch: EditBatch) -> int:
+        if self._edits >= MAX_EDITS_IN_PROGRESS:
+            raise SettingsBusy(
+                f"{MAX_EDITS_IN_PROGRESS} edits are in progress at this entry",
+                "repeat the edit later, or import many values as one file",
+            )
+        self._edits += 1
+        try:
+            with self._lock:
+                return self.repository.edit(batch)
+        finally:
+            self._edits -= 1
+
     def on_change(self, callback: Listener) -> None:
         """Call `callback` with each new revision; it must return quickly."""
         self._listeners.append(callback)
--- a/src/acaciastand/settings/errors.py
+++ b/src/acaciastand/settings/errors.py
@@ -84,6 +84,12 @@
     code = "settings_contended"
 
 
+class SettingsBusy(Refused):
+    """Too many edits wait at this entry."""
+
+    code = "settings_busy"
+
+
 class SettingsSnapshotInvalid(InvalidInput):
     """A snapshot from a peer is of another firm or damaged."""
 
--- a/src/acaciastand/settings/validation.py
+++ b/src/acaciastand/settings/validation.py
@@ -69,7 +69,7 @@
     if spec.maximum is not None:
         words.append(f"to {spec.maximum:g}")
     if spec.unit:
-        words.append(f"in {spec.unit}")
+        words.append(spec.unit if spec.unit.startswith("per ") else f"in {spec.unit}")
     return " ".join(words)
 
 
