Test the shard's bounds and let settings change grant times safely

Cause: a new owner must know the times its predecessor granted by, also when an operator changes them; and no bound of the shard had a test. Ruled out: reading the settings at takeover only; an edit between two owners would shorten the wait below the former owner's hold. Change: TimingsChanged commits new times before they are used. Repeated reports of unknown attempts add at most one event while a commit is pending. BestFit compares 64 candidates with room instead of all workers.

--- a/features/machines/shard_machine.py
+++ b/features/machines/shard_machine.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from acaciastand.coordination.faults import FaultKind
-from machines.shard_world import World
+from machines.shard_world import TIMINGS, World
 
 number = st.integers(0, 5)
 seconds = st.sampled_from([0.25, 0.5, 1.0, 3.0, 8.0, 15.0, 35.0])
@@ -165,6 +165,13 @@
         if self.world.faults.delayed:
             self.world.faults.deliver(0)
 
+    @rule(hold=st.sampled_from([10.0, 20.0, 30.0]))
+    def change_hold(self, hold):
+        """Change the outage hold in the settings of the present owner."""
+        owner = self.world.owner()
+        if owner is not None and not owner.frozen:
+            owner.shard.change_timings(TIMINGS.replace(outage_hold_seconds=hold))
+
     @rule(number=number)
     def lapse(self, number):
         """Freeze an owner until its lease lapses, then thaw it before the others react or after."""
--- a/features/machines/shard_world.py
+++ b/features/machines/shard_world.py
@@ -430,7 +430,10 @@
     def authority(self):
         """Return until when attempts may be renewed."""
         self.last_renewal = self.session.last_renewal
-        hold = self.last_renewal + TIMINGS.outage_hold_seconds
+        shard = self.shard
+        hold = self.last_renewal + min(
+            shard.timings.outage_hold_seconds, shard.state.timings.outage_hold_seconds
+        )
         return Authority(self.session.valid_until, hold)
 
     def received(self, link, kind, payload):
--- /dev/null
+++ b/features/steps/shard_bounds_steps.py
@@ -0,0 +1,335 @@
+"""Steps on the bounds and rules of the shard and of placement."""
+
+import cbor2
+from behave import given, then, when
+
+from acaciastand.coordination.entries import MAX_ENTRY_BYTES, MAX_SNAPSHOT_BYTES
+from acaciastand.errors import AcaciastandError, NotFound
+from acaciastand.placement import estimates
+from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.placer import BestFit
+from acaciastand.placement.worker import WorkerView
+from acaciastand.resources import Resources
+from acaciastand.shard import limits
+from acaciastand.shard.effects import Grant, Stop
+from acaciastand.shard.job import JobSpec, parse_job
+from acaciastand.shard.knowledge import Authority, Contact, Report
+from acaciastand.shard.scheduling import Scheduler
+from acaciastand.shard.shard import Shard
+from acaciastand.shard.state import ShardState, TaskState
+
+CORE = Resources(1.0, 1, 0)
+LONG = "x" * limits.MAX_NAME_BYTES
+FOREVER = Authority(float("inf"), float("inf"))
+
+
+def new_shard():
+    shard = Shard(ShardState(0), limits.Timings())
+    shard.took_over(shard.takeover_event("owner"), 0.0)
+    return shard
+
+
+def commit(shard):
+    shard.batch_committed(len(shard.pending))
+    return shard.take_effects()
+
+
+def spec(tasks=1, name=LONG, team="team", urgent=False, service=""):
+    return JobSpec(name, team, LONG, urgent, tasks, CORE, 1.0, service)
+
+
+def submit(shard, number, *arguments, key="", **fields):
+    shard.submit(spec(*arguments, **fields), key, f"j0-{number:012x}")
+    return f"j0-{number:012x}"
+
+
+def end(shard, task, result, checkpoint=""):
+    shard.report(Report(task.agent_id, task.task_id, task.attempt, result, checkpoint), 0.0)
+
+
+def scheduler_of(shard):
+    return Scheduler(shard, 1, BestFit(), SizeEstimator())
+
+
+def worker(name, zone="z", services=(), cores=100.0):
+    size = Resources(cores, 10000, 0)
+    return WorkerView(name, f"{name}-1", zone, name, size, size, services)
+
+
+def fill_jobs(context):
+    for number in range(limits.MAX_JOBS):
+        submit(context.shard, number)
+        commit(context.shard)
+
+
+def fill_tasks(context):
+    for number in range(limits.MAX_TASKS // limits.MAX_TASKS_PER_JOB):
+        submit(context.shard, number, limits.MAX_TASKS_PER_JOB)
+        commit(context.shard)
+
+
+def fill_pending(context):
+    for number in range(limits.MAX_PENDING_EVENTS):
+        context.shard.change_timings(limits.Timings(grant_seconds=number + 20.0))
+
+
+def fill_finished(context):
+    for number in range(limits.MAX_FINISHED_JOBS + 1):
+        job_id = submit(context.shard, number, key=f"k{number}")
+        commit(context.shard)
+        context.shard.cancel(job_id)
+        commit(context.shard)
+
+
+def fill_commit(context):
+    for number in range(limits.MAX_EVENTS_PER_COMMIT + 1):
+        context.shard.change_timings(limits.Timings(grant_seconds=number + 20.0))
+
+
+def fill_snapshot(context):
+    shard = context.shard
+    fill_finished_long(shard)
+    per_job = limits.MAX_TASKS // limits.MAX_JOBS
+    for number in range(limits.MAX_JOBS):
+        submit(shard, number, per_job, key=long_key(number), team=LONG, service=LONG)
+    commit(shard)
+    checkpoint = "c" * limits.MAX_CHECKPOINT_BYTES
+    for job in list(shard.state.jobs.values()):
+        for task in job.tasks:
+            shard.start(task, LONG, LONG, CORE)
+            end(shard, task, "evicted", checkpoint)
+            shard.start(task, LONG, LONG, CORE)
+    scheduler_of(shard).start_buckets([worker(LONG, services=services(8))], 0.0)
+    scheduler_of(shard).start_buckets([worker(LONG, services=services(8))], 3.0)
+    commit(shard)
+
+
+def services(count):
+    return [f"{number}{LONG}"[: limits.MAX_NAME_BYTES] for number in range(count)]
+
+
+def long_key(number):
+    return f"{LONG}/{number:0{limits.MAX_KEY_BYTES}}"
+
+
+def fill_finished_long(shard):
+    for number in range(limits.MAX_FINISHED_JOBS):
+        job_id = submit(shard, 1000 + number, key=long_key(1000 + number))
+        commit(shard)
+        shard.cancel(job_id)
+        commit(shard)
+
+
+def fill_entry(context):
+    for number in range(limits.MAX_EVENTS_PER_COMMIT):
+        submit(context.shard, number, team=LONG, service=LONG, key=long_key(number))
+
+
+def fill_buckets(context):
+    count = limits.MAX_BUCKETS // limits.BUCKETS_PER_SERVICE
+    workers = [worker("w", services=services(count + 1))]
+    scheduler = scheduler_of(context.shard)
+    scheduler.start_buckets(workers, 0.0)
+    scheduler.start_buckets(workers, limits.BUCKET_SETTLE_SECONDS)
+
+
+def fail_task(context):
+    shard = context.shard
+    context.job_id = submit(shard, 1)
+    task = shard.state.jobs[context.job_id].tasks[0]
+    context.waits = []
+    for _ in range(limits.MAX_TASK_FAILURES):
+        shard.start(task, "w", "w-1", CORE)
+        end(shard, task, "failed")
+        context.waits.append(shard.not_before.get(task.task_id, 0.0))
+    commit(shard)
+
+
+def fill_classes(context):
+    context.estimator = SizeEstimator()
+    for number in range(estimates.MAX_CLASSES + 1):
+        for _ in range(estimates.MIN_REPORTS):
+            context.estimator.learn("team", f"class-{number}", Resources(9.0, 0, 0), 1.0)
+
+
+FILL = {
+    "jobs": fill_jobs,
+    "tasks": fill_tasks,
+    "pending events": fill_pending,
+    "finished jobs": fill_finished,
+    "events per commit": fill_commit,
+    "snapshot": fill_snapshot,
+    "entry": fill_entry,
+    "buckets": fill_buckets,
+    "task failures": fail_task,
+    "classes": fill_classes,
+}
+
+
+@when("a shard is filled to its bound of {bound}")
+def step_fill(context, bound):
+    context.shard = new_shard()
+    FILL[bound](context)
+
+
+@then('it refuses a job with "{code}"')
+def step_refuses(context, code):
+    try:
+        submit(context.shard, 99999)
+    except AcaciastandError as error:
+        assert error.code == code and error.outcome.value == "not_run", error
+    else:
+        raise AssertionError("the job was accepted")
+
+
+@then("it forgets the oldest finished job and its key")
+def step_forgets(context):
+    assert len(context.shard.state.finished) == limits.MAX_FINISHED_JOBS
+    assert "k0" not in context.shard.state.job_of_key
+    try:
+        context.shard.describe("j0-000000000000")
+    except NotFound:
+        return
+    raise AssertionError("the oldest job is still known")
+
+
+@then("it commits the rest in the next entry")
+def step_rest(context):
+    first = context.shard.batch()
+    assert len(first) == limits.MAX_EVENTS_PER_COMMIT
+    context.shard.batch_committed(len(first))
+    assert len(context.shard.batch()) == 1
+
+
+@then("it fits its largest state in 900 KiB")
+def step_snapshot_fits(context):
+    snapshot = context.shard.durable.snapshot()
+    size = len(cbor2.dumps(snapshot))
+    assert 0.5 * MAX_SNAPSHOT_BYTES < size < MAX_SNAPSHOT_BYTES, size
+    assert ShardState.from_snapshot(0, snapshot).snapshot() == snapshot
+
+
+@then("it fits its largest entry in 256 KiB")
+def step_entry_fits(context):
+    size = len(cbor2.dumps([event.plain() for event in context.shard.batch()]))
+    assert 0.5 * MAX_ENTRY_BYTES < size < MAX_ENTRY_BYTES, size
+
+
+@then("it starts no further bucket")
+def step_no_bucket(context):
+    assert len(context.shard.state.buckets) == limits.MAX_BUCKETS
+
+
+@then('it gives the task up and reports the job "{state}"')
+def step_failed(context, state):
+    assert context.shard.describe(context.job_id)["state"] == state
+    assert context.waits == [1.0, 2.0, 4.0, 8.0, 0.0], context.waits
+
+
+@then("it forgets the class reported longest ago")
+def step_class(context):
+    assert len(context.estimator) == estimates.MAX_CLASSES
+    assert context.estimator.size("team", "class-0", CORE) == CORE
+    assert context.estimator.size("team", "class-1", CORE) != CORE
+
+
+@when('a job with "{field}" set to "{value}" is checked')
+@when('a job with "{field}" set to "" is checked')
+def step_check(context, field, value=""):
+    values = {"x*65": "x" * 65, "801": 801, "1.5": 1.5, "nan": float("nan")}
+    payload = {"team": "t", "batch_class": "b", field: values.get(value, value)}
+    context.error = None
+    try:
+        parse_job(payload)
+    except AcaciastandError as error:
+        context.error = error
+
+
+@then('the check names "{problem}"')
+def step_problem(context, problem):
+    assert context.error is not None and problem in str(context.error), context.error
+
+
+@given("a shard with two workers in each of three availability zones")
+def step_zones(context):
+    context.shard = new_shard()
+    context.workers = [worker(f"{zone}{n}", zone) for zone in "abc" for n in range(2)]
+
+
+@when("a normal job, an urgent job and one of a team over its quota wait")
+def step_three_jobs(context):
+    context.normal = submit(context.shard, 1, 3)
+    context.urgent = submit(context.shard, 2, urgent=True)
+    context.limited = submit(context.shard, 3, 5, team="limited")
+    commit(context.shard)
+    scheduler_of(context.shard).start_tasks(context.workers, {"limited": 2.0}, 0.0)
+    context.grants = [effect for effect in commit(context.shard) if isinstance(effect, Grant)]
+
+
+@then("the urgent job starts first and the quota is kept")
+def step_order(context):
+    jobs = [grant.task_id.partition("/")[0] for grant in context.grants]
+    assert jobs[0] == context.urgent, jobs
+    assert jobs.count(context.limited) == 2, jobs
+
+
+@then("a job of 3 tasks is spread over three availability zones")
+def step_spread(context):
+    zones = {g.agent_id[0] for g in context.grants if g.task_id.startswith(context.normal)}
+    assert zones == {"a", "b", "c"}, zones
+
+
+@given("a shard with a task and a bucket on one worker")
+def step_task_and_bucket(context):
+    shard = context.shard = new_shard()
+    job_id = submit(shard, 1)
+    commit(shard)
+    view = worker("w", services=["desk"])
+    context.task = shard.state.jobs[job_id].tasks[0]
+    shard.contact(Contact("w", "w-1", 1, 1, []), 0.0, FOREVER)
+    scheduler_of(shard).start_tasks([view], {}, 0.0)
+    scheduler_of(shard).start_buckets([view], 0.0)
+    scheduler_of(shard).start_buckets([view], limits.BUCKET_SETTLE_SECONDS)
+    for grant in commit(shard):
+        shard.grant_sending(grant.task_id, grant.attempt, 2.0)
+        shard.grant_answered(grant.task_id, grant.attempt, True, 2.0)
+
+
+@when("a newer incarnation of the worker says hello with no attempts")
+def step_newer(context):
+    context.shard.contact(Contact("w", "w-2", 2, 0, []), 3.0, FOREVER)
+    context.effects = commit(context.shard)
+
+
+@then("the task waits again and the bucket is asked to stop")
+def step_waits(context):
+    assert context.task.state == TaskState.WAITING and context.task.last_end == "absent"
+    stops = {effect.task_id for effect in context.effects if isinstance(effect, Stop)}
+    assert "bucket/desk/0" in stops
+    assert context.shard.state.task("bucket/desk/0").state == TaskState.RUNNING
+
+
+@when("the earlier incarnation is heard late")
+def step_late(context):
+    context.shard.start(context.task, "w", "w-2", CORE)
+    commit(context.shard)
+    context.shard.contact(Contact("w", "w-1", 3, 0, []), 4.0, FOREVER)
+
+
+@then("the new attempt of the task is still running")
+def step_running(context):
+    assert context.task.state == TaskState.RUNNING and context.task.attempt == 2
+
+
+@when("five reports show 4 cores where 1 is declared and 1.1 where 1 is declared")
+def step_reports(context):
+    context.estimator = SizeEstimator()
+    for _ in range(estimates.MIN_REPORTS):
+        context.estimator.learn("team", "far", Resources(4.0, 1, 0), 1.0)
+        context.estimator.learn("team", "near", Resources(1.1, 1, 0), 1.0)
+
+
+@then("the sizes to place by are {far:g} and {near:g} cores")
+def step_sizes(context, far, near):
+    assert abs(context.estimator.size("team", "far", CORE).cores - far) < 1e-9
+    assert context.estimator.size("team", "near", CORE).cores == near
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -22,6 +22,7 @@
 from acaciastand.shard.effects import Effect, Grant, Stop
 from acaciastand.shard.events import Event as ShardEvent
 from acaciastand.shard.knowledge import Authority
+from acaciastand.shard.limits import Timings
 from acaciastand.shard.scheduling import Scheduler
 from acaciastand.shard.shard import Shard
 from acaciastand.wire.messages import GrantAttempt, GrantReply, StopAttempt
@@ -55,6 +56,11 @@
     code = "store_answer_lost"
 
 
+def timings_of(settings: Any) -> Timings:
+    """Return the times of effective settings that decide when a grant has ended."""
+    return Timings(settings.grant_seconds, settings.stop_seconds, settings.outage_hold_seconds)
+
+
 class Waiter(Record):
     """Somebody who waits for the commit of a ticket."""
 
@@ -183,6 +189,7 @@
         now = self.context.clock()
         self.shard.expire(now)
         if not self.store_down and not self.shard.releasing:
+            self.shard.change_timings(timings_of(self.context.settings()))
             self._schedule(now)
         try:
             self._commit()
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -16,7 +16,7 @@
 from acaciastand.coordination.lease import LeaseSession
 from acaciastand.coordination.ownership import Ownership, rendezvous_order
 from acaciastand.coordination.store import KeyValueStore, StoreUnavailable
-from acaciastand.entry.owned_shard import NotOwner, OwnedShard
+from acaciastand.entry.owned_shard import NotOwner, OwnedShard, timings_of
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.placer import BestFit, Placer
@@ -25,7 +25,7 @@
 from acaciastand.shard.events import OwnerChanged, event_from_plain
 from acaciastand.shard.job import parse_job
 from acaciastand.shard.knowledge import Contact, Held, Report
-from acaciastand.shard.limits import MAX_KEY_BYTES, Timings
+from acaciastand.shard.limits import MAX_KEY_BYTES
 from acaciastand.shard.scheduling import Scheduler
 from acaciastand.shard.shard import Shard, job_not_found
 from acaciastand.shard.state import ShardState
@@ -382,10 +382,7 @@
             self._take_over(number, ownership)
 
     def _take_over(self, number: int, ownership: Ownership) -> None:
-        settings = self.settings()
-        timings = Timings(
-            settings.grant_seconds, settings.stop_seconds, settings.outage_hold_seconds
-        )
+        timings = timings_of(self.settings())
         journal = Journal(self.store, f"shards/{number}", self.entry_id, random_nonce)
 
         def events(epoch: int) -> list[Any]:
--- a/src/acaciastand/placement/placer.py
+++ b/src/acaciastand/placement/placer.py
@@ -4,12 +4,15 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from acaciastand.placement.worker import WorkerView
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 
+MAX_CANDIDATES = 64  # workers with room that are compared for one task
+STRIDE = 7919  # prime, so that the candidates come from all over the list of workers
+
 
 class PlacementRequest(Record):
     """A task that needs a worker.
@@ -45,7 +48,7 @@
     """Chooses a worker with enough free resources."""
 
     @abstractmethod
-    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+    def choose(self, request: PlacementRequest, workers: Sequence[WorkerView]) -> WorkerView | None:
         """Return a worker for the task, or None when none has room now."""
 
 
@@ -62,7 +65,7 @@
 class FirstFit(Placer):
     """Takes the first worker with room; the baseline."""
 
-    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+    def choose(self, request: PlacementRequest, workers: Sequence[WorkerView]) -> WorkerView | None:
         """Return the first worker with room."""
         return next((worker for worker in workers if has_room(request, worker)), None)
 
@@ -71,10 +74,14 @@
     """Spreads a job over availability zones and racks, then leaves the least room behind.
 
     Tight packing keeps whole workers free for large tasks. Workers without accelerators come first
-    for tasks that need none.
+    for tasks that need none. Of a large fleet, `MAX_CANDIDATES` workers with room are compared,
+    others for each task.
     """
 
-    def choose(self, request: PlacementRequest, workers: Iterable[WorkerView]) -> WorkerView | None:
+    def __init__(self) -> None:
+        self._start = 0
+
+    def choose(self, request: PlacementRequest, workers: Sequence[WorkerView]) -> WorkerView | None:
         """Return the worker with the lowest rank among those with room."""
         zones = Counter(zone for zone, _, _ in request.spread)
         racks = Counter((zone, rack) for zone, rack, _ in request.spread)
@@ -91,9 +98,22 @@
                 worker.agent_id,
             )
 
-        return min(
-            (worker for worker in workers if has_room(request, worker)), key=rank, default=None
-        )
+        return min(self._candidates(request, workers), key=rank, default=None)
+
+    def _candidates(
+        self, request: PlacementRequest, workers: Sequence[WorkerView]
+    ) -> list[WorkerView]:
+        count = len(workers)
+        stride = STRIDE if count % STRIDE else 1
+        found: list[WorkerView] = []
+        for _ in range(count):
+            self._start = (self._start + stride) % count
+            worker = workers[self._start]
+            if has_room(request, worker):
+                found.append(worker)
+            if len(found) >= MAX_CANDIDATES:
+                break
+        return found
 
 
 def _share_left(size: Resources, worker: WorkerView) -> float:
--- a/src/acaciastand/shard/events.py
+++ b/src/acaciastand/shard/events.py
@@ -153,6 +153,21 @@
     type_number = 7
 
 
+class TimingsChanged(Event):
+    """The owner grants by other times from this commit on."""
+
+    __slots__ = ("timings",)
+    type_number = 8
+
+    def __init__(self, timings: Timings) -> None:
+        self.timings = timings
+
+    @classmethod
+    def from_fields(cls, fields: list[Any]) -> Event:
+        """Return the event with the fields of its compact form."""
+        return cls(Timings(*fields[0]))
+
+
 EVENT_TYPES: dict[int, type[Event]] = {
     cls.type_number: cls
     for cls in (
@@ -163,6 +178,7 @@
         OwnerChanged,
         OwnerReleased,
         OwnershipAffirmed,
+        TimingsChanged,
     )
 }
 
--- a/src/acaciastand/shard/limits.py
+++ b/src/acaciastand/shard/limits.py
@@ -4,9 +4,9 @@
 
 from acaciastand.record import Record
 
-MAX_JOBS = 500  # unfinished jobs of one shard; with MAX_TASKS a full snapshot stays below 900 KiB
-MAX_TASKS = 2000  # unfinished tasks of one shard
-MAX_TASKS_PER_JOB = 1000
+MAX_JOBS = 400  # unfinished jobs of one shard; with MAX_TASKS a full snapshot stays below 900 KiB
+MAX_TASKS = 1600  # unfinished tasks of one shard; 2000 made snapshots of 1,011,019 bytes
+MAX_TASKS_PER_JOB = 800
 MAX_FINISHED_JOBS = 300  # finished jobs that are kept for queries and repeated submissions
 MAX_EVENTS_PER_COMMIT = 384  # events in one journal entry; 384 x 600 bytes fit in 256 KiB
 MAX_PENDING_EVENTS = 8192  # events that wait for the store; further commands are refused
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -23,6 +23,25 @@
 BUCKET_SIZE = Resources()  # a home takes no capacity of its own
 
 
+class WorkerPool:
+    """Workers by position, for placement, and by agent."""
+
+    __slots__ = ("views", "_positions")
+
+    def __init__(self, views: Iterable[WorkerView]) -> None:
+        self.views = list(views)
+        self._positions = {view.agent_id: index for index, view in enumerate(self.views)}
+
+    def get(self, agent_id: str) -> WorkerView | None:
+        """Return the worker of an agent, or None."""
+        index = self._positions.get(agent_id)
+        return None if index is None else self.views[index]
+
+    def put(self, view: WorkerView) -> None:
+        """Replace what is known of a worker."""
+        self.views[self._positions[view.agent_id]] = view
+
+
 class Scheduler:
     """Starts what fits: urgent jobs before normal ones, each in the order of submission.
 
@@ -59,13 +78,13 @@
         absent.
         """
         room = dict(quota_room)
-        views = {view.agent_id: view for view in self._with_reservations(workers)}
+        pool = WorkerPool(self._with_reservations(workers))
         started = 0
         blocked: set[tuple[object, ...]] = set()
         for job in self._jobs_in_order():
             if started >= MAX_EVENTS_PER_COMMIT:
                 break
-            started += self._start_job(job, views, room, blocked, now)
+            started += self._start_job(job, pool, room, blocked, now)
         return started
 
     def never_fits(self, spec: JobSpec, workers: Iterable[WorkerView]) -> bool:
@@ -104,7 +123,7 @@
     def _start_job(
         self,
         job: Job,
-        views: dict[str, WorkerView],
+        pool: WorkerPool,
         room: dict[str, float],
         blocked: set[tuple[object, ...]],
         now: float,
@@ -119,35 +138,30 @@
                 continue
             if not _within_quota(job.spec, room):
                 break
-            worker = self._choose(job, task, size, views)
+            worker = self._choose(job, task, size, pool)
             if worker is None:
                 if task.task_id not in self.shard.avoid:
                     blocked.add(shape)
                 continue
-            self._start(task, worker, size, views)
+            self._start(task, worker, size, pool)
             if job.spec.team in room:
                 room[job.spec.team] -= job.spec.size.cores
             started += 1
         return started
 
-    def _choose(
-        self, job: Job, task: Task, size: Resources, views: dict[str, WorkerView]
-    ) -> WorkerView | None:
-        running = (views.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
+    def _choose(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> WorkerView | None:
+        running = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
-        avoid = [self.shard.avoid[task.task_id]] if task.task_id in self.shard.avoid else []
-        others = any(
-            view.agent_id not in avoid and view.suits(size, job.spec.service)
-            for view in views.values()
-        )
-        # The only suitable worker is used again even if the task failed there.
-        request = PlacementRequest(size, job.spec.service, avoid if others else [], spread)
-        return self.placer.choose(request, views.values())
-
-    def _start(
-        self, task: Task, worker: WorkerView, size: Resources, views: dict[str, WorkerView]
-    ) -> None:
-        views[worker.agent_id] = worker.replace(free=worker.free.minus(size))
+        avoid = self.shard.avoid.get(task.task_id)
+        request = PlacementRequest(size, job.spec.service, [avoid] if avoid else [], spread)
+        if avoid and not any(
+            view.agent_id != avoid and view.suits(size, job.spec.service) for view in pool.views
+        ):
+            request.avoid = frozenset()  # the only suitable worker is used again
+        return self.placer.choose(request, pool.views)
+
+    def _start(self, task: Task, worker: WorkerView, size: Resources, pool: WorkerPool) -> None:
+        pool.put(worker.replace(free=worker.free.minus(size)))
         self.shard.start(task, worker.agent_id, worker.incarnation, size)
 
     # Buckets
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -27,6 +27,7 @@
     OwnerChanged,
     OwnerReleased,
     OwnershipAffirmed,
+    TimingsChanged,
 )
 from acaciastand.shard.job import JobSpec
 from acaciastand.shard.knowledge import (
@@ -109,6 +110,7 @@
         self.state = state
         self.durable = ShardState.from_snapshot(state.number, state.snapshot())
         self.timings = timings
+        self.wanted_timings = timings
         self.sequence = 0
         self.committed = 0
         self.pending: deque[Transition] = deque()
@@ -147,6 +149,12 @@
         unconfirmed = [name for name, known in self.attempts.items() if not known.confirmed]
         return self._add(OwnerReleased(self.state.epoch, unconfirmed))
 
+    def change_timings(self, timings: Timings) -> None:
+        """Grant by other times once they are committed, so that every later owner knows them."""
+        if timings != self.wanted_timings and not self.releasing:
+            self.wanted_timings = timings
+            self._add(TimingsChanged(timings))
+
     # Commits
 
     def batch(self) -> list[Event]:
@@ -163,6 +171,8 @@
             self.ready.extend(transition.effects)
             if isinstance(transition.event, JobSubmitted):
                 self.uncommitted_jobs.discard(transition.event.job_id)
+            elif isinstance(transition.event, TimingsChanged):
+                self.timings = transition.event.timings
 
     def take_effects(self) -> list[Effect]:
         """Return the effects that may be carried out now, once each."""
@@ -223,6 +233,8 @@
         self._check_queue()
         running = [task for task in job.tasks if task.state == TaskState.RUNNING]
         stops: list[Effect] = [Stop(t.agent_id, t.task_id, t.attempt) for t in running]
+        for task in job.tasks:
+            self._forget(task.task_id)
         return self._add(JobCancelled(job_id), stops)
 
     # Agents
@@ -300,6 +312,8 @@
             known = self.attempts[task.task_id]
             if known.grant_state is GrantState.SENT:
                 known.grant_state = GrantState.UNKNOWN
+        if not self.state.running_on(agent_id):
+            self.agents.pop(agent_id, None)
 
     def stop_bucket(self, task_id: str) -> None:
         """Ask the home of a bucket to give it up."""
@@ -317,7 +331,7 @@
         if finished or (task is not None and report.attempt < task.attempt):
             return self.sequence
         if task is None or report.attempt > task.attempt or report.agent_id != task.agent_id:
-            return self._add(OwnershipAffirmed())
+            return self._affirm()
         end = AttemptEnd(report.result) if report.result in REPORTED_ENDS else AttemptEnd.STOPPED
         late = task.state == TaskState.WAITING and task.last_end in UNREPORTED_ENDS
         if task.state != TaskState.RUNNING and not late:
@@ -431,6 +445,10 @@
         if task.state != TaskState.WAITING:
             self._forget(task.task_id)
 
+    def _affirm(self) -> int:
+        # Any later commit shows that the shard is still owned; repeated reports add no events.
+        return self.sequence if self.pending else self._add(OwnershipAffirmed())
+
     def _forget(self, task_id: str) -> None:
         self.not_before.pop(task_id, None)
         self.avoid.pop(task_id, None)
--- a/src/acaciastand/shard/state.py
+++ b/src/acaciastand/shard/state.py
@@ -19,6 +19,7 @@
     OwnerChanged,
     OwnerReleased,
     OwnershipAffirmed,
+    TimingsChanged,
 )
 from acaciastand.shard.job import JobSpec
 from acaciastand.shard.limits import MAX_FINISHED_JOBS, MAX_TASK_FAILURES, Timings
@@ -194,15 +195,19 @@
             case OwnerChanged():
                 self.epoch = event.epoch
                 self.owner = event.owner
-                self.timings = (
-                    event.timings.largest(self.timings) if self.running else event.timings
-                )
+                self._change_timings(event.timings)
                 self.released = None
             case OwnerReleased():
                 self.released = event
+            case TimingsChanged():
+                self._change_timings(event.timings)
             case OwnershipAffirmed():
                 pass
 
+    def _change_timings(self, timings: Timings) -> None:
+        # Running attempts may still be renewed by the earlier times.
+        self.timings = timings.largest(self.timings) if self.running else timings
+
     def running_on(self, agent_id: str) -> list[Task]:
         """Return the tasks whose current attempt is assigned to an agent."""
         return list(self.on_agent.get(agent_id, {}).values())
