--- a/features/machines/__init__.py
+++ b/features/machines/__init__.py
@@ -1,1 +1,1 @@
-"""Models and state machines of the proofs."""
+"""Hypothesis state machines; each module lists its machines by name in `MACHINES`."""
