--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -27,6 +28,8 @@
 from acaciastand.shard.shard import Shard
 from acaciastand.wire.messages import GrantAttempt, GrantReply, StopAttempt
 
+logger = logging.getLogger(__name__)
+
 GRANT_REPLY_SECONDS = 5.0  # wait for the reply to a grant
 BUCKET_INTERVAL_SECONDS = 0.5  # between two looks at buckets without a home
 RETRY_SECONDS = 0.25  # between two appends while the store is unavailable
@@ -187,7 +190,9 @@
 
     def _step(self) -> None:
         now = self.context.clock()
-        self.shard.expire(now)
+        expired = self.shard.expire(now)
+        if expired:
+            self.context.counters.increment("owner.attempts_expired", expired)
         if not self.store_down and not self.shard.releasing:
             self.shard.change_timings(timings_of(self.context.settings()))
             self._schedule(now)
@@ -195,6 +200,10 @@
             self._commit()
         except (Fenced, AppendUnresolved):
             self._lose()
+        except AcaciastandError as error:
+            # The journal can be read again; the next claim starts from what is committed.
+            logger.error("shard %d is dropped: %s", self.number, error)
+            self._lose()
 
     def _schedule(self, now: float) -> None:
         if now >= self._next_buckets:
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import time
 import zlib
@@ -39,6 +40,8 @@
     ShardEpoch,
 )
 
+logger = logging.getLogger(__name__)
+
 CLAIM_INTERVAL_SECONDS = 0.5  # between two looks at shards without an owner
 RANK_DELAY_SECONDS = 1.0  # an entry waits this long per more preferred entry before it claims
 HANDOVER_SECONDS = 5.0  # another entry is preferred for this long before a shard is released
@@ -344,6 +347,7 @@
                 self._claim_round()
             except AcaciastandError as error:
                 self.counters.increment(f"owner.claim_failed.{error.code}")
+                logger.warning("shards were not claimed: %s", error)
 
     def _claim_round(self) -> None:
         if self.session.lease_id is None or not self.session.valid(self.clock()):
@@ -402,6 +406,7 @@
         scheduler = Scheduler(shard, self.shard_count, self.placer, self.estimator)
         self.owned[number] = OwnedShard(shard, scheduler, journal, ownership, self, self._lost)
         self.counters.increment("owner.takeovers")
+        logger.info("took over shard %d with epoch %d", number, changed.epoch)
 
     def _release(self, owned: OwnedShard) -> None:
         owned.release()
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -128,7 +128,7 @@
         blocked: set[tuple[object, ...]],
         now: float,
     ) -> int:
-        size = self._size(job.spec)
+        size = self._size_to_place(job.spec, pool)
         shape = (*size.values(), job.spec.service)
         started = 0
         for task in job.tasks:
@@ -149,6 +149,12 @@
             started += 1
         return started
 
+    def _size_to_place(self, spec: JobSpec, pool: WorkerPool) -> Resources:
+        # A learned size includes a margin, which can exceed every worker.
+        size = self._size(spec)
+        fits = any(view.suits(size, spec.service) for view in pool.views)
+        return size if fits else spec.size
+
     def _choose(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> WorkerView | None:
         running = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
