--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import time
 import zlib
@@ -16,7 +17,7 @@
 from acaciastand.coordination.lease import LeaseSession
 from acaciastand.coordination.ownership import Ownership, rendezvous_order
 from acaciastand.coordination.store import KeyValueStore, StoreUnavailable
-from acaciastand.entry.owned_shard import NotOwner, OwnedShard
+from acaciastand.entry.owned_shard import NotOwner, OwnedShard, timings_of
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.placer import BestFit, Placer
@@ -25,7 +26,7 @@
 from acaciastand.shard.events import OwnerChanged, event_from_plain
 from acaciastand.shard.job import parse_job
 from acaciastand.shard.knowledge import Contact, Held, Report
-from acaciastand.shard.limits import MAX_KEY_BYTES, Timings
+from acaciastand.shard.limits import MAX_KEY_BYTES
 from acaciastand.shard.scheduling import Scheduler
 from acaciastand.shard.shard import Shard, job_not_found
 from acaciastand.shard.state import ShardState
@@ -39,6 +40,8 @@
     ShardEpoch,
 )
 
+logger = logging.getLogger(__name__)
+
 CLAIM_INTERVAL_SECONDS = 0.5  # between two looks at shards without an owner
 RANK_DELAY_SECONDS = 1.0  # an entry waits this long per more preferred entry before it claims
 HANDOVER_SECONDS = 5.0  # another entry is preferred for this long before a shard is released
@@ -344,6 +347,7 @@
                 self._claim_round()
             except AcaciastandError as error:
                 self.counters.increment(f"owner.claim_failed.{error.code}")
+                logger.warning("shards were not claimed: %s", error)
 
     def _claim_round(self) -> None:
         if self.session.lease_id is None or not self.session.valid(self.clock()):
@@ -382,10 +386,7 @@
             self._take_over(number, ownership)
 
     def _take_over(self, number: int, ownership: Ownership) -> None:
-        settings = self.settings()
-        timings = Timings(
-            settings.grant_seconds, settings.stop_seconds, settings.outage_hold_seconds
-        )
+        timings = timings_of(self.settings())
         journal = Journal(self.store, f"shards/{number}", self.entry_id, random_nonce)
 
         def events(epoch: int) -> list[Any]:
@@ -405,6 +406,7 @@
         scheduler = Scheduler(shard, self.shard_count, self.placer, self.estimator)
         self.owned[number] = OwnedShard(shard, scheduler, journal, ownership, self, self._lost)
         self.counters.increment("owner.takeovers")
+        logger.info("took over shard %d with epoch %d", number, changed.epoch)
 
     def _release(self, owned: OwnedShard) -> None:
         owned.release()
