--- a/features/requests.feature
+++ b/features/requests.feature
@@ -87,7 +87,7 @@
     Given an agent "a" that "refuses with recovering"
     And an agent "b" that "answers"
     When 20 non-idempotent requests are sent
-    Then some requests were retried with "recovering" and at most 4
+    Then some requests were retried with "recovering" and the agents received at most 24
     And no request ran twice and every refused request ran 0 times
 
   Scenario: A non-idempotent request is not sent again when the connection is lost
@@ -197,6 +197,11 @@
     When a request is sent to the second entry
     Then the answer is 200 from "a"
 
+  Scenario: Two entries that take each other for the one with a target do not forward in a circle
+    Given a second entry that knows the first
+    When each entry believes that the other has a target and a request is sent to the second
+    Then the answer is 503 with code "forward_limit" and outcome "not_run"
+
   Scenario: A forwarded request is neither forwarded nor retried again
     Given an agent "a" that "refuses with no_slot"
     And an agent "b" that "refuses with no_slot"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -213,6 +213,15 @@
     context.answer = context.second.ask()
 
 
+@when("each entry believes that the other has a target and a request is sent to the second")
+def step_circle(context):
+    wait_for(lambda: context.entry.daemon.peers.met(), "the entries met both ways")
+    for entry in (context.entry, context.second):
+        for peer in entry.daemon.peers.met():
+            peer.heartbeat.free_slots = {SERVICE: 1}
+    context.answer = context.second.ask()
+
+
 @when("{count:d} requests with different keys are sent")
 def step_many_keys(context, count):
     for number in range(count):
@@ -420,9 +429,12 @@
     assert bodies == [f"a:body {number}".encode() for number in range(len(bodies))], bodies
 
 
-@then('some requests were retried with "{reason}" and at most {limit:d}')
+@then('some requests were retried with "{reason}" and the agents received at most {limit:d}')
 def step_retried(context, reason, limit):
-    assert 1 <= context.entry.count(f"retried.{reason}") <= limit
+    assert context.entry.count(f"retried.{reason}") >= 1
+    assert len(received_requests(context)) <= limit
+    codes = {answer.json()["code"] for answer in context.answers if answer.status != 200}
+    assert codes == {"retry_budget_spent"}, codes
 
 
 @then("no request ran twice and every refused request ran 0 times")
@@ -487,13 +499,16 @@
 
 @then("the agents received {count:d} request in all")
 def step_received_in_all(context, count):
-    received = [
+    assert len(received_requests(context)) == count
+
+
+def received_requests(context):
+    return [
         message
         for agent in context.agents.values()
         for message in agent.received
         if isinstance(message, Execute)
     ]
-    assert len(received) == count, received
 
 
 @then("/readyz fails, the request is answered and new connections are refused")
--- a/src/acaciastand/programs/entry.py
+++ b/src/acaciastand/programs/entry.py
@@ -43,13 +43,14 @@
     WrongLoop
         Another loop or backend is in use.
     """
-    loop = gevent.get_hub().loop
+    remedy = "unset GEVENT_LOOP, GEVENT_BACKEND and LIBEV_FLAGS and install gevent with libev"
+    try:
+        loop = gevent.get_hub().loop
+    except ImportError as error:
+        raise WrongLoop(f"gevent cannot load its event loop: {error}", remedy) from error
     backend = getattr(loop, "backend", "")
     if type(loop).__module__ != LOOP_MODULE or backend != LOOP_BACKEND:
-        raise WrongLoop(
-            f"gevent runs on {type(loop).__module__} with backend {backend!r}",
-            "unset GEVENT_LOOP, GEVENT_BACKEND and LIBEV_FLAGS and install gevent with libev",
-        )
+        raise WrongLoop(f"gevent runs on {type(loop).__module__} with backend {backend!r}", remedy)
 
 
 def main(arguments: list[str] | None = None) -> None:
