--- a/features/machines/__init__.py
+++ b/features/machines/__init__.py
@@ -1,1 +1,1 @@
-"""State machines that are run from steps."""
+"""Hypothesis state machines; each module lists its machines by name in `MACHINES`."""
