--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -125,7 +125,7 @@
         """Take directory, settings and owned shards."""
         log.info("connected to entry %s at %s", welcome.entry_id, link.address)
         self._learn_owners(link)
-        self.links.learn(welcome.entries)
+        self.links.learn(link.address, welcome.entries)
         self._apply(welcome.settings_revision, welcome.settings)
 
     def heartbeat(self, link: Link, sequence: int) -> Heartbeat:
@@ -166,7 +166,7 @@
         elif isinstance(message, SettingsUpdate):
             self._apply(message.revision, message.settings)
         elif isinstance(message, Directory):
-            self.links.learn(message.entries)
+            self.links.learn(link.address, message.entries)
         else:
             self.counters.increment("agent.messages.unexpected")
         return None
--- a/src/acaciastand/agent/links.py
+++ b/src/acaciastand/agent/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Iterable
 
@@ -34,14 +35,26 @@
         self.events = events
         self.rng = rng
         self.fanout = 3
-        self.directory: dict[str, EntryAddress] = {}
         self.links: dict[str, Link] = {}
-        self._order = {}  # type: dict[str, float]
-
-    def learn(self, entries: list[EntryAddress]) -> None:
-        """Replace the directory; an empty one is ignored."""
-        if entries:
-            self.directory = {entry.address: entry for entry in entries[:MAX_DIRECTORY]}
+        self._order: dict[str, float] = {}
+        self._sources: dict[str, list[EntryAddress]] = {}
+
+    def learn(self, source: str, entries: list[EntryAddress]) -> None:
+        """Replace the directory of one entry; `source` is the address it came from.
+
+        An entry lists only what it reaches itself, so the directory is the union over the open
+        links; one entry that is leaving or cut off must not make the agent drop the others.
+        """
+        self._sources[source] = entries[:MAX_DIRECTORY]
+
+    @property
+    def directory(self) -> dict[str, EntryAddress]:
+        """Entries that any connected entry lists, by address."""
+        open_links = {link.address for link in self.links.values() if link.is_open}
+        for source in self._sources.keys() - open_links:
+            del self._sources[source]
+        listed = (entry for entries in self._sources.values() for entry in entries)
+        return {entry.address: entry for entry in itertools.islice(listed, MAX_DIRECTORY)}
 
     def owner_of(self, shard: int) -> Link | None:
         """Return the open link whose entry owns the shard under the highest epoch."""
@@ -51,8 +64,9 @@
     def adjust(self, needed_shards: set[int]) -> None:
         """Open and close links to match the directory and the needed shards."""
         wanted = self._wanted(needed_shards)
-        for address in [address for address in self.links if address not in wanted]:
-            self.links.pop(address).stop()
+        if self._enough_open(wanted):
+            for address in [address for address in self.links if address not in wanted]:
+                self.links.pop(address).stop()
         for address in wanted:
             if address not in self.links:
                 link = self.links[address] = Link(address, self.events, self.rng)
@@ -82,15 +96,17 @@
             return set(known)
         return wanted | {owner.address for owner in owners if owner is not None}
 
+    def _enough_open(self, wanted: set[str]) -> bool:
+        # An open link is given up only once its replacements are open.
+        return all(self.links[address].is_open for address in wanted if address in self.links)
+
     def _preferred(self) -> list[str]:
-        addresses = list(self.directory) or self.seeds
-        if not any(link.is_open for link in self.links.values()):
-            addresses = list(dict.fromkeys([*addresses, *self.seeds]))
-        return sorted(addresses, key=self._rank)
+        directory = self.directory
+        return sorted(directory or self.seeds, key=lambda address: self._rank(directory, address))
 
-    def _rank(self, address: str) -> tuple[bool, float]:
+    def _rank(self, directory: dict[str, EntryAddress], address: str) -> tuple[bool, float]:
         # The random part is drawn once per address, so that agents spread over the entries and
         # each keeps its choice.
-        entry = self.directory.get(address)
+        entry = directory.get(address)
         other_zone = entry is None or entry.availability_zone != self.availability_zone
         return other_zone, self._order.setdefault(address, self.rng.random())
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -18,7 +18,6 @@
 from acaciastand.entry.desk import AgentDesk, SettingsSource, TaskOwner
 from acaciastand.entry.forwarding import CALL, PeerForwarder, request_of, result_of
 from acaciastand.entry.http import CallerServer, build_app
-from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.entry.http_jobs import JobResource, JobsResource
 from acaciastand.entry.http_requests import RequestsResource
 from acaciastand.entry.http_status import LiveResource, ReadyResource, StatusResource
@@ -44,6 +43,7 @@
 LEASE_SECONDS = 4.0  # a dead entry's shards are free after this time
 EXPIRY_SECONDS = 0.25  # between two looks at missed heartbeats
 READY_SECONDS = 1.0  # for the balancer to notice that /readyz fails
+ANNOUNCEMENT_SECONDS = 10.0  # twice the longest pause of an agent between two dials
 STOP_SECONDS = 62.0  # longest timeout of a request, and time to write its answer
 POLL_SECONDS = 0.02
 SNAPSHOT = "settings_snapshot"
@@ -118,6 +118,7 @@
         self.clock = clock
         self.stopping = False
         self.started = False
+        self.started_at = 0.0
         self._stack = ExitStack()
         self._ended = Event()
         self.own = EntryAddress(
@@ -162,7 +163,6 @@
         )
         self.app = build_app(self._routes())
         add_settings_routes(self.app, settings_service, self.in_force)
-        add_error_handlers(self.app)  # the latest handler of a type counts
         self.http = CallerServer(settings.http_address, self.app)
 
     def start(self) -> None:
@@ -182,6 +182,7 @@
             self._start_parts(stack)
             self._stack = stack.pop_all()
         self.started = True
+        self.started_at = self.clock()
         logger.info("entry started", extra={"entry_id": self.own.entry_id})
 
     def request_stop(self) -> None:
@@ -303,7 +304,13 @@
     def _readiness_problem(self) -> str:
         if self.stopping:
             return "the entry is stopping"
-        return "" if self.started else "the entry is starting"
+        if not self.started:
+            return "the entry is starting"
+        # Until agents have dialled a new entry, it would refuse what other entries can serve.
+        waited = self.clock() - self.started_at
+        if not self.registry.sessions() and waited < ANNOUNCEMENT_SECONDS:
+            return "no agent has announced itself yet"
+        return ""
 
     def in_force(self) -> InForce:
         """Return the settings revision that every reachable process has confirmed."""
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -11,6 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.wire.connection import split_address
 
 MAX_CALLER_CONNECTIONS = 8192  # open connections of callers; further ones wait in the backlog
@@ -95,8 +96,9 @@
 
 
 def build_app(routes: dict[str, Any]) -> falcon.App:
-    """Return the application with a resource by path; error handlers are added last."""
+    """Return the application with a resource by path; all errors are answered as JSON."""
     app = falcon.App()
+    add_error_handlers(app)
     for path, resource in routes.items():
         app.add_route(path, resource)
     return app
--- a/src/acaciastand_lab/demo.py
+++ b/src/acaciastand_lab/demo.py
@@ -96,8 +96,17 @@
 
 
 def job_state(deployment: Deployment, entry: str, job_id: str) -> dict[str, Any]:
-    """Return the state of a job as `entry` reports it."""
-    return call("GET", f"{deployment.url(entry)}/v1/jobs/{job_id}").json()
+    """Return the state of a job as `entry` reports it.
+
+    Raises
+    ------
+    OSError
+        The entry cannot tell at the moment, as during a takeover.
+    """
+    answer = call("GET", f"{deployment.url(entry)}/v1/jobs/{job_id}")
+    if answer.status == 503:
+        raise OSError(answer.body.decode())
+    return answer.json()
 
 
 def wait_done(
