--- a/features/steps/settings_service_steps.py
+++ b/features/steps/settings_service_steps.py
@@ -11,6 +11,7 @@
 from acaciastand.coordination.memory import MemoryStore
 from acaciastand.entry import settings_service
 from acaciastand.entry.http import build_app
+from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.entry.settings_http import add_settings_routes
 from acaciastand.entry.settings_service import SettingsService
 from acaciastand.errors import AcaciastandError
@@ -209,6 +210,7 @@
     known = Confirmations()
     app = build_app({})
     add_settings_routes(app, service, lambda: known.in_force(service.revision))
+    add_error_handlers(app)
     context.client = testing.TestClient(app)
 
 
