--- a/features/machines/shard_scripts.py
+++ b/features/machines/shard_scripts.py
@@ -1,5 +1,6 @@
 """Fault cases of the shard as scripts on a `World`, each aimed at one guard."""
 
+from acaciastand.coordination.faults import FaultKind
 from machines.shard_world import TIMINGS, World
 
 SETTLE_SECONDS = 8.0
@@ -188,6 +189,113 @@
     return world
 
 
+def freeze_owner(world):
+    """Freeze the owner of the shard."""
+    if world.owner() is not None:
+        world.owner().frozen = True
+
+
+def crash_owner(world):
+    """Replace the owner's process."""
+    if world.owner() is not None:
+        world.owner().restart()
+
+
+def isolate_owner(world):
+    """Cut the owner off from the store."""
+    if world.owner() is not None:
+        world.owner().store.isolated = True
+
+
+def release_shard(world):
+    """Release the shard gracefully."""
+    if world.owner() is not None and not world.owner().frozen:
+        world.owner().release()
+
+
+def begin_outage(world):
+    """Make the store unavailable."""
+    world.faults.outage = True
+
+
+def lose_store_answers(world):
+    """Lose the answers to the next store calls."""
+    world.faults.add(FaultKind.LOSE_ANSWER, calls=4)
+
+
+def freeze_agent(world):
+    """Freeze the agent that runs a task."""
+    (running_on(world) or world.agents[0]).frozen = True
+
+
+def restart_agent(world):
+    """Replace the process of the agent that runs a task."""
+    (running_on(world) or world.agents[0]).restart()
+
+
+def replace_worker(world):
+    """Replace the worker that runs a task, and its agent."""
+    agent = running_on(world) or world.agents[0]
+    agent.worker.replace()
+    agent.restart()
+
+
+def cut_host(world):
+    """Cut the host that runs a task off from all owners."""
+    agent = running_on(world) or world.agents[0]
+    for owner in world.owners:
+        world.cut_link(agent, owner)
+
+
+def lose_replies(world):
+    """Lose everything that owners send to the host that runs a task."""
+    agent = running_on(world) or world.agents[0]
+    world.deaf.update(("agent", agent.name, owner.name) for owner in world.owners)
+
+
+def evict(world):
+    """Evict everything from the host that runs a task."""
+    agent = running_on(world) or world.agents[0]
+    agent.host.drain()
+    agent.poll()
+    agent.host.end_drain()
+
+
+def cancel_first_job(world):
+    """Cancel the first job."""
+    world.cancel("j0-000000000001")
+
+
+FAULTS = {
+    "owner freezes": freeze_owner,
+    "owner crashes": crash_owner,
+    "owner is cut off from the store": isolate_owner,
+    "owner releases": release_shard,
+    "store outage begins": begin_outage,
+    "store answers are lost": lose_store_answers,
+    "agent freezes": freeze_agent,
+    "agent restarts": restart_agent,
+    "worker is replaced": replace_worker,
+    "host is cut off": cut_host,
+    "replies to the host are lost": lose_replies,
+    "task is evicted": evict,
+    "job is cancelled": cancel_first_job,
+}
+
+
+def run_pair(first, second, gap_seconds):
+    """Run two jobs, let two faults happen, and check everything after both."""
+    world = settled(buckets=True)
+    world.submit(tasks=2)
+    world.advance(2.5)
+    world.submit(urgent=True)
+    FAULTS[first](world)
+    world.advance(gap_seconds)
+    FAULTS[second](world)
+    world.advance(12.0)
+    world.finale()
+
+
 SCRIPTS = {
     "takeover while host and new owner are cut off": takeover_out_of_reach,
     "silent host that comes back": silent_agent,
--- a/features/shard_machine.feature
+++ b/features/shard_machine.feature
@@ -42,3 +42,23 @@
       | crashes | after the commit |
       | crashes | after the grant  |
       | leaves  | after the commit |
+
+  Scenario Outline: No pair of faults that begins with "<first>" breaks a rule
+    When the <first> and then each other fault happens, or the same again
+    Then the shard world shows no violation
+
+    Examples:
+      | first                           |
+      | owner freezes                   |
+      | owner crashes                   |
+      | owner is cut off from the store |
+      | owner releases                  |
+      | store outage begins             |
+      | store answers are lost          |
+      | agent freezes                   |
+      | agent restarts                  |
+      | worker is replaced              |
+      | host is cut off                 |
+      | replies to the host are lost    |
+      | task is evicted                 |
+      | job is cancelled                |
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -16,7 +16,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.shard_machine import ShardMachine
-from machines.shard_scripts import SCRIPTS, running_on, settled, until
+from machines.shard_scripts import FAULTS, SCRIPTS, run_pair, running_on, settled, until
 
 STEPS = 40
 FOREVER = float("inf")
@@ -126,6 +126,17 @@
         context.violation = str(error)
 
 
+@when("the {first} and then each other fault happens, or the same again")
+def step_pairs(context, first):
+    context.violation = None
+    for second in FAULTS:
+        for gap_seconds in (0.25, 5.0):
+            try:
+                run_pair(first, second, gap_seconds)
+            except VIOLATIONS as error:
+                context.violation = f"{second} after {gap_seconds} s: {error}"
+
+
 @then("the shard machine finds no violation")
 @then("the shard world shows no violation")
 def step_no_violation(context):
