Bound waiting for a peer that does not read

Cause: a request to an agent that reads nothing waited for the send lock without limit, and its caller got no answer at its deadline. Ruled out: ending the connection at the first such timeout; it would lose the answers of all other requests on it, and slow is not dead. Change: Connection.request waits for the send lock at most its timeout and then reports NotSent, which is certain. A retry without time left reports the failure of the attempt. Settings are pushed again on a heartbeat only while a sender is free, so slow agents do not delay heartbeats. Conclusion: outcomes of such requests are certain wherever nothing left.

--- a/features/entry_support.py
+++ b/features/entry_support.py
@@ -218,9 +218,9 @@
         self.connection = connection = dial(address, self._handle)
         send = connection._send_frame
 
-        def send_mangled(data):
+        def send_mangled(data, *timeout):
             for frame in self.mangle(data):
-                send(frame)
+                send(frame, *timeout)
 
         connection._send_frame = send_mangled
         self.sequence = 0
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -120,6 +120,26 @@
     When a caller sends a request and goes away
     Then agent "a" executes 1 request and nothing is left in progress
 
+  Scenario: Requests that an agent does not read have a certain outcome as far as possible
+    Given an agent "a" that "answers"
+    When agent "a" reads no more and 40 large requests are sent
+    Then each ends, those that never left as not run and the others as unknown
+
+  Scenario Outline: The number of <what> is bounded
+    Given an agent "a" that "answers when released"
+    And a second entry that knows the first
+    When the limit of "<what>" is 1 and <count> requests are sent to the <entry> entry
+    Then <refused> of them are refused with "<code>" as not run
+
+    Examples:
+      | what                       | count | entry  | refused | code          |
+      | requests to one agent      | 3     | first  | 2       | no_target     |
+      | calls to one peer          | 3     | second | 2       | forward_limit |
+
+  Scenario: A caller that sends its headers slowly is disconnected
+    When a caller sends its headers slowly
+    Then it is disconnected and nothing ran
+
   Scenario: A draining agent gets no new request
     Given an agent "a" that "answers"
     And an agent "b" that "answers"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -7,9 +7,12 @@
 from entry_support import SERVICE, WAIT_SECONDS, Entry, FakeAgent, answer_with_name, wait_for
 from gevent import socket
 
+import acaciastand.entry.http as http_module
 import acaciastand.entry.http_errors as http_errors
+import acaciastand.entry.peers as peers_module
 import acaciastand.entry.requests as requests_module
 import acaciastand.routing.deadline as deadline_module
+import acaciastand.routing.target as target_module
 from acaciastand.errors import AcaciastandError
 from acaciastand.wire.codec import MAX_BODY_BYTES, encode
 from acaciastand.wire.connection import REPLY_BIT
@@ -261,6 +264,63 @@
     agent.dial(context.entry.address)
 
 
+@when('agent "{name}" reads no more and {count:d} large requests are sent')
+def step_reads_no_more(context, name, count):
+    agent = context.agents[name]
+    agent.connection._handle_event = lambda _event: agent.release.wait()
+    body = b"x" * MAX_BODY_BYTES
+    jobs = [gevent.spawn(context.entry.ask, body, Request_Timeout_Ms=500) for _ in range(count)]
+    context.answers = finish(jobs)
+
+
+@then("each ends, those that never left as not run and the others as unknown")
+def step_each_ends(context):
+    found = {(answer.json()["code"], answer.json()["outcome"]) for answer in context.answers}
+    assert ("no_connection", "not_run") in found, found
+    assert found <= {
+        ("no_connection", "not_run"),
+        ("timed_out", "unknown"),
+        ("connection_lost", "unknown"),
+    }, found
+
+
+LIMITS = {
+    "requests to one agent": (target_module, "MAX_OWN_IN_FLIGHT"),
+    "calls to one peer": (peers_module, "MAX_FORWARDS"),
+}
+
+
+@when('the limit of "{what}" is 1 and {count:d} requests are sent to the {which} entry')
+def step_limited(context, what, count, which):
+    shorten(context, *LIMITS[what], 1)
+    entry = context.entry if which == "first" else context.second
+    context.jobs = [gevent.spawn(entry.ask, Request_Timeout_Ms=5000) for _ in range(count)]
+
+
+@then('{count:d} of them are refused with "{code}" as not run')
+def step_some_refused(context, count, code):
+    wait_for(lambda: sum(job.ready() for job in context.jobs) == count, "the refusals")
+    context.agents["a"].release.set()
+    refused = [answer for answer in finish(context.jobs) if answer.status != 200]
+    assert len(refused) == count
+    for answer in refused:
+        assert (answer.json()["code"], answer.json()["outcome"]) == (code, "not_run"), answer.body
+
+
+@when("a caller sends its headers slowly")
+def step_slow_headers(context):
+    shorten(context, http_module, "HEADER_SECONDS", 0.2)
+    context.caller = open_caller(context, f"POST {PATH} HTTP/1.1\r\nHost: entry\r\n".encode())
+
+
+@then("it is disconnected and nothing ran")
+def step_disconnected(context):
+    with gevent.Timeout(WAIT_SECONDS, AssertionError("no end in time")):
+        while context.caller.recv(1024):
+            pass
+    assert not context.entry.counters.totals().get("requests.answered.count")
+
+
 @when('agent "{name}" sends Drain')
 def step_drain(context, name):
     context.agents[name].connection.send(Drain("planned stop"))
@@ -335,7 +395,7 @@
         data += b"\r\n0\r\n\r\n"
     caller = open_caller(context, data)
     received = b""
-    with gevent.Timeout(WAIT_SECONDS):
+    with gevent.Timeout(WAIT_SECONDS, AssertionError("no end in time")):
         while more := caller.recv(65536):
             received += more
     return RawAnswer(received)
--- a/src/acaciastand/entry/desk.py
+++ b/src/acaciastand/entry/desk.py
@@ -148,7 +148,7 @@
         if not self.registry.heartbeat(session, heartbeat, self.clock()):
             return None  # late or of an ended session; no grant may be renewed from it
         renewed = self.owner.on_heartbeat(session, heartbeat)
-        if heartbeat.settings_revision < self.settings.revision:
+        if heartbeat.settings_revision < self.settings.revision and not self._pushes.full():
             self._pushes.spawn(self._push, session)  # the update was lost or is under way
         return HeartbeatReply(
             sequence=heartbeat.sequence,
--- a/src/acaciastand/entry/requests.py
+++ b/src/acaciastand/entry/requests.py
@@ -104,7 +104,7 @@
         """Make one attempt and add its agent to `tried`; a retry is paid from the budget."""
         hopeless = self._hopeless(request)
         if hopeless is not None:
-            return hopeless
+            return earlier or hopeless
         target = self._select(request, tried)
         if target is None:
             return earlier or self._elsewhere(request)
--- a/src/acaciastand/wire/connection.py
+++ b/src/acaciastand/wire/connection.py
@@ -137,7 +137,7 @@
         result: AsyncResult = AsyncResult()
         self._pending[correlation_id] = result
         try:
-            self._send_frame(encode(message, correlation_id))
+            self._send_frame(encode(message, correlation_id), timeout_seconds)
             return result.get(timeout=timeout_seconds)
         except gevent.Timeout:
             raise ReplyTimeout(
@@ -158,12 +158,17 @@
                 self._flush()
         self._finish()
 
-    def _send_frame(self, data: bytes) -> None:
-        with self._send_lock:
+    def _send_frame(self, data: bytes, timeout_seconds: float | None = None) -> None:
+        # While a peer reads nothing, later frames wait for the one that fills the socket's buffer.
+        if not self._send_lock.acquire(timeout=timeout_seconds):
+            raise NotSent("the peer reads too slowly", "retry on another connection")
+        try:
             if self.closed.is_set() or self.protocol.state is not OPEN:
                 raise NotSent("the connection is closed", "retry on another connection")
             self.protocol.send_binary(data)
             self._flush()
+        finally:
+            self._send_lock.release()
 
     def _flush(self) -> None:
         for data in self.protocol.data_to_send():
