Test the directory of entries; count errors by code at the HTTP interface

Cause: the directory in the store, peers that are out of reach and errors found before a request runs had no test or counter. Ruled out: counting these errors as refusals of the request path; a forwarded request would count twice.

--- a/features/entry_support.py
+++ b/features/entry_support.py
@@ -146,7 +146,7 @@
 class Entry:
     """A daemon with fakes, and a client of its HTTP interface."""
 
-    def __init__(self, stack, name="entry-0", entries=(), zone="gent"):
+    def __init__(self, stack, name="entry-0", entries=(), zone="gent", store=None):
         settings = EntrySettings(
             entry_id=name,
             path=SITE,
@@ -160,7 +160,12 @@
         self.settings = FakeSettings()
         self.counters = Counters()
         self.daemon = EntryDaemon(
-            settings, DownStore(), self.settings, FakeOwner, self.counters, random.Random(7)
+            settings,
+            store or DownStore(),
+            self.settings,
+            FakeOwner,
+            self.counters,
+            random.Random(7),
         )
         self.owner = self.daemon.owner
         self.daemon.start()
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -188,6 +188,7 @@
     Given an agent "a" that "answers"
     When a request that is "<what>" is sent
     Then the answer is <status> with code "<code>" and outcome "not_run"
+    And the error "<code>" was counted once
     And agent "a" executed 0 requests
 
     Examples:
@@ -221,6 +222,7 @@
     Given a second entry that knows the first
     When each entry believes that the other has a target and a request is sent to the second
     Then the answer is 503 with code "forward_limit" and outcome "not_run"
+    And each entry refused it once
 
   Scenario: A forwarded request is neither forwarded nor retried again
     Given an agent "a" that "refuses with no_slot"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -458,6 +458,17 @@
     assert context.entry.count(f"refused.{reason}") == count, context.entry.counters.totals()
 
 
+@then('the error "{code}" was counted once')
+def step_error_counter(context, code):
+    assert context.entry.count(f"http.errors.{code}") == 1, context.entry.counters.totals()
+
+
+@then("each entry refused it once")
+def step_refused_once(context):
+    for entry in (context.entry, context.second):
+        assert entry.count("refused.forward_limit") == 1, entry.counters.totals()
+
+
 @then("the answer has Retry-After")
 def step_retry_after(context):
     assert int(context.answer.headers["retry-after"]) >= 1
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -162,7 +162,7 @@
         )
         self.app = build_app(self._routes())
         add_settings_routes(self.app, settings_service, self.in_force)
-        add_error_handlers(self.app)  # the latest handler of a type counts
+        add_error_handlers(self.app, counters)  # the latest handler of a type counts
         self.http = CallerServer(settings.http_address, self.app)
 
     def start(self) -> None:
--- a/src/acaciastand/entry/http_errors.py
+++ b/src/acaciastand/entry/http_errors.py
@@ -11,6 +11,7 @@
 
 from acaciastand.errors import AcaciastandError, InvalidInput, Outcome, Refused
 from acaciastand.reasons import Reason
+from acaciastand.telemetry import Counters
 from acaciastand.wire.codec import MAX_BODY_BYTES
 
 BODY_SECONDS = 10.0  # a caller has this long to send its body
@@ -75,11 +76,21 @@
     return BodyTooLarge(f"the body exceeds {MAX_BODY_BYTES} bytes", "send a smaller body")
 
 
-def add_error_handlers(app: falcon.App) -> None:
-    """Answer all errors of the application as JSON."""
+def add_error_handlers(app: falcon.App, counters: Counters) -> None:
+    """Answer all errors of the application as JSON and count them by code."""
+
+    def counted(
+        request: falcon.Request,
+        response: falcon.Response,
+        error: AcaciastandError,
+        params: dict[str, Any],
+    ) -> None:
+        counters.increment(f"http.errors.{error.code}")
+        handle_typed(request, response, error, params)
+
     app.add_error_handler(Exception, _handle_unexpected)
     app.add_error_handler(falcon.HTTPError, _handle_framework)
-    app.add_error_handler(AcaciastandError, handle_typed)
+    app.add_error_handler(AcaciastandError, counted)
 
 
 def handle_typed(
--- a/src/acaciastand/entry/peers.py
+++ b/src/acaciastand/entry/peers.py
@@ -31,6 +31,7 @@
 HEARTBEAT_SECONDS = 1.0
 MISSED_HEARTBEATS = 3
 REPLY_SECONDS = 3.0  # time for the answer to a heartbeat or hello
+REPLY_GRACE_SECONDS = 0.05  # the other entry's own report of a timeout tells more than silence
 FIRST_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 2.0
 FORGET_SECONDS = 60.0  # an unreachable entry that is not in the settings file is forgotten
@@ -206,7 +207,7 @@
         message = Forward(call, payload, int(timeout_seconds * 1000))
         peer.in_flight += 1
         try:
-            reply = peer.connection.request(message, timeout_seconds)
+            reply = peer.connection.request(message, timeout_seconds + REPLY_GRACE_SECONDS)
         except NotSent as error:
             raise PeerUnreachable(error.message, "send it again later") from error
         finally:
