--- a/features/steps/settings_service_steps.py
+++ b/features/steps/settings_service_steps.py
@@ -11,12 +11,12 @@
 from acaciastand.coordination.memory import MemoryStore
 from acaciastand.entry import settings_service
 from acaciastand.entry.http import build_app
-from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.entry.settings_http import add_settings_routes
 from acaciastand.entry.settings_service import SettingsService
 from acaciastand.errors import AcaciastandError
 from acaciastand.settings.confirmation import Confirmations
 from acaciastand.settings.process import EntrySettings
+from acaciastand.telemetry import Counters
 
 FIRM = "blue-mahoe"
 SITE = f"{FIRM}/kingston/kingston-a"
@@ -208,9 +208,8 @@
 def step_serve(context, number):
     service = context.services[number]
     known = Confirmations()
-    app = build_app({})
+    app = build_app({}, Counters())
     add_settings_routes(app, service, lambda: known.in_force(service.revision))
-    add_error_handlers(app)
     context.client = testing.TestClient(app)
 
 
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -161,7 +161,7 @@
         self.listener = Listener(
             settings.peer_address, self._handle, self.desk.closed, self._protocol_error
         )
-        self.app = build_app(self._routes())
+        self.app = build_app(self._routes(), counters)
         add_settings_routes(self.app, settings_service, self.in_force)
         self.http = CallerServer(settings.http_address, self.app)
 
