Bound the connections of the store stand-in and test the client's bound

Cause: the stand-in accepted any number of connections, and the test of watches aborted behave instead of failing, because gevent.Timeout is not an Exception.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -42,6 +42,14 @@
     When its service has stopped
     Then a write raises StoreUnavailable and a read raises StoreUnavailable
 
+  Scenario: A call beyond the client's connections waits for a free one
+    Given the http store
+    Then one call more than the client has connections succeeds in a second round
+
+  Scenario: A connection beyond the service's limit waits until another one is closed
+    Given a service for 1 connection whose connection is taken
+    Then a read is served only after that connection is closed
+
   Scenario: The stand-in program announces its address and stops cleanly on a signal
     When the stand-in program is started and gets SIGTERM
     Then it answered a call at its address and ended with exit code 0
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import gevent
@@ -24,8 +25,9 @@
     StoreUnavailable,
     preferred_owner,
 )
-from acaciastand.platform.store_client import HttpStore
+from acaciastand.platform.store_client import MAX_CONNECTIONS, HttpStore
 from acaciastand_lab.fuzz import fuzz, load_machines, run_machine
+from acaciastand_standin.store import StoreService, create_server
 
 PAGE = Path("docs/COORDINATION.md")
 SLOW_SECONDS = 0.3
@@ -57,6 +59,33 @@
     fails_with(errors[read_error], context.client.get, "key")
 
 
+@then("one call more than the client has connections succeeds in a second round")
+def step_second_round(context):
+    context.bench.service.faults.slow_seconds = SLOW_SECONDS
+    started = time.monotonic()
+    calls = [gevent.spawn(context.bench.store.get, "key") for _ in range(MAX_CONNECTIONS + 1)]
+    gevent.joinall(calls, raise_error=True)
+    assert time.monotonic() - started >= 2 * SLOW_SECONDS
+
+
+@given("a service for {count:d} connection whose connection is taken")
+def step_small_service(context, count):
+    server = create_server("127.0.0.1:0", StoreService(), max_connections=count)
+    server.start()
+    context.stack.callback(server.stop, 0)
+    url = f"http://127.0.0.1:{server.server_port}"
+    context.holder, context.client = (HttpStore(url, SLOW_SECONDS) for _ in range(2))
+    context.stack.callback(context.client.close)
+    context.holder.get("key")
+
+
+@then("a read is served only after that connection is closed")
+def step_served_later(context):
+    fails_with(StoreUnavailable, context.client.get, "key")
+    context.holder.close()
+    assert context.client.get("key") is None
+
+
 @when("the stand-in program is started and gets SIGTERM")
 def step_program(context):
     command = [sys.executable, "-m", "acaciastand_standin.program", "store"]
--- a/features/store_contract.py
+++ b/features/store_contract.py
@@ -131,14 +131,14 @@
     assert store.watch("key", version, 0.02) is None
     waiting = start_watch(bench, version)
     newer = store.put_if("key", b"two", version)
-    assert waiting.get(timeout=TIMEOUT_SECONDS).version == newer
+    assert result_of(waiting).version == newer
 
 
 def watch_ends_with_deletion(bench):
     version = bench.store.put_if("key", b"one", 0)
     waiting = start_watch(bench, version)
     bench.store.delete_if("key", version)
-    assert waiting.get(timeout=TIMEOUT_SECONDS / 2) is None
+    assert result_of(waiting) is None
 
 
 def watch_counts_once(bench):
@@ -146,7 +146,7 @@
     waiting = start_watch(bench, version)
     bench.store.put_if("other", b"one", 0)  # wakes the service, not the caller
     bench.store.put_if("key", b"two", version)
-    waiting.get(timeout=TIMEOUT_SECONDS)
+    result_of(waiting)
     assert bench.faults.plan.calls[CallKind.WATCH] == 1
     assert bench.faults.plan.calls[CallKind.PUT] == 3
 
@@ -199,6 +199,11 @@
     return waiting
 
 
+def result_of(waiting):
+    with gevent.Timeout(TIMEOUT_SECONDS / 2, AssertionError("the watch did not return")):
+        return waiting.get()
+
+
 def wait_until(condition):
     never = Event()
     ends = time.monotonic() + TIMEOUT_SECONDS
--- a/src/acaciastand/coordination/journal.py
+++ b/src/acaciastand/coordination/journal.py
@@ -82,6 +82,9 @@
     (single-writer) view with the next epoch: an append that meets an unexpected entry raises
     `Fenced`.
 
+    A view serves one call at a time: with a store that yields to other greenlets, the caller must
+    serialise the calls, or a second append for the same position would look like another writer's.
+
     Parameters
     ----------
     store
--- a/src/acaciastand_standin/store.py
+++ b/src/acaciastand_standin/store.py
@@ -49,6 +49,7 @@
 from acaciastand_standin.serving import serve_until_signal, split_address
 
 MAX_WATCH_SECONDS = 300.0  # longer watches return after this time
+MAX_CONNECTIONS = 10_000  # connections served at once; further ones wait to be accepted
 MAX_BODY_BYTES = 1_100_000  # a value of one megabyte and its key
 UNTIL_CLEARED = 1 << 62  # calls of a rule that ends only when the faults are cleared
 CBOR = "application/cbor"
@@ -211,11 +212,14 @@
     return app
 
 
-def create_server(listen: str, service: StoreService) -> WSGIServer:
+def create_server(
+    listen: str, service: StoreService, max_connections: int = MAX_CONNECTIONS
+) -> WSGIServer:
     """Return a server for `service` that is not started yet."""
     return WSGIServer(
         split_address(listen),
         create_app(service),
+        spawn=max_connections,
         log=None,
         error_log=sys.stderr,
         handler_class=_Handler,
