--- a/features/steps/settings_service_steps.py
+++ b/features/steps/settings_service_steps.py
@@ -16,6 +16,7 @@
 from acaciastand.errors import AcaciastandError
 from acaciastand.settings.confirmation import Confirmations
 from acaciastand.settings.process import EntrySettings
+from acaciastand.telemetry import Counters
 
 FIRM = "blue-mahoe"
 SITE = f"{FIRM}/kingston/kingston-a"
@@ -207,7 +208,7 @@
 def step_serve(context, number):
     service = context.services[number]
     known = Confirmations()
-    app = build_app({})
+    app = build_app({}, Counters())
     add_settings_routes(app, service, lambda: known.in_force(service.revision))
     context.client = testing.TestClient(app)
 
--- a/src/acaciastand/coordination/journal.py
+++ b/src/acaciastand/coordination/journal.py
@@ -82,6 +82,9 @@
     (single-writer) view with the next epoch: an append that meets an unexpected entry raises
     `Fenced`.
 
+    A view serves one call at a time: with a store that yields to other greenlets, the caller must
+    serialise the calls, or a second append for the same position would look like another writer's.
+
     Parameters
     ----------
     store
@@ -245,8 +248,10 @@
         -------
         JournalState
             Only the new entries; everything, with `complete` true, when the ring went past this
-            view.
+            view or the view is not loaded.
         """
+        if not self._loaded and self._pending is None:
+            return self.load()
         self._check_usable()
         entries: list[Entry] = []
         while True:
