--- a/features/steps/host_bounds_steps.py
+++ b/features/steps/host_bounds_steps.py
@@ -1,6 +1,7 @@
 """Steps on the bounds of the host and of the agent's tables."""
 
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -81,7 +82,8 @@
 def fill_directory(_host):
     links = Links([], "zone", None, random.Random(1))
     entries = [EntryAddress(str(n), f"10.0.0.1:{n}") for n in range(MAX_DIRECTORY + 1)]
-    links.learn(entries)
+    links.links["entry"] = SimpleNamespace(address="entry", is_open=True)
+    links.learn("entry", entries)
     return lambda: len(links.directory)
 
 
