Keep waiting for a job through a takeover of its shard

Ruled out: repeating all calls, because only reads are safe to repeat. Change: waiting commands ask again on these statuses until their deadline.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -52,6 +52,12 @@
     And the exit code is 0 and the output has "unreachable: peer-2"
     And the exit code is 0 and the output has "revision 4 in_force"
 
+  Scenario: Waiting for a job goes on through a takeover of its shard
+    Given an entry whose job has no owner at the first look
+    When "job wait j0-1" is run
+    Then the exit code is 0 and the output has "no owner"
+    And the exit code is 0 and the output has "completed"
+
   Scenario: A file with a wrong value is refused as a whole
     Given an entry that answers "POST /v1/settings" with 200 and {"revision": 1}
     When a tree file with one wrong value is imported
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -28,7 +28,10 @@
         if status == 0:
             self.close_connection = True
             return
-        data = (answers.pop(0) if len(answers) > 1 else answers[0]).encode()
+        text = answers.pop(0) if len(answers) > 1 else answers[0]
+        if isinstance(text, tuple):
+            status, text = text
+        data = text.encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
@@ -79,6 +82,13 @@
     start(context, answers)
 
 
+@given("an entry whose job has no owner at the first look")
+def step_no_owner(context):
+    refusal = '{"code": "no_owner", "outcome": "not_run", "message": "no owner", "remedy": "r"}'
+    answers = {("GET", "/v1/jobs/j0-1"): (200, [(503, refusal), '{"state": "completed"}'])}
+    start(context, answers)
+
+
 def run(context, arguments, **environment):
     output = io.StringIO()
     output.buffer = io.BytesIO()
--- a/src/acaciastand/programs/cli_common.py
+++ b/src/acaciastand/programs/cli_common.py
@@ -10,9 +10,10 @@
 import typer
 
 from acaciastand.errors import AcaciastandError
-from acaciastand.programs.client import EntryClient, EntryUnreachable
+from acaciastand.programs.client import AnswerLost, EntryClient, EntryUnreachable, RemoteError
 
 POLL_SECONDS = 0.25
+TEMPORARY_STATUSES = (429, 502, 503, 504)  # for example while a shard has no owner
 
 EntryOption = Annotated[
     str,
@@ -53,7 +54,7 @@
 def poll(read: Callable[[], str | None], seconds: float, awaited: str, remedy: str) -> None:
     """Call `read` until it returns None, and print each new text that it returns.
 
-    An entry that cannot be reached meanwhile is asked again.
+    An entry that cannot be reached or refuses for the moment is asked again; reads repeat safely.
 
     Raises
     ------
@@ -65,7 +66,9 @@
     while True:
         try:
             text = read()
-        except EntryUnreachable as error:
+        except (EntryUnreachable, AnswerLost, RemoteError) as error:
+            if error.http_status not in TEMPORARY_STATUSES:
+                raise
             text = error.message
         if text is None:
             return
