Let idle shards wait for changes instead of a commit interval

Cause: each owned shard woke every 20 ms, also without work. Change: an idle loop wakes on changes and every 100 ms; waiting tasks that found no room are tried again every 100 ms and after each commit.

--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -32,6 +32,7 @@
 
 GRANT_REPLY_SECONDS = 5.0  # wait for the reply to a grant
 BUCKET_INTERVAL_SECONDS = 0.5  # between two looks at buckets without a home
+IDLE_SECONDS = 0.1  # between two looks at grants and waiting tasks while nothing changes
 RETRY_SECONDS = 0.25  # between two appends while the store is unavailable
 MAX_SENDING = 512  # grants and stops of one shard that are sent at once
 RELEASE_SECONDS = 5.0  # for the commits of a graceful release
@@ -107,11 +108,13 @@
         self.store_down = False
         self.lost = False
         self.stopping = Event()
+        self.wake = Event()
         self.last_renewal = ownership.session.last_renewal if ownership.session else float("-inf")
         self._in_doubt = 0
         self._waiters: list[Waiter] = []
         self._sending = Pool(MAX_SENDING)
         self._next_buckets = 0.0
+        self._next_tasks = 0.0
         self._loop = gevent.spawn(self._run)
 
     def authority(self, now: float) -> Authority:
@@ -140,6 +143,7 @@
             return
         if self.lost:
             raise self._lost_error()
+        self.wake.set()
         waiter = Waiter(ticket, job_id)
         self._waiters.append(waiter)
         try:
@@ -169,6 +173,7 @@
         """End the commit loop without a release."""
         self.lost = True
         self.stopping.set()
+        self.wake.set()
         if gevent.getcurrent() is not self._loop:
             self._loop.join(timeout=RELEASE_SECONDS)
         self._fail_waiters(self._lost_error())
@@ -180,14 +185,23 @@
 
     def _run(self) -> None:
         while not self.stopping.is_set():
-            interval = self.context.settings().commit_interval_ms / 1000.0
-            self.stopping.wait(RETRY_SECONDS if self.store_down else interval)
+            self._pause()
             if not self.lost and not self.context.holds(self.ownership):
                 self._lose()
             if self.lost:
                 return
             self._step()
 
+    def _pause(self) -> None:
+        if self.store_down:
+            self.stopping.wait(RETRY_SECONDS)
+            return
+        if not self.shard.pending:
+            self.wake.wait(IDLE_SECONDS)
+        self.wake.clear()
+        # Further changes of this interval go into the same journal entry.
+        self.stopping.wait(self.context.settings().commit_interval_ms / 1000.0)
+
     def _step(self) -> None:
         now = self.context.clock()
         expired = self.shard.expire(now)
@@ -209,8 +223,10 @@
         if now >= self._next_buckets:
             self._next_buckets = now + BUCKET_INTERVAL_SECONDS
             self.scheduler.start_buckets(self.context.workers(), now)
-        if self.scheduler.waiting():
-            self.scheduler.start_tasks(self.context.workers(), self.context.quota_room(), now)
+        if now >= self._next_tasks and self.scheduler.waiting():
+            room = self.context.quota_room()
+            started = self.scheduler.start_tasks(self.context.workers(), room, now)
+            self._next_tasks = now if started else now + IDLE_SECONDS
 
     def _commit(self) -> None:
         events = self.shard.batch()
@@ -245,6 +261,8 @@
     def _committed(self) -> None:
         self.shard.batch_committed(self._in_doubt)
         self._in_doubt = 0
+        self._next_tasks = 0.0  # a job may be committed or a worker free now
+        self.wake.set()
         for waiter in list(self._waiters):
             if waiter.ticket <= self.shard.committed:
                 waiter.result.set(None)
@@ -289,8 +307,11 @@
 
     def send_ready(self) -> None:
         """Send effects that need no commit, such as stops of unknown attempts."""
-        if not self.lost:
-            self._send_effects()
+        if self.lost:
+            return
+        self._send_effects()
+        if self.shard.pending:
+            self.wake.set()
 
     def _send(self, effect: Effect) -> None:
         if isinstance(effect, Grant):
