Install error handlers when the application is built

Ruled out: handlers in the settings resources; they would hide Retry-After again. Change: build_app installs the handlers and takes the counters. Conclusion: one place installs the handlers.

--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -18,7 +18,6 @@
 from acaciastand.entry.desk import AgentDesk, SettingsSource, TaskOwner
 from acaciastand.entry.forwarding import CALL, PeerForwarder, request_of, result_of
 from acaciastand.entry.http import CallerServer, build_app
-from acaciastand.entry.http_errors import add_error_handlers
 from acaciastand.entry.http_jobs import JobResource, JobsResource
 from acaciastand.entry.http_requests import RequestsResource
 from acaciastand.entry.http_status import LiveResource, ReadyResource, StatusResource
@@ -160,9 +159,8 @@
         self.listener = Listener(
             settings.peer_address, self._handle, self.desk.closed, self._protocol_error
         )
-        self.app = build_app(self._routes())
+        self.app = build_app(self._routes(), counters)
         add_settings_routes(self.app, settings_service, self.in_force)
-        add_error_handlers(self.app, counters)  # the latest handler of a type counts
         self.http = CallerServer(settings.http_address, self.app)
 
     def start(self) -> None:
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -11,6 +11,8 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from acaciastand.entry.http_errors import add_error_handlers
+from acaciastand.telemetry import Counters
 from acaciastand.wire.connection import split_address
 
 MAX_CALLER_CONNECTIONS = 8192  # open connections of callers; further ones wait in the backlog
@@ -94,9 +96,10 @@
         self.close()
 
 
-def build_app(routes: dict[str, Any]) -> falcon.App:
-    """Return the application with a resource by path; error handlers are added last."""
+def build_app(routes: dict[str, Any], counters: Counters | None = None) -> falcon.App:
+    """Return the application with a resource by path; errors are counted by code."""
     app = falcon.App()
+    add_error_handlers(app, counters or Counters())
     for path, resource in routes.items():
         app.add_route(path, resource)
     return app
