--- /dev/null
+++ b/src/acaciastand_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments; each module of this package registers its own."""
--- a/src/acaciastand_lab/load_plan.py
+++ b/src/acaciastand_lab/load_plan.py
@@ -84,7 +84,7 @@
             f"a rate of {options.rate:g} is out of range", f"plan at most {MAX_ARRIVALS} requests"
         )
     rng = np.random.default_rng(options.seed)
-    times = _times(options, rng)
+    times = draw_times(options, rng)
     idempotent = rng.random(len(times)) < options.idempotent
     keyed = rng.random(len(times)) < options.keyed
     return [
@@ -93,7 +93,8 @@
     ]
 
 
-def _times(options: LoadOptions, rng: np.random.Generator) -> np.ndarray:
+def draw_times(options: LoadOptions, rng: np.random.Generator) -> np.ndarray:
+    """Return Poisson arrival times, sorted, with the rate doubled from `double_at` on."""
     surge = options.double_at if 0 <= options.double_at < options.seconds else options.seconds
     spans = [(0.0, surge, options.rate), (surge, options.seconds, options.rate * SURGE_FACTOR)]
     parts = [
