Compare percentiles at ranks that are unambiguous

Cause: at 20000 values numpy and hdrhistogram round 0.999 * 20000 to neighbouring ranks (439.8 and 436.7 ms), which are 0.7% apart; ruled out: the resolution of the histogram (0.1%). Change: 20001 values; the tolerance of 0.2% stays.

--- a/features/harness.feature
+++ b/features/harness.feature
@@ -15,7 +15,7 @@
     Then two plans of the same seed are equal and one of another seed differs
 
   Scenario: Percentiles agree with numpy within the histogram's three figures
-    Then the percentiles of 20000 log-normal latencies agree with numpy
+    Then the percentiles of 20001 log-normal latencies agree with numpy
 
   Scenario: A slowdown shifts with load and is seen late
     Then a batch class stretches the service more under load and the measurement lags 5 s
--- a/features/steps/harness_steps.py
+++ b/features/steps/harness_steps.py
@@ -55,6 +55,7 @@
 
 @then("the percentiles of {count:d} log-normal latencies agree with numpy")
 def step_percentiles(context, count):
+    # With a round count, rounding errors of `percentile * count` select neighbouring values.
     values = np.random.default_rng(1).lognormal(-4.0, 1.0, count)
     latencies = Latencies()
     for value in values:
