--- a/src/acaciastand_lab/harness/clock.py
+++ b/src/acaciastand_lab/harness/clock.py
@@ -12,9 +12,10 @@
 class Timer:
     """One planned call."""
 
-    __slots__ = ("action", "arguments", "cancelled")
+    __slots__ = ("due", "action", "arguments", "cancelled")
 
-    def __init__(self, action: Callable[..., Any], arguments: tuple[Any, ...]) -> None:
+    def __init__(self, due: float, action: Callable[..., Any], arguments: tuple[Any, ...]) -> None:
+        self.due = due
         self.action = action
         self.arguments = arguments
         self.cancelled = False
@@ -35,9 +36,9 @@
 
     def at(self, when: float, action: Callable[..., Any], *arguments: Any) -> Timer:
         """Plan a call; a time in the past means now."""
-        timer = Timer(action, arguments)
+        timer = Timer(max(when, self.now), action, arguments)
         self._count += 1
-        heapq.heappush(self._heap, (max(when, self.now), self._count, timer))
+        heapq.heappush(self._heap, (timer.due, self._count, timer))
         return timer
 
     def after(self, seconds: float, action: Callable[..., Any], *arguments: Any) -> Timer:
