--- a/src/acaciastand/entry/requests.py
+++ b/src/acaciastand/entry/requests.py
@@ -17,6 +17,8 @@
 
 MAX_REQUESTS = 4096  # requests of callers in progress at one entry
 REPLY_GRACE_SECONDS = 0.02  # the agent's own report of a timeout tells more than silence
+# An agent that refuses for these reasons has no load, so load-aware choosers would prefer it.
+UNAVAILABLE_REASONS = frozenset({Reason.TARGET_DOWN, Reason.DRAINING, Reason.RECOVERING})
 LOWEST_STATUS = 100
 HIGHEST_STATUS = 599
 
@@ -107,7 +109,7 @@
             return earlier or hopeless
         target = self._select(request, tried)
         if target is None:
-            return earlier or self._elsewhere(request)
+            return self._after_all_targets(request, earlier)
         if earlier is not None and not self._take_from_budget(request, earlier):
             message = f"the retry budget is spent; the last attempt ended with {earlier.reason}"
             return Failure(Outcome.NOT_RUN, Reason.RETRY_BUDGET_SPENT, message)
@@ -120,6 +122,21 @@
         home = self.router.home_of(request.service, request.routed_key)
         return None if home is None or home.agent_id in tried else home
 
+    def _after_all_targets(
+        self, request: CallerRequest, earlier: Failure | None
+    ) -> Answer | Failure:
+        """Forward a request that no target here takes; a refused one costs a retry.
+
+        Each agent is connected to a few entries only, so others may have free slots.
+        """
+        if earlier is None:
+            return self._elsewhere(request)
+        if earlier.outcome is not Outcome.NOT_RUN or request.routed_key:
+            return earlier
+        if not self._take_from_budget(request, earlier):
+            return earlier
+        return self.forwarder.forward_execute(request) or earlier
+
     def _elsewhere(self, request: CallerRequest) -> Answer | Failure:
         if request.forwarded:
             return Failure(
@@ -195,6 +212,8 @@
             return Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST, error.message)
         if isinstance(reply, ExecuteReply) and reply.request_id == request.request_id:
             target.report(max(reply.in_flight, 0))
+            if reply.reason in UNAVAILABLE_REASONS:
+                target.healthy = False  # until the next heartbeat says otherwise
         return result_of(request.request_id, reply)
 
     def _record_health(
