Test forwarding after refusals, agents set aside, and modules inside the harness

Change to a scenario: 'a refusal while starting is retried' used the reason recovering; an agent that refuses for that reason now gets no second request before its heartbeat, so nothing is retried after the first five requests. The budget is checked with no_slot instead, with the same bounds, and a new outline checks that recovering, draining and target_down set the agent aside.

--- a/features/harness.feature
+++ b/features/harness.feature
@@ -22,3 +22,14 @@
 
   Scenario: A report has the median and the range over ten seeds
     Then an experiment that returns its seed reports "5.5 [1, 10]" in table and CSV
+
+  Scenario Outline: The product's modules keep their promises in the harness with <fault>
+    Then a system with "<fault>" contradicts no answer, stays in its budget and repeats exactly
+
+    Examples:
+      | fault      |
+      | lost       |
+      | unanswered |
+      | gone       |
+      | slow       |
+      | overload   |
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -83,13 +83,25 @@
     And a non-idempotent request is sent with a timeout of 300 ms
     Then the answer is 502 with code "target_broke_off" and outcome "unknown"
 
-  Scenario: A refusal while starting is retried elsewhere within the budget
-    Given an agent "a" that "refuses with recovering"
+  Scenario: A refusal for lack of a slot is retried elsewhere within the budget
+    Given an agent "a" that "refuses with no_slot"
     And an agent "b" that "answers"
     When 20 non-idempotent requests are sent
-    Then some requests were retried with "recovering" and the agents received at most 24
+    Then some requests were retried with "no_slot" and the agents received at most 24
     And no request ran twice and every refused request ran 0 times
 
+  Scenario Outline: An agent that refuses with <reason> gets no more requests until its heartbeat
+    Given an agent "a" that "refuses with <reason>"
+    And an agent "b" that "answers"
+    When 20 non-idempotent requests are sent
+    Then agent "a" received at most 2 of them
+
+    Examples:
+      | reason      |
+      | target_down |
+      | recovering  |
+      | draining    |
+
   Scenario: A non-idempotent request is not sent again when the connection is lost
     Given an agent "a" that "runs and closes the connection"
     And an agent "b" that "answers"
@@ -224,6 +236,13 @@
     Then the answer is 503 with code "forward_limit" and outcome "not_run"
     And each entry refused it once
 
+  Scenario: A request that every target here refused is forwarded within the budget
+    Given an agent "a" that "answers"
+    And a second entry that knows the first
+    And an agent "b" of the second entry that "refuses with no_slot"
+    When 10 requests are sent to the second entry
+    Then 2 of them are answered by "a" and the others are refused with "no_slot"
+
   Scenario: A forwarded request is neither forwarded nor retried again
     Given an agent "a" that "refuses with no_slot"
     And an agent "b" that "refuses with no_slot"
--- a/features/steps/harness_steps.py
+++ b/features/steps/harness_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 
 from acaciastand_lab.harness import (
+    MAISON_REPRISE,
     EventQueue,
     Experiment,
     HostModel,
@@ -16,7 +17,9 @@
     poisson_arrivals,
 )
 from acaciastand_lab.harness.experiment import report
+from acaciastand_lab.harness.figures import check_executions, worst_added_share
 from acaciastand_lab.harness.host import PairSlowdown
+from acaciastand_lab.harness.served import Options, ServedSystem
 
 
 @then("calls planned at 3, 1, 2 and a task that sleeps 2.5 run in order")
@@ -102,3 +105,31 @@
         assert (Path(name) / "seed.png").stat().st_size > 0
     assert f"| case | candidate | {cell} |" in table, table
     assert [row["median"] for row in rows] == ["5.5", "5.5"]
+
+
+def break_system(system, fault):
+    for agent in system.agents:
+        agent.fail_before = 0.5 if fault == "lost" else 0.0
+        agent.fail_after = 0.5 if fault == "unanswered" else 0.0
+    first = system.agents[0]
+    first.model.slow_factor = 10.0 if fault == "slow" else 1.0
+    if fault == "gone":
+        system.queue.at(0.5, setattr, first.target, "gone", True)
+
+
+def run_system(fault):
+    system = ServedSystem(MAISON_REPRISE, Options(timeout_ms=100), seed=1)
+    break_system(system, fault)
+    rate = MAISON_REPRISE.capacity_rate * (1.2 if fault == "overload" else 0.1)
+    return system, system.run(poisson_arrivals({"order-desk": rate}, 2.0, 1))
+
+
+@then('a system with "{fault}" contradicts no answer, stays in its budget and repeats exactly')
+def step_promises(context, fault):
+    system, results = run_system(fault)
+    check_executions(system)
+    assert worst_added_share(system, 10) <= system.options.retry_budget
+    assert not any(result.late for result in results if result.outcome == "answered")
+    assert any(result.outcome == "answered" for result in results)
+    assert max(len(agent.target.active) for agent in system.agents) == 0, "all requests ended"
+    assert run_system(fault)[1] == results
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -186,6 +186,12 @@
         wait_for(lambda: context.peers.with_target(SERVICE), "the target is announced")
 
 
+@given('an agent "{name}" of the second entry that "{text}"')
+def step_agent_of_second(context, name, text):
+    context.agents[name] = FakeAgent(context.stack, name, behaviour(text))
+    context.agents[name].dial(context.second.address)
+
+
 @given("the first entry owns shard {shard:d}")
 def step_owns(context, shard):
     context.entry.owner.shards = [ShardEpoch(shard, 1)]
@@ -217,6 +223,29 @@
     context.answer = context.second.ask()
 
 
+@when("{count:d} requests are sent to the second entry")
+def step_send_several_second(context, count):
+    context.answers = [context.second.ask() for _ in range(count)]
+
+
+@then('{count:d} of them are answered by "{name}" and the others are refused with "{code}"')
+def step_some_forwarded(context, count, name, code):
+    answered = [answer for answer in context.answers if answer.status == 200]
+    assert len(answered) == count, [answer.status for answer in context.answers]
+    assert len(executions(context.agents[name])) == count
+    refused = [answer.json() for answer in context.answers if answer.status != 200]
+    assert {(item["code"], item["outcome"]) for item in refused} == {(code, "not_run")}, refused
+
+
+@then('agent "{name}" received at most {limit:d} of them')
+def step_received_at_most(context, name, limit):
+    assert 1 <= len(executions(context.agents[name])) <= limit
+
+
+def executions(agent):
+    return [message for message in agent.received if isinstance(message, Execute)]
+
+
 @when("each entry believes that the other has a target and a request is sent to the second")
 def step_circle(context):
     wait_for(lambda: context.entry.daemon.peers.met(), "the entries met both ways")
