--- a/features/load.feature
+++ b/features/load.feature
@@ -35,3 +35,5 @@
     When the generator may have 2 requests in flight and sends 20
     Then the surplus is reported as not sent
 
+  Scenario: Calls on a kept connection to a stand-in do not wait for delayed acknowledgements
+    Then the median of 20 calls to a target stand-in is below 30 ms
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -1,11 +1,17 @@
 """Steps on the load generator."""
 
+import time
+from statistics import median
+
 from behave import then, when
 
 import acaciastand_lab.load as load_module
 from acaciastand.errors import InvalidInput
+from acaciastand.platform.http import HttpCaller
 from acaciastand_lab.load_plan import Arrival, LoadOptions, draw_arrivals
 from acaciastand_lab.load_report import Result, summarize, violations
+from acaciastand_standin.http import serve_json
+from acaciastand_standin.target import Target
 
 
 @then("a plan of {rate:d}/s for {seconds:d} s with rain at {second:d} s doubles its arrivals")
@@ -61,3 +67,18 @@
     outcomes = context.report["outcomes"]
     assert outcomes["unknown"] == 2, outcomes
     assert outcomes["not_sent"] == context.report["arrivals"] - 2 > 0, outcomes
+
+
+@then("the median of {count:d} calls to a target stand-in is below {limit:d} ms")
+def step_no_delay(context, count, limit):
+    server = serve_json("127.0.0.1:0", Target(service_seconds=0.001).answer)
+    server.start()
+    context.stack.callback(server.stop)
+    caller = HttpCaller(f"http://127.0.0.1:{server.server_port}")
+    context.stack.callback(caller.close)
+    seconds = []
+    for number in range(count):
+        started = time.monotonic()
+        caller.call("POST", "/v1/requests", b"body", {"Request-Id": str(number)})
+        seconds.append(time.monotonic() - started)
+    assert median(seconds) * 1000 < limit, seconds
