Run the demo and the process scenarios on the example files of either firm

Cause: the examples were checked but never started. Change: acaciastand_lab.firms reads them and replaces the addresses; the demo imports the firm's tree with the command line.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 SEED ?= 1
 STEPS ?= 2000
 NAME ?= routing
+FIRM ?= maison-reprise
 
 .PHONY: demo test check fuzz bench experiment capacity
 
@@ -19,7 +20,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python -m acaciastand_lab.demo
+	$(BIN)/python -m acaciastand_lab.demo $(FIRM)
 
 test: $(STAMP)
 	$(MAKE) --no-print-directory check
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -16,8 +16,6 @@
     wait_running,
 )
 from acaciastand_lab.processes import (
-    FIRM_PATH,
-    SERVICE,
     Deployment,
     call,
     call_json,
@@ -34,7 +32,7 @@
 
 @given("a running deployment with short grants")
 def step_deployment(context):
-    context.deployment = context.stack.enter_context(Deployment())
+    context.deployment = context.stack.enter_context(Deployment(cores=4))
     context.deployment.start()
     edit(context.deployment, "grant_seconds", GRANT_SECONDS)
     edit(context.deployment, "stop_seconds", STOP_SECONDS)
@@ -209,7 +207,9 @@
 
 @then('a job submission is refused as not run with the code "{code}"')
 def step_submission_refused(context, code):
-    answer = call_json("POST", f"{context.deployment.url()}/v1/jobs", job_payload())
+    answer = call_json(
+        "POST", f"{context.deployment.url()}/v1/jobs", job_payload(context.deployment)
+    )
     assert answer.status == 503, answer
     assert answer.json()["outcome"] == "not_run", answer
     assert answer.json()["code"] == code, answer
@@ -221,7 +221,7 @@
     wait_done(context.deployment, "entry-0", job_id)
 
 
-def job_payload():
+def job_payload(deployment):
     return {
         "name": "job",
         "team": "print",
@@ -232,7 +232,7 @@
         "memory_mb": 100,
         "accelerators": 0,
         "run_seconds": 0.1,
-        "service": SERVICE,
+        "service": deployment.firm.service,
     }
 
 
@@ -250,7 +250,7 @@
 
 @then('"{name}" shows {value:d} for "{key}"')
 def step_shows(context, name, value, key):
-    url = f"{context.deployment.url(name)}/v1/settings/{FIRM_PATH}/{key}"
+    url = f"{context.deployment.url(name)}/v1/settings/{context.deployment.firm.region_path}/{key}"
     wait_until(lambda: call("GET", url).json()["value"] == value, f"{name} shows {value}")
 
 
@@ -449,7 +449,7 @@
     answers = {}
 
     def put(entry, value):
-        url = f"{deployment.url(entry)}/v1/settings/{FIRM_PATH}/{key}"
+        url = f"{deployment.url(entry)}/v1/settings/{deployment.firm.region_path}/{key}"
         payload = {"value": value, "if_revision": revision, "author": entry}
         answers[value] = call_json("PUT", url, payload)
 
--- a/src/acaciastand_lab/demo.py
+++ b/src/acaciastand_lab/demo.py
@@ -1,4 +1,4 @@
-"""Demonstration on one machine: ``make demo``.
+"""Demonstration on one machine: ``make demo``, or ``make demo FIRM=blue-mahoe``.
 
 Starts stand-ins, two entries and three agents with targets and workers, walks through the main
 uses and prints each step with its outcome. Exits with 0 only if every outcome was right.
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import itertools
+import json
 import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
+from acaciastand_lab.firms import FIRMS
 from acaciastand_lab.processes import (
-    FIRM_PATH,
-    SERVICE,
     Deployment,
     call,
     call_json,
@@ -38,7 +38,7 @@
 def send_request(deployment: Deployment, entry: str, body: bytes, **headers: str) -> Any:
     """Send one request to the service through `entry`."""
     names = {name.replace("_", "-"): value for name, value in headers.items()}
-    url = f"{deployment.url(entry)}/v1/services/{SERVICE}/requests"
+    url = f"{deployment.url(entry)}/v1/services/{deployment.firm.service}/requests"
     return call("POST", url, body, names)
 
 
@@ -83,7 +83,7 @@
         "memory_mb": 500,
         "accelerators": 0,
         "run_seconds": seconds,
-        "service": SERVICE,
+        "service": deployment.firm.service,
     }
 
     def accepted() -> Any:
@@ -135,7 +135,7 @@
 
 def edit(deployment: Deployment, key: str, value: Any) -> int:
     """Set one key at the site and wait until it is in force everywhere."""
-    url = f"{deployment.url('entry-0')}/v1/settings/{FIRM_PATH}/{key}"
+    url = f"{deployment.url('entry-0')}/v1/settings/{deployment.firm.region_path}/{key}"
     current = call("GET", f"{deployment.url('entry-0')}/v1/settings").json()["revision"]
     payload = {"value": value, "if_revision": current, "author": "demo"}
     answer = call_json("PUT", url, payload)
@@ -152,6 +152,14 @@
     return revision
 
 
+def show_import(deployment: Deployment) -> str:
+    """Load the firm's initial tree with the command line."""
+    deployment.command("settings", "import", str(deployment.firm.tree_file), "--author", "demo")
+    key = "tail_latency_weight"
+    shown = deployment.command("settings", "get", deployment.firm.region_path, key, "--json")
+    return f"{key} of {deployment.firm.name} is {json.loads(shown)['value']}"
+
+
 def show_settings(deployment: Deployment) -> str:
     """Edit one setting and see it in force on every process without a restart."""
     revision = edit(deployment, "request_timeout_ms", 1500)
@@ -226,6 +234,7 @@
 
 
 STEPS: tuple[tuple[str, Callable[[Deployment], str]], ...] = (
+    ("the firm's settings tree", show_import),
     ("a request, end to end", show_request),
     ("a keyed order, repeated at the other entry", show_keyed_request),
     ("a batch job", show_job),
@@ -240,14 +249,18 @@
 def main() -> int:
     """Run all steps and return the exit code."""
     started = time.monotonic()
-    with Deployment() as deployment:
+    firm = sys.argv[1] if len(sys.argv) > 1 else FIRMS[0]
+    if firm not in FIRMS:
+        print(f"unknown firm {firm!r}; choose one of {', '.join(FIRMS)}")
+        return 2
+    with Deployment(firm) as deployment:
         try:
             deployment.start()
             print(f"started {len(deployment.programs)} processes")
             for name, step in STEPS:
                 print(f"{name}: ", end="", flush=True)
                 print(step(deployment), flush=True)
-        except (DemoFailure, OSError, KeyError, TypeError) as error:
+        except (DemoFailure, OSError, RuntimeError, KeyError, TypeError) as error:
             print(f"FAILED: {type(error).__name__}: {error}")
             for program in deployment.programs.values():
                 if not program.running or program.name.startswith(("entry", "agent")):
--- a/src/acaciastand_lab/processes.py
+++ b/src/acaciastand_lab/processes.py
@@ -23,13 +23,11 @@
 from typing import Any
 
 from acaciastand.record import Record
+from acaciastand_lab.firms import Firm
 
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
 STOP_SECONDS = 15.0  # a planned stop that takes longer is ended by SIGKILL and reported
-FIRM_PATH = "demo/flanders/order-desk-site"
-SERVICE = "order-desk"
-AVAILABILITY_ZONES = ("gent", "namur", "antwerpen")
 
 
 class Answer(Record):
@@ -107,6 +105,10 @@
         time.sleep(POLL_SECONDS)
 
 
+def _environment() -> dict[str, str]:
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)}
+
+
 class Program:
     """One started process.
 
@@ -129,7 +131,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)},
+                env=_environment(),
             )
 
     @property
@@ -173,21 +175,27 @@
 
 
 class Deployment:
-    """Store, workers, targets, entries and agents of one small firm.
+    """Store, workers, targets, entries and agents of one firm, on loopback.
 
     Parameters
     ----------
+    firm
+        Name of the firm whose example files are used.
     entries, agents
         Numbers of processes; each agent has a worker and a target of its own.
-    cores, memory_mb
-        Size of each worker.
+    cores
+        Processor cores of each worker; the firm's figure when absent.
     """
 
     def __init__(
-        self, entries: int = 2, agents: int = 3, cores: int = 4, memory_mb: int = 8000
+        self,
+        firm: str = "maison-reprise",
+        entries: int = 2,
+        agents: int = 3,
+        cores: int | None = None,
     ) -> None:
-        self.cores = cores
-        self.memory_mb = memory_mb
+        self.firm = Firm(firm)
+        self.cores = cores or self.firm.cores
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         self.programs: dict[str, Program] = {}
@@ -264,7 +272,7 @@
         """Start the worker and target stand-ins of `agent`."""
         worker = [
             *("acaciastand_standin.program", "worker", "--listen", self.workers[agent]),
-            *("--cores", str(self.cores), "--memory-mb", str(self.memory_mb)),
+            *("--cores", str(self.cores), "--memory-mb", str(self.firm.memory_mb)),
         ]
         self._start(f"worker-{agent}", worker)
         target = ["acaciastand_standin.program", "target", "--listen", self.targets[agent]]
@@ -276,15 +284,12 @@
         """Start one entry."""
         number = list(self.http).index(name)
         settings = {
+            **self.firm.entries[number % len(self.firm.entries)],
             "entry_id": name,
-            "path": FIRM_PATH,
-            "availability_zone": AVAILABILITY_ZONES[number % 3],
             "http_address": self.http[name],
             "peer_address": self.peer[name],
             "entries": list(self.peer.values()),
             "store_url": f"http://{self.store_address}",
-            "shards": 4,
-            "log_level": "info",
         }
         path = self._write_settings(name, settings)
         return self._start(name, ["acaciastand.programs.entry", "--settings", str(path)])
@@ -293,21 +298,35 @@
         """Start one agent."""
         number = self.agents.index(name)
         settings = {
+            **self.firm.agents[number % len(self.firm.agents)],
             "agent_id": name,
-            "path": FIRM_PATH,
-            "availability_zone": AVAILABILITY_ZONES[number % 3],
-            "rack": f"rack-{number // 3}",
-            "services": [SERVICE],
             "target_url": f"http://{self.targets[name]}",
             "worker_url": f"http://{self.workers[name]}",
-            "slots": 8,
-            "connections": 64,
             "entries": list(self.peer.values()),
-            "log_level": "info",
         }
         path = self._write_settings(name, settings)
         return self._start(name, ["acaciastand.programs.agent", "--settings", str(path)])
 
+    def command(self, *arguments: str) -> str:
+        """Run the command line at the first entry and return its output.
+
+        Raises
+        ------
+        RuntimeError
+            The command failed; the message has its output.
+        """
+        done = subprocess.run(
+            [sys.executable, "-m", "acaciastand.programs.cli", *arguments],
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            check=False,
+            env={**_environment(), "ACACIASTAND_ENTRY": next(iter(self.http.values()))},
+        )
+        if done.returncode:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
+        return done.stdout
+
     def audits(self, kind: str) -> dict[str, Any]:
         """Return the audit of every ``worker`` or ``target`` stand-in, by agent."""
         addresses = self.workers if kind == "worker" else self.targets
--- a/src/acaciastand_lab/recovery.py
+++ b/src/acaciastand_lab/recovery.py
@@ -132,7 +132,7 @@
 
 def measure(fault: str) -> Recovery:
     """Run one fault in a deployment of its own."""
-    with Deployment() as deployment:
+    with Deployment(cores=4) as deployment:
         deployment.start()
         edit(deployment, "grant_seconds", GRANT_SECONDS)
         edit(deployment, "stop_seconds", STOP_SECONDS)
@@ -184,7 +184,7 @@
         "memory_mb": 100,
         "accelerators": 0,
         "run_seconds": 0.5,
-        "service": "order-desk",
+        "service": deployment.firm.service,
     }
 
     def started() -> bool:
