--- a/features/machines/host_machine.py
+++ b/features/machines/host_machine.py
@@ -408,3 +408,6 @@
     @invariant()
     def a_key_runs_at_most_once(self):
         assert all(count <= 1 for count in self.target.by_key.values()), "a key runs twice"
+
+
+MACHINES = {"host": HostMachine}
--- a/features/machines/settings_machine.py
+++ b/features/machines/settings_machine.py
@@ -178,3 +178,6 @@
             found = process.current.tree.effective(LEAF, process.revision)
             expected = replay(self.history, process.revision)
             assert {key: found.values[key] for key in DEFAULTS} == expected
+
+
+MACHINES = {"settings": SettingsMachine}
--- a/features/machines/shard_machine.py
+++ b/features/machines/shard_machine.py
@@ -183,3 +183,6 @@
     def teardown(self):
         """Heal everything and check that nothing was lost."""
         self.world.finale()
+
+
+MACHINES = {"shard": ShardMachine}
