State the grant length in heartbeat replies and follow the tree's log level

Cause: HeartbeatReply.grant_seconds was always 0, Hello.path was always empty, and log_level of the settings tree was stored but applied nowhere. An agent therefore got the settings of the entry's site, and a changed grant length reached running attempts only through the agent's own settings.

The entry's choice of settings by Hello.path was already right; that scenario passed before this change and is kept as a guard.

Change: the entry states owner.grant_seconds() in each reply, the agent fills Hello.path, and both daemons apply log_level on each settings change. The tree's default becomes empty, which means the level of the settings file; otherwise a tree that sets no level would override each file with "info".

Before: the three new scenarios on the reply, the announcement and the entry's log level failed. After: they pass; 167 of 168 scenarios of agent, requests, settings_repository, settings_service, owner and process_settings pass.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -69,6 +69,13 @@
     When the entry grants all buckets and sends one key 3 times at once
     Then all 3 replies are equal and the key ran once
 
+  Scenario: An agent announces its site, and logs at the level of the settings tree
+    Then the agent has announced its site
+    When the entry sends the log level "debug" with revision 4
+    Then the process logs at level "debug"
+    When the entry sends the log level "" with revision 5
+    Then the process logs at level "info"
+
   Scenario: A planned stop reports a running task with its progress
     When the entry grants a task of 30.0 s
     And the agent is asked to stop
--- a/features/entry_support.py
+++ b/features/entry_support.py
@@ -19,6 +19,7 @@
 WAIT_SECONDS = 10.0
 SITE = "maison-reprise/flanders/gent"
 SERVICE = "order-desk"
+GRANT_SECONDS = 7.5
 
 
 def wait_for(condition, what):
@@ -48,6 +49,7 @@
     def __init__(self):
         self.revision = 0
         self.values = {}
+        self.values_by_path = {}
         self.callbacks = []
         self.adopted = []
 
@@ -56,9 +58,10 @@
 
     stop = start
 
-    def effective(self, _path):
-        """Return the same values for every path."""
-        return EffectiveSettings(self.values, self.revision)
+    def effective(self, path):
+        """Return the same values for every path, and what the test set for this one."""
+        values = {**self.values, **self.values_by_path.get(path, {})}
+        return EffectiveSettings(values, self.revision)
 
     def snapshot(self):
         """Return the state as a dict."""
@@ -98,6 +101,10 @@
         """Return the shards set by the test."""
         return self.shards
 
+    def grant_seconds(self):
+        """Return the length of renewed grants."""
+        return GRANT_SECONDS
+
     def submit_job(self, payload, key, deadline):
         """Accept a job."""
         self.calls.append(("submit", payload, key))
@@ -204,11 +211,12 @@
         Called with (agent, execute); returns the reply or None for silence.
     """
 
-    def __init__(self, stack, name, script=None, zone="gent", slots=8, attempts=()):
+    def __init__(self, stack, name, script=None, zone="gent", slots=8, attempts=(), path=""):
         self.name = name
         self.script = script or answer_with_name
         self.zone = zone
         self.slots = slots
+        self.path = path
         self.attempts = list(attempts)
         self.executed = []
         self.received = []
@@ -237,6 +245,7 @@
             connections=64,
             services=[SERVICE],
             attempts=self.attempts,
+            path=self.path,
         )
         self.welcome = self.connection.request(hello, WAIT_SECONDS)
         return self
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -155,6 +155,22 @@
     Then agent "a" executed 0 requests
     And agents "a" and "b" received the settings of revision 4
 
+  Scenario: A heartbeat reply states the length of the owner's grants
+    Given an agent "a" that "answers"
+    When agent "a" sends a heartbeat
+    Then the reply states the owner's grant length
+
+  Scenario: An agent of another site gets the settings of its own site
+    Given the settings of site "maison-reprise/flanders/namur" have the grant length 42
+    And an agent "a" of site "maison-reprise/flanders/namur"
+    Then agent "a" is welcomed with the grant length 42
+
+  Scenario: The log level of the settings tree takes hold on a running entry
+    When the settings tree sets the log level "debug" with revision 4
+    Then the process logs at level "debug"
+    When the settings tree sets the log level "" with revision 5
+    Then the process logs at level "info"
+
   Scenario: An agent that misses three heartbeats is removed
     Given an agent "a" that "answers"
     When agent "a" falls silent
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,5 +1,6 @@
 """Steps on the agent's wiring; the entry is a listener inside the test."""
 
+import logging
 import random
 import time
 
@@ -25,6 +26,7 @@
     HeartbeatReply,
     Hello,
     ReportConfirmed,
+    SettingsUpdate,
     ShardEpoch,
     Welcome,
 )
@@ -34,6 +36,7 @@
 
 WAIT_SECONDS = 10.0
 SERVICE = "shop"
+SITE = "firm/region/site"
 CAPACITY = {"cores": 4, "memory_mb": 1000, "accelerators": 0}
 EPOCH = 5
 
@@ -54,6 +57,7 @@
     def handle(self, connection, message):
         if isinstance(message, Hello):
             self.connection = connection
+            self.hello = message
             return Welcome("entry-1", 0.1, owned_shards=[ShardEpoch(1, EPOCH)])
         if isinstance(message, Heartbeat):
             self.sequence = message.sequence
@@ -91,7 +95,7 @@
         urls.append(f"http://127.0.0.1:{server.server_port}")
     settings = AgentSettings(
         agent_id="agent-1",
-        path="firm/region/site",
+        path=SITE,
         availability_zone="gent",
         rack="rack-1",
         services=[SERVICE],
@@ -316,6 +320,26 @@
     assert context.replies[0].status == 200 and dict(context.target.by_key) == {"k": 1}
 
 
+@then("the agent has announced its site")
+def step_announced_site(context):
+    assert context.entry.hello.path == SITE, context.entry.hello
+
+
+@when('the entry sends the log level "{level}" with revision {revision:d}')
+@when('the entry sends the log level "" with revision {revision:d}')
+def step_send_log_level(context, revision, level=""):
+    root = logging.getLogger()
+    context.stack.callback(root.setLevel, root.level)
+    context.entry.connection.send(SettingsUpdate(revision, {"log_level": level}))
+    wait_until(lambda: context.agent.effective.revision == revision, "the settings")
+
+
+@then('the process logs at level "{level}"')
+def step_log_level(context, level):
+    found = logging.getLevelName(logging.getLogger().level)
+    assert found == level.upper(), found
+
+
 @when("the agent is asked to stop")
 def step_ask_stop(context):
     context.agent.request_stop()
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,10 +1,19 @@
 """Steps on callers' requests, with fake agents over loopback sockets."""
 
 import json
+import logging
 
 import gevent
 from behave import given, then, when
-from entry_support import SERVICE, WAIT_SECONDS, Entry, FakeAgent, answer_with_name, wait_for
+from entry_support import (
+    GRANT_SECONDS,
+    SERVICE,
+    WAIT_SECONDS,
+    Entry,
+    FakeAgent,
+    answer_with_name,
+    wait_for,
+)
 from gevent import socket
 
 import acaciastand.entry.http as http_module
@@ -337,6 +346,41 @@
     wait_for(lambda: context.entry.daemon.registry.get(name).leaving, "the settings took effect")
 
 
+@when('agent "{name}" sends a heartbeat')
+def step_heartbeat(context, name):
+    context.reply = context.agents[name].heartbeat()
+
+
+@then("the reply states the owner's grant length")
+def step_grant_length(context):
+    assert context.reply.grant_seconds == GRANT_SECONDS, context.reply
+
+
+@given('the settings of site "{site}" have the grant length {seconds:d}')
+def step_site_settings(context, site, seconds):
+    values = {"grant_seconds": float(seconds)}
+    context.entry.settings.values_by_path[f"{site}/{SERVICE}"] = values
+
+
+@given('an agent "{name}" of site "{site}"')
+def step_agent_of_site(context, name, site):
+    agent = FakeAgent(context.stack, name, path=site)
+    context.agents[name] = agent.dial(context.entry.address)
+
+
+@then('agent "{name}" is welcomed with the grant length {seconds:d}')
+def step_welcomed(context, name, seconds):
+    assert context.agents[name].welcome.settings["grant_seconds"] == seconds
+
+
+@when('the settings tree sets the log level "{level}" with revision {revision:d}')
+@when('the settings tree sets the log level "" with revision {revision:d}')
+def step_tree_log_level(context, revision, level=""):
+    root = logging.getLogger()
+    context.stack.callback(root.setLevel, root.level)
+    context.entry.settings.change({"log_level": level}, revision)
+
+
 @when('agent "{name}" falls silent')
 def step_silent(context, name):
     context.entry.daemon.registry.get(name).heartbeat_seconds = 0.05
--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -20,6 +20,7 @@
 from acaciastand.platform.worker_client import WorkerClient
 from acaciastand.settings.process import AgentSettings
 from acaciastand.settings.schema import EffectiveSettings
+from acaciastand.telemetry import apply_level
 from acaciastand.wire.messages import (
     AttemptReport,
     Directory,
@@ -119,6 +120,7 @@
             draining=self.host.draining,
             settings_revision=self.effective.revision,
             attempts=self._held(),
+            path=self.settings.path,
         )
 
     def welcomed(self, link: Link, welcome: Welcome) -> None:
@@ -237,6 +239,7 @@
         self.host.grant_seconds = self.effective.grant_seconds
         self.host.requests.set_key_window(self.effective.key_window_seconds)
         self.links.fanout = self.effective.entry_fanout
+        apply_level(self.effective.log_level, self.settings.log_level)
         self._apply_draining(self.settings.agent_id in self.effective.draining)
         self.links.beat_now()  # confirms the revision without waiting for the interval
 
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -31,7 +31,7 @@
 from acaciastand.routing import Deadline, LeastLoadedOfTwo, Router
 from acaciastand.settings.confirmation import Confirmations, InForce
 from acaciastand.settings.process import EntrySettings
-from acaciastand.telemetry import Counters
+from acaciastand.telemetry import Counters, apply_level
 from acaciastand.wire.connection import Connection, Listener
 from acaciastand.wire.messages import (
     Directory,
@@ -296,6 +296,7 @@
     def _settings_changed(self, revision: int) -> None:
         effective = self.settings_service.effective(self.settings.path)
         self.router.configure(effective.max_ejected, effective.retry_budget)
+        apply_level(effective.log_level, self.settings.log_level)
         self.desk.push_settings(revision)
 
     def _default_timeout_ms(self, service: str) -> int:
--- a/src/acaciastand/entry/desk.py
+++ b/src/acaciastand/entry/desk.py
@@ -39,6 +39,9 @@
     def owned_shards(self) -> list[ShardEpoch]:
         """Return the shards with their epochs."""
 
+    def grant_seconds(self) -> float:
+        """Return the length of renewed grants; 0 for that of the first grant."""
+
     def on_hello(self, session: AgentSession, hello: Hello) -> None:
         """Learn what a new agent holds."""
 
@@ -155,6 +158,7 @@
             settings_revision=self.settings.revision,
             owned_shards=self.owner.owned_shards(),
             renewed=renewed,
+            grant_seconds=self.owner.grant_seconds(),
         )
 
     def _on_report(self, session: AgentSession, report: AttemptReport) -> Message | None:
--- a/src/acaciastand/settings/schema.py
+++ b/src/acaciastand/settings/schema.py
@@ -108,9 +108,9 @@
     SettingSpec(
         "log_level",
         str,
-        "info",
-        "Least severe level that is logged.",
-        choices=("debug", "info", "warning", "error"),
+        "",
+        "Least severe level that is logged; empty for the level of the settings file.",
+        choices=("", "debug", "info", "warning", "error"),
     ),
 )
 
--- a/src/acaciastand/telemetry/logs.py
+++ b/src/acaciastand/telemetry/logs.py
@@ -9,6 +9,7 @@
 from typing import TextIO
 
 MAX_MESSAGE_CHARACTERS = 8_192
+LEVELS = frozenset({"debug", "info", "warning", "error"})
 
 # Attributes that logging itself sets; all others were passed as `extra`.
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
@@ -56,3 +57,13 @@
 def set_level(level: str) -> None:
     """Change the least severe level that is logged."""
     logging.getLogger().setLevel(level.upper())
+
+
+def apply_level(tree_level: str, file_level: str) -> None:
+    """Log at the level of the settings tree, or at that of the settings file if it is empty.
+
+    A level that this version does not know changes nothing.
+    """
+    level = tree_level or file_level
+    if level in LEVELS:
+        set_level(level)
