Resume a paused task only under an extended grant

Cause: "A task pauses when its grant lapses and resumes when it is renewed" was flaky. A trace of the agent's commands shows why: the first status call of a fresh connection takes 42 ms, so the worker's clock is estimated 42 ms low and the lease ends 42 ms before the grant. A status poll in this window lists the task as paused, and the host resumed it for the remaining 3 ms. The worker then recorded one more run: ['paused', 'paused', 'finished'].

Ruled out: a late PAUSE command and an overtaken poll; the trace has neither. Keeping the largest clock offset seen is unsafe when the clocks drift.

Change: the host resumes only if the grant reaches beyond the lease that it last set at the worker, so the agent waits for its owner's next renewal.

--- a/features/host_bounds.feature
+++ b/features/host_bounds.feature
@@ -29,3 +29,9 @@
       | 2      | 26   | 10      | run           |
       | 2      | 9000 | 585     | key_forgotten |
       | 2      | 9000 | 584     | run           |
+
+  Scenario: A task whose lease ended early is resumed only under an extended grant
+    Given a running task whose lease the worker ended 40 ms before its grant
+    Then the host asks for no resume
+    When the grant is renewed
+    Then the host asks for a resume until the end of the renewed grant
--- a/features/steps/host_bounds_steps.py
+++ b/features/steps/host_bounds_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from acaciastand.agent.links import MAX_DIRECTORY, Links
-from acaciastand.host import Grant, Host, RequestFacts, bucket_task_id
+from acaciastand.host import CommandKind, Grant, Host, RequestFacts, WorkerTask, bucket_task_id
 from acaciastand.host.grants import KEPT_HEARTBEATS
 from acaciastand.host.host import MAX_SHARDS
 from acaciastand.host.keyed import MAX_ANSWER_BYTES, unknown_key_refusal
@@ -127,3 +127,36 @@
 def step_key_result(context, result):
     reason = "run" if context.refusal is None else context.refusal[1]
     assert reason == result, context.refusal
+
+
+@given("a running task whose lease the worker ended 40 ms before its grant")
+def step_lease_ended(context):
+    host = context.host = ready_host()
+    assert offer(host, "job/1") is None
+    (command,) = host.commands(NOW)
+    host.command_done(command, NOW)
+    task = {"task_id": "job/1", "attempt": 1, "shard": 1, "lease_seconds": 0.0}
+    size = {"size": Resources(), "usage": Resources()}
+    for state, asked_at in (("running", NOW + 0.1), ("paused", command.valid_until - 0.04)):
+        host.worker_listed([WorkerTask(state=state, **task, **size)], asked_at, asked_at)
+    context.now = command.valid_until - 0.03
+
+
+@then("the host asks for no resume")
+def step_no_resume(context):
+    # A resume would buy 30 ms of running and one more pause, and count as another run.
+    commands = context.host.commands(context.now)
+    assert commands == [], commands
+
+
+@when("the grant is renewed")
+def step_renew(context):
+    context.host.heartbeat_sent("link", 2, context.now)
+    assert context.host.renew("link", 2, "job/1", 1, 9.0, context.now)
+
+
+@then("the host asks for a resume until the end of the renewed grant")
+def step_resume(context):
+    (command,) = context.host.commands(context.now)
+    expected = (CommandKind.RESUME, context.now + 9.0)
+    assert (command.kind, command.valid_until) == expected, command
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -358,11 +358,13 @@
         if attempt.state is AttemptState.RUNNING and lapsed:
             attempt.state = AttemptState.PAUSED
             return CommandKind.PAUSE
-        if attempt.state is AttemptState.PAUSED and not lapsed:
+        extended = attempt.valid_until > attempt.lease_until
+        # The worker's clock is estimated low, so a lease ends before its grant by up to the time
+        # of a status call; a resume for that rest would end in one more pause.
+        if attempt.state is AttemptState.PAUSED and not lapsed and extended:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
         due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
-        extended = attempt.valid_until > attempt.lease_until
         running = attempt.state is AttemptState.RUNNING
         return CommandKind.RENEW if running and due and extended else None
 
