Limit whole store answers, end watches at a planned stop, retry for nobody

Cause: the store client's timeout covered each read, so an answer that arrives byte by byte had no limit. A planned stop of the store stand-in cut off waiting watches after 2 s, which clients saw as an outage. A request whose caller had closed its connection was still retried.

Ruled out: HttpCaller (workers and targets) already limits the whole answer.

Change: one gevent timeout over a whole call of HttpStore, with the wait for a connection. The stand-in ends waiting watches as at their timeout when it stops. Before a retry the entry looks, without reading, whether the caller's socket has ended; such a request ends with its first result and counts requests.caller_gone. A caller that closes only its sending side is taken for gone, which costs it the retry and nothing else.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -46,13 +46,18 @@
     Given the http store
     Then one call more than the client has connections succeeds in a second round
 
+  Scenario: The client's timeout covers the whole answer, not each part of it
+    Given a service that sends one byte of its answer each 30 ms
+    Then a read and a watch end within their timeouts and leave their connections free
+
   Scenario: A connection beyond the service's limit waits until another one is closed
     Given a service for 1 connection whose connection is taken
     Then a read is served only after that connection is closed
 
   Scenario: The stand-in program announces its address and stops cleanly on a signal
-    When the stand-in program is started and gets SIGTERM
-    Then it answered a call at its address and ended with exit code 0
+    When the stand-in program is started and gets SIGTERM while a watch waits
+    Then the watch has ended as at its timeout
+    And it answered a call at its address and ended with exit code 0
 
   Scenario Outline: The state machine <machine> finds no violation
     When the machine "<machine>" runs <steps> steps with seed 7
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -120,6 +120,12 @@
     When a caller sends a request and goes away
     Then agent "a" executes 1 request and nothing is left in progress
 
+  Scenario: The request of a caller that has gone away is not retried
+    Given an agent "a" that "refuses with no_slot when released"
+    And an agent "b" that "refuses with no_slot when released"
+    When a caller sends a request and goes away before agents "a" and "b" answer
+    Then one agent received the request, nothing is left in progress and it is counted
+
   Scenario: Requests that an agent does not read have a certain outcome as far as possible
     Given an agent "a" that "answers"
     When agent "a" reads no more and 40 large requests are sent
@@ -218,6 +224,16 @@
       | with a bad flag            | 400    | invalid_input      |
       | with a long key            | 400    | invalid_input      |
 
+  Scenario Outline: The body of a settings edit that is <what> is refused like that of a request
+    When a settings edit that is "<what>" is sent
+    Then the answer is <status> with code "<code>" and outcome "not_run"
+
+    Examples:
+      | what                       | status | code           |
+      | too large                  | 413    | body_too_large |
+      | too large without a length | 413    | body_too_large |
+      | too slow                   | 408    | slow_caller    |
+
   Scenario: A request whose body ends early never runs
     Given an agent "a" that "answers"
     When a caller sends half of its body and goes away
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -11,9 +11,12 @@
 import time
 from pathlib import Path
 
+import cbor2
 import gevent
 from behave import given, then, when
 from bounds import BOUNDS
+from gevent.server import StreamServer
+from geventhttpclient import HTTPClient
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from store_contract import RULES, HttpBench, MemoryBench, fails_with
 
@@ -68,6 +71,45 @@
     assert time.monotonic() - started >= 2 * SLOW_SECONDS
 
 
+@given("a service that sends one byte of its answer each 30 ms")
+def step_dripping(context):
+    context.drips = True
+
+    def serve(sock, _address):
+        sock.recv(65536)
+        body = cbor2.dumps(None)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        pieces = [answer[i : i + 1] for i in range(len(answer))] if context.drips else [answer]
+        with contextlib.suppress(OSError):
+            for piece in pieces:
+                sock.sendall(piece)
+                gevent.sleep(0.03 if context.drips else 0)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    context.stack.callback(server.stop, 0)
+    context.client = HttpStore(f"http://127.0.0.1:{server.server_port}", SLOW_SECONDS)
+    context.stack.callback(context.client.close)
+
+
+@then("a read and a watch end within their timeouts and leave their connections free")
+def step_whole_answer(context):
+    client = context.client
+    started = time.monotonic()
+    fails_with(StoreUnavailable, client.watch, "key", 0, 0.1)
+    calls = [
+        gevent.spawn(fails_with, StoreUnavailable, client.get, "key")
+        for _ in range(MAX_CONNECTIONS)
+    ]
+    gevent.joinall(calls, raise_error=True)
+    # A whole answer takes 41 bytes, 1.2 s; both limits together are 0.7 s.
+    assert time.monotonic() - started < 1.1, time.monotonic() - started
+    context.drips = False
+    calls = [gevent.spawn(client.get, "key") for _ in range(MAX_CONNECTIONS)]
+    gevent.joinall(calls, SLOW_SECONDS, raise_error=True)
+    assert all(call.successful() for call in calls)
+
+
 @given("a service for {count:d} connection whose connection is taken")
 def step_small_service(context, count):
     server = create_server("127.0.0.1:0", StoreService(), max_connections=count)
@@ -86,7 +128,7 @@
     assert context.client.get("key") is None
 
 
-@when("the stand-in program is started and gets SIGTERM")
+@when("the stand-in program is started and gets SIGTERM while a watch waits")
 def step_program(context):
     command = [sys.executable, "-m", "acaciastand_standin.program", "store"]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, env=os.environ)
@@ -96,10 +138,22 @@
     store = HttpStore(f"http://{context.address}", START_SECONDS)
     context.version = store.put_if("key", b"value", 0)
     store.close()
+    watch = gevent.spawn(store.watch, "key", context.version, 60.0)
+    admin = HTTPClient.from_url(f"http://{context.address}")
+    context.stack.callback(admin.close)
+    with gevent.Timeout(START_SECONDS, AssertionError("the watch did not begin")):
+        while json.loads(admin.get("/v1/admin/counts").read())["calls"]["watch"] < 1:
+            gevent.sleep(0.01)
     process.send_signal(signal.SIGTERM)
+    context.watched = watch.get(timeout=START_SECONDS)
     context.exit_code = process.wait(START_SECONDS)
 
 
+@then("the watch has ended as at its timeout")
+def step_watch_ended(context):
+    assert context.watched is None, context.watched
+
+
 @then("it answered a call at its address and ended with exit code 0")
 def step_program_ended(context):
     assert (context.version, context.exit_code) == (1, 0)
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 
 import gevent
 from behave import given, then, when
@@ -58,6 +59,11 @@
     return answer_with_name(agent, message)
 
 
+def refuse_when_released(agent, message):
+    agent.release.wait()
+    return ExecuteReply(message.request_id, outcome="not_run", reason="no_slot")
+
+
 def close(agent, message):
     agent.old = message.request_id
     agent.connection.close()
@@ -111,6 +117,8 @@
 
 
 def behaviour(text):
+    if text == "refuses with no_slot when released":
+        return refuse_when_released
     if text.startswith("refuses with "):
         return reply(outcome="not_run", reason=text.removeprefix("refuses with "))
     if text.startswith("does not know: "):
@@ -396,13 +404,35 @@
 
 
 @when("a caller sends a request and goes away")
-def step_caller_gone(context):
+def step_caller_gone(context, agents=None):
     head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\nContent-Length: 1\r\n\r\nx"
     caller = open_caller(context, head.encode())
-    agent = context.agents["a"]
-    wait_for(lambda: agent.received, "the request arrived")
+    agents = agents or [context.agents["a"]]
+    wait_for(lambda: any(agent.received for agent in agents), "the request arrived")
     caller.close()
-    agent.release.set()
+    for agent in agents:
+        agent.release.set()
+
+
+@when('a caller sends a request and goes away before agents "{first}" and "{second}" answer')
+def step_gone_before_answer(context, first, second):
+    budget = context.entry.daemon.router.services[SERVICE].budget
+    for _ in range(10):  # a retry would be paid from these
+        budget.record_request(time.monotonic())
+    step_caller_gone(context, [context.agents[first], context.agents[second]])
+
+
+@then("one agent received the request, nothing is left in progress and it is counted")
+def step_not_retried(context):
+    wait_for(lambda: not context.entry.daemon.http.in_progress, "the request ends")
+    received = [len(executed_of(agent)) for agent in context.agents.values()]
+    assert sorted(received) == [0, 1], received
+    assert context.entry.count("requests.caller_gone") == 1
+    assert context.entry.count("refused.no_slot") == 1
+
+
+def executed_of(agent):
+    return [message for message in agent.received if isinstance(message, Execute)]
 
 
 @when("a caller sends half of its body and goes away")
@@ -433,8 +463,18 @@
         context.answer = raw_answer(context, what)
 
 
-def raw_answer(context, what):
-    head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\n"
+@when('a settings edit that is "{what}" is sent')
+def step_bad_edit(context, what):
+    shorten(context, http_errors, "BODY_SECONDS", 0.2)
+    path = "/v1/settings/maison-reprise/log_level"
+    if what == "too large":
+        context.answer = context.entry.call("PUT", path, b"x" * (MAX_BODY_BYTES + 1))
+    else:
+        context.answer = raw_answer(context, what, f"PUT {path}")
+
+
+def raw_answer(context, what, call=f"POST {PATH}"):
+    head = f"{call} HTTP/1.1\r\nHost: entry\r\n"
     if what == "too slow":
         data = f"{head}Content-Length: 10\r\n\r\nhalf".encode()
     else:
--- a/src/acaciastand/entry/call.py
+++ b/src/acaciastand/entry/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from acaciastand.errors import Outcome, OutcomeUnknown, Refused
 from acaciastand.reasons import Reason
 from acaciastand.record import Record
@@ -48,6 +50,8 @@
         When the caller stops waiting.
     forwarded
         Whether another entry received the request and forwarded it here.
+    caller_gone
+        Returns whether the caller has closed its connection.
     """
 
     __slots__ = (
@@ -61,6 +65,7 @@
         "key_age_ms",
         "deadline",
         "forwarded",
+        "caller_gone",
     )
 
     def __init__(
@@ -75,6 +80,7 @@
         attempt_number: int = 0,
         key_age_ms: int = -1,
         forwarded: bool = False,
+        caller_gone: Callable[[], bool] = lambda: False,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -86,6 +92,7 @@
         self.key_age_ms = key_age_ms
         self.deadline = deadline
         self.forwarded = forwarded
+        self.caller_gone = caller_gone
 
     @property
     def routed_key(self) -> str:
--- a/src/acaciastand/entry/forwarding.py
+++ b/src/acaciastand/entry/forwarding.py
@@ -54,8 +54,11 @@
 
 
 def payload_of(request: CallerRequest) -> dict[str, Any]:
-    """Return the arguments of the forwarded call; the deadline travels as its timeout."""
-    left_out = ("deadline", "forwarded")
+    """Return the arguments of the forwarded call; the deadline travels as its timeout.
+
+    `caller_gone` stays here: the other entry does not retry a forwarded request.
+    """
+    left_out = ("deadline", "forwarded", "caller_gone")
     return {name: getattr(request, name) for name in request.fields() if name not in left_out}
 
 
--- a/src/acaciastand/entry/http.py
+++ b/src/acaciastand/entry/http.py
@@ -11,7 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from acaciastand.entry.http_errors import add_error_handlers
+from acaciastand.entry.http_errors import CALLER_GONE, add_error_handlers
 from acaciastand.telemetry import Counters
 from acaciastand.wire.connection import split_address
 
@@ -46,6 +46,20 @@
         with gevent.Timeout(HEADER_SECONDS, socket.timeout("headers are too slow")):
             return super().read_request(raw_requestline)
 
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment; `CALLER_GONE` tells whether the caller has left."""
+        return {**super().get_environ(), CALLER_GONE: self._caller_gone}
+
+    def _caller_gone(self) -> bool:
+        # Only looks at what has arrived: the next request of a kept connection stays unread.
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return not self.socket._sock.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def start_response(self, status: str, headers: list[Any], exc_info: Any = None) -> Any:
         """Begin the answer; during a stop the caller is told to connect anew next time."""
         if self.server.stopping:
--- a/src/acaciastand/entry/http_errors.py
+++ b/src/acaciastand/entry/http_errors.py
@@ -17,6 +17,7 @@
 BODY_SECONDS = 10.0  # a caller has this long to send its body
 MAX_DISCARDED_BYTES = 2 * MAX_BODY_BYTES  # read of a body that is too large
 RETRY_AFTER_SECONDS = "1"
+CALLER_GONE = "acaciastand.caller_gone"  # key of the WSGI environment
 
 logger = logging.getLogger(__name__)
 
--- a/src/acaciastand/entry/http_requests.py
+++ b/src/acaciastand/entry/http_requests.py
@@ -8,7 +8,7 @@
 import falcon
 
 from acaciastand.entry.call import CallerRequest
-from acaciastand.entry.http_errors import read_body
+from acaciastand.entry.http_errors import CALLER_GONE, read_body
 from acaciastand.entry.requests import RequestService
 from acaciastand.errors import InvalidInput
 from acaciastand.routing import Deadline
@@ -67,6 +67,7 @@
             key=key,
             attempt_number=number_header(http_request, "Attempt-Number", 0),
             key_age_ms=number_header(http_request, "Key-Age-Ms", -1),
+            caller_gone=http_request.env[CALLER_GONE],
         )
         if keyed and request.attempt_number < 1:
             raise InvalidInput(
--- a/src/acaciastand/entry/requests.py
+++ b/src/acaciastand/entry/requests.py
@@ -96,6 +96,9 @@
                 unknown = result  # a later refusal does not prove that this attempt did not run
             if len(tried) == attempts or not self._may_retry(request, result, tried):
                 return unknown or result
+            if request.caller_gone():
+                self.counters.increment("requests.caller_gone")
+                return unknown or result
             failure = result
 
     def _attempt(
--- a/src/acaciastand/platform/store_client.py
+++ b/src/acaciastand/platform/store_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import cbor2
+import gevent
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
@@ -46,7 +47,8 @@
     url
         Address of the service, for example ``http://127.0.0.1:7000``.
     timeout_seconds
-        Longest wait for a connection and for each part of an answer, in seconds.
+        Longest wait for a whole answer, in seconds, with the wait for a connection; a watch has
+        its own timeout on top.
     """
 
     def __init__(self, url: str, timeout_seconds: float) -> None:
@@ -76,9 +78,11 @@
         """Wait for another version of `key`; see `KeyValueStore.watch`."""
         # A connection of its own: the answer may take `timeout_seconds` longer than that of other
         # calls, and waiting watches must not use up the connections of the pool.
-        client = self._connect(self.timeout_seconds + timeout_seconds, 1)
+        limit = self.timeout_seconds + timeout_seconds
+        client = self._connect(limit, 1)
         try:
-            return _versioned(self._send(client, "watch", key, after_version, timeout_seconds))
+            arguments = (key, after_version, timeout_seconds)
+            return _versioned(self._send(client, limit, "watch", *arguments))
         finally:
             client.close()
 
@@ -107,12 +111,14 @@
         )
 
     def _call(self, call: str, *arguments: Any) -> Any:
-        return self._send(self._client, call, *arguments)
+        return self._send(self._client, self.timeout_seconds, call, *arguments)
 
-    def _send(self, client: HTTPClient, call: str, *arguments: Any) -> Any:
+    def _send(self, client: HTTPClient, limit: float, call: str, *arguments: Any) -> Any:
         try:
-            response = client.post(f"/v1/store/{call}", body=cbor2.dumps(arguments))
-            status, body = response.status_code, bytes(response.read())
+            # The client's own timeout covers one read; a slow answer has many.
+            with gevent.Timeout(limit, TimeoutError(f"no whole answer within {limit:g} s")):
+                response = client.post(f"/v1/store/{call}", body=cbor2.dumps(arguments))
+                status, body = response.status_code, bytes(response.read())
         except ConnectionRefusedError as error:
             raise StoreUnavailable(
                 f"the store at {self.url} refuses connections", "try again later"
--- a/src/acaciastand_standin/serving.py
+++ b/src/acaciastand_standin/serving.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -26,8 +27,16 @@
     return host, int(port)
 
 
-def serve_until_signal(server: WSGIServer, name: str) -> None:
-    """Start `server`, print one JSON line with its address, and stop it on SIGTERM or SIGINT."""
+def serve_until_signal(
+    server: WSGIServer, name: str, on_stop: Callable[[], None] | None = None
+) -> None:
+    """Start `server`, print one JSON line with its address, and stop it on SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    on_stop
+        Called before the server stops, to let waiting calls return.
+    """
     stop = Event()
     handlers = [
         gevent.signal_handler(number, stop.set) for number in (signal.SIGTERM, signal.SIGINT)
@@ -36,6 +45,8 @@
     address = f"{server.server_host}:{server.server_port}"
     print(json.dumps({"event": "listening", "standin": name, "address": address}), flush=True)
     stop.wait()
+    if on_stop is not None:
+        on_stop()
     server.stop(timeout=STOP_SECONDS)
     for handler in handlers:
         handler.cancel()
--- a/src/acaciastand_standin/store.py
+++ b/src/acaciastand_standin/store.py
@@ -90,14 +90,19 @@
         self.slow_seconds = 0.0
 
 
+class _StoppingError(Exception):
+    """Ends a watch that waits while the service stops."""
+
+
 class StoreService:
     """The store behind the HTTP resources."""
 
-    __slots__ = ("changed", "faults", "store", "value_bytes", "calls")
+    __slots__ = ("changed", "faults", "store", "value_bytes", "calls", "stopping")
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.faults = Faults()
         self.changed = Event()
+        self.stopping = False
         self.store = MemoryStore(clock, self.faults.plan, self._wait)
         self.value_bytes = 0  # bytes of all values in put calls
         self.calls: dict[CallKind, Callable[..., Any]] = {
@@ -124,10 +129,21 @@
                 self._notify()
 
     def _watch(self, key: str, after_version: int, timeout_seconds: float) -> Versioned | None:
-        return self.store.watch(key, after_version, min(timeout_seconds, MAX_WATCH_SECONDS))
+        try:
+            return self.store.watch(key, after_version, min(timeout_seconds, MAX_WATCH_SECONDS))
+        except _StoppingError:
+            return None
+
+    def stop(self) -> None:
+        """End all waiting watches as at their timeout; further ones do not wait."""
+        self.stopping = True
+        self._notify()
 
     def _wait(self, seconds: float) -> None:
-        self.changed.wait(seconds)
+        if not self.stopping:
+            self.changed.wait(seconds)
+        if self.stopping:
+            raise _StoppingError
 
     def _notify(self) -> None:
         """Wake all watches; those of other keys go back to waiting."""
@@ -228,7 +244,8 @@
 
 def serve(listen: str) -> None:
     """Serve the key-value service at ``ip:port`` until SIGTERM or SIGINT."""
-    serve_until_signal(create_server(listen, StoreService()), "store")
+    service = StoreService()
+    serve_until_signal(create_server(listen, service), "store", service.stop)
 
 
 def _reraise(_request: Any, _response: Any, error: Exception, _params: Any) -> None:
