Test restarts of an entry and an agent in a store outage

Cause: no test had an entry and an agent restart together while the store was down with batch work running, or an outage that outlasts the owner's hold.

Change: features/outage.feature with two scenarios over real processes.

--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -5,6 +5,7 @@
 import time
 
 from behave import given, then, when
+from process_support import agent_with_task, other_entry, owner_of
 
 from acaciastand_lab.demo import (
     edit,
@@ -48,32 +49,6 @@
     wait_running(context.deployment, "entry-0", context.job_id)
 
 
-def owner_of(deployment, job_id):
-    shard = int(job_id.partition("-")[0].removeprefix("j"))
-
-    def find():
-        for name in deployment.http:
-            if deployment.programs[name].running and shard in deployment.status(name)["shards"]:
-                return name
-        return None
-
-    return wait_until(find, f"shard {shard} has an owner")
-
-
-def other_entry(deployment, name):
-    return next(entry for entry in deployment.http if entry != name)
-
-
-def agent_with_task(deployment):
-    def find():
-        for agent, audit in deployment.audits("worker").items():
-            if any(run["stopped"] is None for run in audit["runs"]):
-                return agent
-        return None
-
-    return wait_until(find, "a task runs on some worker")
-
-
 def kill_owner(context):
     owner = owner_of(context.deployment, context.job_id)
     context.deployment.programs[owner].kill()
