--- a/features/requests.feature
+++ b/features/requests.feature
@@ -120,6 +120,12 @@
     When a caller sends a request and goes away
     Then agent "a" executes 1 request and nothing is left in progress
 
+  Scenario: The request of a caller that has gone away is not retried
+    Given an agent "a" that "refuses with no_slot when released"
+    And an agent "b" that "refuses with no_slot when released"
+    When a caller sends a request and goes away before agents "a" and "b" answer
+    Then one agent received the request, nothing is left in progress and it is counted
+
   Scenario: Requests that an agent does not read have a certain outcome as far as possible
     Given an agent "a" that "answers"
     When agent "a" reads no more and 40 large requests are sent
@@ -155,6 +161,22 @@
     Then agent "a" executed 0 requests
     And agents "a" and "b" received the settings of revision 4
 
+  Scenario: A heartbeat reply states the length of the owner's grants
+    Given an agent "a" that "answers"
+    When agent "a" sends a heartbeat
+    Then the reply states the owner's grant length
+
+  Scenario: An agent of another site gets the settings of its own site
+    Given the settings of site "maison-reprise/flanders/namur" have the grant length 42
+    And an agent "a" of site "maison-reprise/flanders/namur"
+    Then agent "a" is welcomed with the grant length 42
+
+  Scenario: The log level of the settings tree takes hold on a running entry
+    When the settings tree sets the log level "debug" with revision 4
+    Then the process logs at level "debug"
+    When the settings tree sets the log level "" with revision 5
+    Then the process logs at level "info"
+
   Scenario: An agent that misses three heartbeats is removed
     Given an agent "a" that "answers"
     When agent "a" falls silent
@@ -202,6 +224,16 @@
       | with a bad flag            | 400    | invalid_input      |
       | with a long key            | 400    | invalid_input      |
 
+  Scenario Outline: The body of a settings edit that is <what> is refused like that of a request
+    When a settings edit that is "<what>" is sent
+    Then the answer is <status> with code "<code>" and outcome "not_run"
+
+    Examples:
+      | what                       | status | code           |
+      | too large                  | 413    | body_too_large |
+      | too large without a length | 413    | body_too_large |
+      | too slow                   | 408    | slow_caller    |
+
   Scenario: A request whose body ends early never runs
     Given an agent "a" that "answers"
     When a caller sends half of its body and goes away
