--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -207,6 +207,7 @@
         expired = self.shard.expire(now)
         if expired:
             self.context.counters.increment("owner.attempts_expired", expired)
+        self.scheduler.take_ends(now)
         if not self.store_down and not self.shard.releasing:
             self.shard.change_timings(timings_of(self.context.settings()))
             self._schedule(now)
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -19,6 +19,7 @@
 from acaciastand.coordination.store import KeyValueStore, StoreUnavailable
 from acaciastand.entry.owned_shard import NotOwner, OwnedShard, timings_of
 from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.placement.blame import Blame, CrossEvidence
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.placer import BestFit, Placer
 from acaciastand.placement.worker import WorkerView
@@ -49,6 +50,7 @@
 CANCEL_SECONDS = 10.0  # wait for the commit of a cancellation
 NONCE_BYTES = 16
 JOB_ID_BYTES = 6
+RUNNING_STATE = "running"  # acaciastand.host.AttemptState.RUNNING on the wire
 ENDED_STATE = "ended"  # acaciastand.host.AttemptState.ENDED on the wire
 
 
@@ -113,6 +115,7 @@
         self.live_entries = live_entries or self._directory
         self.clock = clock
         self.estimator = SizeEstimator()
+        self.blame: Blame = CrossEvidence()
         self.owned: dict[int, OwnedShard] = {}
         self._ownerships = {
             number: Ownership(store, number, entry_id) for number in range(self.shard_count)
@@ -318,9 +321,12 @@
         if known is None or known[0] is not session:
             return []  # a newer connection replaced this one
         renewed: list[Held] = []
+        now = self.clock()
         by_shard: dict[int, list[Held]] = {number: [] for number in self.owned}
         for item in attempts:
             if item.shard in by_shard:
+                if item.state == RUNNING_STATE:
+                    self.blame.seen_running(session.agent_id, item.task_id, item.attempt, now)
                 held = Held(item.task_id, item.attempt, item.epoch, item.state == ENDED_STATE)
                 by_shard[item.shard].append(held)
         for number, held_here in by_shard.items():
@@ -403,17 +409,19 @@
         changed = event_from_plain(last.events[0])
         assert isinstance(changed, OwnerChanged)
         shard.took_over(changed, self.clock())
-        scheduler = Scheduler(shard, self.shard_count, self.placer, self.estimator)
+        scheduler = Scheduler(shard, self.shard_count, self.placer, self.estimator, self.blame)
         self.owned[number] = OwnedShard(shard, scheduler, journal, ownership, self, self._lost)
         self.counters.increment("owner.takeovers")
         logger.info("took over shard %d with epoch %d", number, changed.epoch)
 
     def _release(self, owned: OwnedShard) -> None:
         owned.release()
+        self.blame.drop(list(owned.shard.state.running))
         if self.owned.get(owned.number) is owned:
             del self.owned[owned.number]
 
     def _lost(self, owned: OwnedShard) -> None:
+        self.blame.drop(list(owned.shard.state.running))
         if self.owned.get(owned.number) is owned:
             del self.owned[owned.number]
 
--- a/src/acaciastand/shard/limits.py
+++ b/src/acaciastand/shard/limits.py
@@ -10,6 +10,7 @@
 MAX_FINISHED_JOBS = 300  # finished jobs that are kept for queries and repeated submissions
 MAX_EVENTS_PER_COMMIT = 384  # events in one journal entry; 384 x 600 bytes fit in 256 KiB
 MAX_PENDING_EVENTS = 8192  # events that wait for the store; further commands are refused
+MAX_KEPT_ENDS = 4096  # ends of attempts that wait for the scheduler; the oldest is dropped
 MAX_CHECKPOINT_BYTES = 200
 MAX_NAME_BYTES = 64  # job name, team, batch class, service
 MAX_KEY_BYTES = 128  # idempotency key of a submission
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -6,10 +6,12 @@
 from collections.abc import Iterable, Iterator, Mapping
 from hashlib import blake2b
 
+from acaciastand.placement.blame import AvoidLast, Blame, Outcome, Start
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.placer import PlacementRequest, Placer
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
+from acaciastand.shard.events import AttemptEnd
 from acaciastand.shard.job import JobSpec
 from acaciastand.shard.limits import (
     BUCKET_SETTLE_SECONDS,
@@ -20,6 +22,12 @@
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import BUCKET_PREFIX, Job, Task, TaskState, job_id_of
 
+OUTCOMES = {
+    AttemptEnd.COMPLETED: Outcome.SUCCEEDED,
+    AttemptEnd.FAILED: Outcome.FAILED,
+    AttemptEnd.START_FAILED: Outcome.FAILED,
+}
+NO_ROOM = Resources(-1.0, -1, -1)
 BUCKET_SIZE = Resources()  # a home takes no capacity of its own
 
 
@@ -55,15 +63,25 @@
         Chooses the workers.
     estimator
         Knows sizes of earlier tasks.
+    blame
+        Knows workers that fail what they start.
     """
 
     def __init__(
-        self, shard: Shard, shard_count: int, placer: Placer, estimator: SizeEstimator
+        self,
+        shard: Shard,
+        shard_count: int,
+        placer: Placer,
+        estimator: SizeEstimator,
+        blame: Blame | None = None,
     ) -> None:
         self.shard = shard
         self.shard_count = shard_count
         self.placer = placer
         self.estimator = estimator
+        self.blame = AvoidLast() if blame is None else blame
+        self.aside: frozenset[str] = frozenset()
+        self.probing: frozenset[str] = frozenset()
 
     def waiting(self) -> bool:
         """Return whether any committed job has a waiting task."""
@@ -78,7 +96,8 @@
         absent.
         """
         room = dict(quota_room)
-        pool = WorkerPool(self._with_reservations(workers))
+        self.take_ends(now)
+        pool = WorkerPool(self._without_blamed(list(self._with_reservations(workers)), now))
         started = 0
         blocked: set[tuple[object, ...]] = set()
         for job in self._jobs_in_order():
@@ -87,6 +106,13 @@
             started += self._start_job(job, pool, room, blocked, now)
         return started
 
+    def take_ends(self, now: float) -> None:
+        """Take in how attempts ended since the last call."""
+        while self.shard.ends:
+            ended = self.shard.ends.popleft()
+            outcome = OUTCOMES.get(ended.end, Outcome.UNKNOWN)
+            self.blame.ended(ended.task_id, ended.attempt, outcome, now)
+
     def never_fits(self, spec: JobSpec, workers: Iterable[WorkerView]) -> bool:
         """Return whether there are workers but none could ever run a task of this job."""
         views = list(workers)
@@ -107,7 +133,15 @@
             refused = known is not None and known.refused_at == known.sequence
             free = worker.free.minus(reserved.get(worker.agent_id, Resources()))
             # An agent that refused has less room than it announced; wait for its next heartbeat.
-            yield worker.replace(free=Resources(-1.0, -1, -1) if refused else free)
+            yield worker.replace(free=NO_ROOM if refused else free)
+
+    def _without_blamed(self, views: list[WorkerView], now: float) -> Iterator[WorkerView]:
+        aside = self.blame.set_aside(views, now)
+        self.aside = frozenset(aside)
+        self.probing = frozenset(name for name, may_probe in aside.items() if may_probe)
+        for view in views:
+            blocked = not aside.get(view.agent_id, True)
+            yield view.replace(free=NO_ROOM) if blocked else view
 
     def _jobs_in_order(self) -> list[Job]:
         jobs = [
@@ -140,10 +174,10 @@
                 break
             worker = self._choose(job, task, size, pool)
             if worker is None:
-                if task.task_id not in self.shard.avoid:
+                if not self._avoided(job, task, size, pool):
                     blocked.add(shape)
                 continue
-            self._start(task, worker, size, pool)
+            self._start(task, worker, size, pool, now)
             if job.spec.team in room:
                 room[job.spec.team] -= job.spec.size.cores
             started += 1
@@ -158,17 +192,31 @@
     def _choose(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> WorkerView | None:
         running = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
-        avoid = self.shard.avoid.get(task.task_id)
-        request = PlacementRequest(size, job.spec.service, [avoid] if avoid else [], spread)
-        if avoid and not any(
-            view.agent_id != avoid and view.suits(size, job.spec.service) for view in pool.views
-        ):
-            request.avoid = frozenset()  # the only suitable worker is used again
+        avoid = self._avoided(job, task, size, pool)
+        request = PlacementRequest(size, job.spec.service, avoid, spread)
         return self.placer.choose(request, pool.views)
 
-    def _start(self, task: Task, worker: WorkerView, size: Resources, pool: WorkerPool) -> None:
-        pool.put(worker.replace(free=worker.free.minus(size)))
+    def _avoided(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> set[str]:
+        last = self.shard.avoid.get(task.task_id)
+        avoided = {last} if last else set()
+        if job.spec.urgent or task.failures:
+            avoided |= self.probing  # a probe probably fails
+        if not avoided:
+            return avoided
+        others = (
+            v for v in pool.views if v.agent_id not in avoided and v.agent_id not in self.aside
+        )
+        # The only suitable worker is used again.
+        return avoided if any(v.suits(size, job.spec.service) for v in others) else set()
+
+    def _start(
+        self, task: Task, worker: WorkerView, size: Resources, pool: WorkerPool, now: float
+    ) -> None:
+        probe = worker.agent_id in self.probing
+        pool.put(worker.replace(free=NO_ROOM if probe else worker.free.minus(size)))
         self.shard.start(task, worker.agent_id, worker.incarnation, size)
+        start = Start(worker.agent_id, worker.incarnation, task.task_id, task.attempt, now)
+        self.blame.started(start)
 
     # Buckets
 
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -45,6 +45,7 @@
     MAX_CHECKPOINT_BYTES,
     MAX_EVENTS_PER_COMMIT,
     MAX_JOBS,
+    MAX_KEPT_ENDS,
     MAX_PENDING_EVENTS,
     MAX_TASKS,
     REFUSAL_BACKOFF_SECONDS,
@@ -104,6 +105,8 @@
         Number of events decided; commands return it as the ticket of their last event.
     committed
         Number of events committed; a ticket up to it is durable.
+    ends
+        Ends of attempts that the scheduler has not taken in yet.
     """
 
     def __init__(self, state: ShardState, timings: Timings) -> None:
@@ -123,6 +126,7 @@
         self.service_seen: dict[str, float] = {}
         self.uncommitted_jobs: set[str] = set()
         self.releasing = False
+        self.ends: deque[AttemptEnded] = deque(maxlen=MAX_KEPT_ENDS)
 
     # Ownership
 
@@ -440,7 +444,10 @@
     # Common parts
 
     def _end(self, task: Task, end: AttemptEnd, checkpoint: str = "") -> None:
-        self._add(AttemptEnded(task.task_id, task.attempt, end, checkpoint))
+        ended = AttemptEnded(task.task_id, task.attempt, end, checkpoint)
+        self._add(ended)
+        if not task.is_bucket:
+            self.ends.append(ended)
         self.attempts.pop(task.task_id, None)
         if task.state != TaskState.WAITING:
             self._forget(task.task_id)
--- /dev/null
+++ b/src/acaciastand_lab/bad_workers.py
@@ -0,0 +1,318 @@
+"""Experiment ``bad-workers``: workers and jobs whose starts fail, with and without blame.
+
+Usage: ``python -m acaciastand_lab.bad_workers [--seeds N] [--processes N]``
+
+The product's shard, scheduler and placer run against simulated workers and a simulated clock.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import random
+import statistics
+from collections import Counter
+from collections.abc import Callable, Sequence
+from multiprocessing import Pool
+
+from acaciastand.placement.blame import AvoidLast, Blame, CrossEvidence
+from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.placer import BestFit
+from acaciastand.placement.worker import WorkerView
+from acaciastand.record import Record
+from acaciastand.resources import Resources
+from acaciastand.shard.effects import Grant
+from acaciastand.shard.job import JobSpec
+from acaciastand.shard.knowledge import Report
+from acaciastand.shard.limits import MAX_EVENTS_PER_COMMIT, MAX_TASK_FAILURES, Timings
+from acaciastand.shard.scheduling import Scheduler
+from acaciastand.shard.shard import Shard
+from acaciastand.shard.state import ShardState, job_id_of
+
+STEP_SECONDS = 0.25
+RUN_SECONDS = 900.0
+ARRIVALS_UNTIL = 720.0  # the rest lets the last tasks finish
+FAULT_FROM = 120.0
+WAVE_SECONDS = 120.0
+TASK_CORES = 2.0
+TASK_MEMORY_MB = 4_000
+RUN_TIME = (20.0, 90.0)  # seconds, uniform
+LOAD = 0.7  # share of the cores that the arriving tasks take
+TASKS_PER_JOB = 4
+BAD_JOB_TASKS = 40
+FAIL_TIME = (0.2, 2.0)  # seconds from a start to its failure, uniform
+RACK = 3  # workers to a rack
+ZONES = 3
+SCENARIOS = ("bad worker", "bad job", "both", "rack wave")
+POLICIES: dict[str, Callable[[], Blame]] = {"avoid last": AvoidLast, "blame": CrossEvidence}
+MEASURES = (
+    "failed starts",
+    "failed starts of good tasks",
+    "wasted core seconds",
+    "good tasks failed",
+    "good tasks delayed",
+    "healthy workers set aside",
+    "detection seconds",
+    "largest share of a zone aside",
+)
+
+
+class Firm(Record):
+    """A deployment: `scale` times 11 workers of one size."""
+
+    __slots__ = ("name", "cores", "memory_mb")
+
+    def __init__(self, name: str, cores: float, memory_mb: int) -> None:
+        self.name = name
+        self.cores = cores
+        self.memory_mb = memory_mb
+
+
+FIRMS = (Firm("Maison Reprise", 32.0, 125_000), Firm("Blue Mahoe", 16.0, 60_000))
+WORKERS = 11
+
+
+class Case(Record):
+    """One run."""
+
+    __slots__ = ("scenario", "firm", "scale", "policy", "seed")
+
+    def __init__(self, scenario: str, firm: Firm, scale: int, policy: str, seed: int) -> None:
+        self.scenario = scenario
+        self.firm = firm
+        self.scale = scale
+        self.policy = policy
+        self.seed = seed
+
+
+class Running(Record):
+    """An attempt at a simulated worker."""
+
+    __slots__ = ("grant", "fails", "started", "ends")
+
+    def __init__(self, grant: Grant, fails: bool, started: float, ends: float) -> None:
+        self.grant = grant
+        self.fails = fails
+        self.started = started
+        self.ends = ends
+
+
+class Simulation:
+    """One shard with its workers; the sequence of arrivals depends on the seed only."""
+
+    def __init__(self, case: Case) -> None:
+        self.case = case
+        self.random = random.Random(case.seed)
+        self.arrivals = random.Random(case.seed + 1_000)
+        self.now = 0.0
+        self.shard = Shard(ShardState(0), Timings())
+        self.shard.took_over(self.shard.takeover_event("owner"), 0.0)
+        self.blame = POLICIES[case.policy]()
+        self.scheduler = Scheduler(self.shard, 1, BestFit(), SizeEstimator(), self.blame)
+        self.workers = {view.agent_id: view for view in _fleet(case)}
+        self.broken = self._broken()
+        self.running: dict[str, Running] = {}
+        self.ending: list[tuple[float, str, int]] = []
+        self.bad_jobs: set[str] = set()
+        self.submitted: dict[str, float] = {}
+        self.run_times: dict[str, float] = {}
+        self.totals: Counter[str] = Counter()
+        self.healthy_aside: set[str] = set()
+        self.detected: dict[str, float] = {}
+        self.largest_share = 0.0
+        self._next_job = 0
+
+    def run(self) -> dict[str, float]:
+        """Return the value of each measure."""
+        while self.now < RUN_SECONDS:
+            self._submit()
+            self._finish()
+            self._schedule()
+            self._observe()
+            self.now += STEP_SECONDS
+        return self._measures()
+
+    def _broken(self) -> frozenset[str]:
+        if self.case.scenario == "bad job":
+            return frozenset()
+        names = sorted(self.workers)
+        if self.case.scenario == "rack wave":
+            rack = self.workers[self.random.choice(names)].rack
+            return frozenset(name for name in names if self.workers[name].rack == rack)
+        return frozenset(self.random.sample(names, self.case.scale))
+
+    def _submit(self) -> None:
+        if self.now >= ARRIVALS_UNTIL:
+            return
+        cores = self.case.firm.cores * len(self.workers)
+        mean_run = sum(RUN_TIME) / 2.0
+        jobs_a_second = LOAD * cores / (TASK_CORES * mean_run * TASKS_PER_JOB)
+        for _ in range(_poisson(self.arrivals, jobs_a_second * STEP_SECONDS)):
+            self._submit_job(TASKS_PER_JOB, urgent=self.arrivals.random() < 0.1)
+        has_bad_job = self.case.scenario in ("bad job", "both")
+        if has_bad_job and not self.bad_jobs and self.now >= FAULT_FROM:
+            self.bad_jobs.add(self._submit_job(BAD_JOB_TASKS))
+
+    def _submit_job(self, tasks: int, urgent: bool = False) -> str:
+        self._next_job += 1
+        job_id = f"j0-{self._next_job:012x}"
+        size = Resources(TASK_CORES, TASK_MEMORY_MB, 0)
+        run_time = self.arrivals.uniform(*RUN_TIME)
+        self.shard.submit(JobSpec(job_id, "team", "class", urgent, tasks, size), "", job_id)
+        for number in range(tasks):
+            self.submitted[f"{job_id}/{number}"] = self.now
+            self.run_times[f"{job_id}/{number}"] = run_time
+        return job_id
+
+    def _finish(self) -> None:
+        while self.ending and self.ending[0][0] <= self.now:
+            _, task_id, _ = heapq.heappop(self.ending)
+            ended = self.running.pop(task_id)
+            grant = ended.grant
+            self._change_free(grant.agent_id, grant.size)
+            if ended.fails:
+                self._count_failure(ended)
+            else:
+                self._count_success(task_id)
+            result = "start_failed" if ended.fails else "completed"
+            self.shard.report(Report(grant.agent_id, task_id, grant.attempt, result), self.now)
+
+    def _count_failure(self, ended: Running) -> None:
+        self.totals["failed starts"] += 1
+        seconds = ended.ends - ended.started
+        self.totals["wasted core seconds"] += round(seconds * ended.grant.size.cores)
+        if job_id_of(ended.grant.task_id) not in self.bad_jobs:
+            self.totals["failed starts of good tasks"] += 1
+            task = self.shard.state.task(ended.grant.task_id)
+            if task is not None and task.failures + 1 >= MAX_TASK_FAILURES:
+                self.totals["good tasks failed"] += 1
+
+    def _count_success(self, task_id: str) -> None:
+        delay = self.now - self.submitted[task_id] - self.run_times[task_id]
+        self.totals["good tasks delayed"] += delay > 1.0
+
+    def _schedule(self) -> None:
+        self._commit()
+        views = list(self.workers.values())
+        if self.scheduler.waiting():
+            self.scheduler.start_tasks(views, {}, self.now)
+        else:
+            self.scheduler.take_ends(self.now)
+        for item in self.running.values():
+            if not item.fails:
+                grant = item.grant
+                self.blame.seen_running(grant.agent_id, grant.task_id, grant.attempt, self.now)
+        self._commit()
+
+    def _commit(self) -> None:
+        while self.shard.pending:
+            self.shard.batch_committed(min(len(self.shard.pending), MAX_EVENTS_PER_COMMIT))
+        for effect in self.shard.take_effects():
+            if isinstance(effect, Grant):
+                self._start(effect)
+
+    def _start(self, grant: Grant) -> None:
+        self.shard.grant_sending(grant.task_id, grant.attempt, self.now)
+        self.shard.grant_answered(grant.task_id, grant.attempt, True, self.now)
+        self._change_free(grant.agent_id, Resources().minus(grant.size))
+        fails = job_id_of(grant.task_id) in self.bad_jobs or self._is_broken(grant.agent_id)
+        lasts = self.random.uniform(*FAIL_TIME) if fails else self.run_times[grant.task_id]
+        self.running[grant.task_id] = Running(grant, fails, self.now, self.now + lasts)
+        heapq.heappush(self.ending, (self.now + lasts, grant.task_id, grant.attempt))
+
+    def _is_broken(self, agent_id: str) -> bool:
+        if agent_id not in self.broken or self.now < FAULT_FROM:
+            return False
+        return self.case.scenario != "rack wave" or self.now < FAULT_FROM + WAVE_SECONDS
+
+    def _change_free(self, agent_id: str, size: Resources) -> None:
+        view = self.workers[agent_id]
+        self.workers[agent_id] = view.replace(free=view.free.plus(size))
+
+    def _observe(self) -> None:
+        aside = self.scheduler.aside
+        for name in aside:
+            if name in self.broken:
+                self.detected.setdefault(name, self.now - FAULT_FROM)
+        self.healthy_aside.update(aside - self.broken)
+        zones = Counter(view.availability_zone for view in self.workers.values())
+        in_zone = Counter(self.workers[name].availability_zone for name in aside)
+        for zone, count in in_zone.items():
+            self.largest_share = max(self.largest_share, count / zones[zone])
+
+    def _measures(self) -> dict[str, float]:
+        values: dict[str, float] = {name: float(self.totals[name]) for name in MEASURES}
+        values["healthy workers set aside"] = float(len(self.healthy_aside))
+        values["largest share of a zone aside"] = self.largest_share
+        found = list(self.detected.values())
+        values["detection seconds"] = statistics.mean(found) if found else float("nan")
+        return values
+
+
+def _fleet(case: Case) -> list[WorkerView]:
+    size = Resources(case.firm.cores, case.firm.memory_mb, 0)
+    fleet = []
+    for number in range(WORKERS * case.scale):
+        rack = number // RACK
+        zone = f"zone-{rack % ZONES}"
+        name = f"agent-{number:04d}"
+        fleet.append(WorkerView(name, f"{name}-1", zone, f"rack-{rack}", size, size))
+    return fleet
+
+
+def _poisson(source: random.Random, mean: float) -> int:
+    count, at = 0, source.expovariate(1.0)
+    while at < mean:
+        count += 1
+        at += source.expovariate(1.0)
+    return count
+
+
+def run_case(case: Case) -> dict[str, float]:
+    """Run one case."""
+    return Simulation(case).run()
+
+
+def cases(seeds: int, scales: Sequence[int]) -> list[Case]:
+    """Return all cases in the order of the table."""
+    return [
+        Case(scenario, firm, scale, policy, seed)
+        for scenario in SCENARIOS
+        for firm in FIRMS
+        for scale in scales
+        for policy in POLICIES
+        for seed in range(1, seeds + 1)
+    ]
+
+
+def spread(values: Sequence[float]) -> str:
+    """Return mean, minimum and maximum; a dash when nothing was measured."""
+    known = [value for value in values if value == value]
+    if not known:
+        return "-"
+    return f"{statistics.mean(known):.3g} ({min(known):.3g} to {max(known):.3g})"
+
+
+def main() -> None:
+    """Run all cases and print the table."""
+    parser = argparse.ArgumentParser(prog="python -m acaciastand_lab.bad_workers")
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--scales", type=int, nargs="+", default=[1, 10])
+    parser.add_argument("--processes", type=int, default=4)
+    options = parser.parse_args()
+    chosen = cases(options.seeds, options.scales)
+    with Pool(options.processes) as pool:
+        results = pool.map(run_case, chosen, chunksize=1)
+    print("| scenario | firm | workers | policy |", " | ".join(MEASURES), "|")
+    print("|---|---|---:|---|" + "---:|" * len(MEASURES))
+    for index in range(0, len(chosen), options.seeds):
+        case = chosen[index]
+        row = results[index : index + options.seeds]
+        cells = [spread([values[name] for values in row]) for name in MEASURES]
+        workers = WORKERS * case.scale
+        head = f"| {case.scenario} | {case.firm.name} | {workers} | {case.policy} |"
+        print(head, " | ".join(cells), "|")
+
+
+if __name__ == "__main__":
+    main()
