Tell bad workers from bad jobs

Cause: a task avoids only the agent that failed it last, so a worker that fails everything it starts stays empty and attracts further tasks. Ruled out: setting aside only, without the rule for workers beyond the cap.

--- a/src/acaciastand/placement/blame.py
+++ b/src/acaciastand/placement/blame.py
@@ -54,6 +54,26 @@
         return self.task_id.rpartition("/")[0]
 
 
+class Verdict(Record):
+    """Which workers are blamed at present.
+
+    Parameters
+    ----------
+    aside
+        Agents that get only probes, and for each whether it may get one now.
+    suspects
+        Agents beyond the cap. They stay in use, but not for urgent or failed tasks.
+    """
+
+    __slots__ = ("aside", "suspects")
+
+    def __init__(
+        self, aside: dict[str, bool] | None = None, suspects: frozenset[str] = frozenset()
+    ) -> None:
+        self.aside = aside or {}
+        self.suspects = suspects
+
+
 class Blame(ABC):
     """Decides which workers get only probes."""
 
@@ -70,8 +90,8 @@
         """Take note that an attempt ended."""
 
     @abstractmethod
-    def set_aside(self, workers: Sequence[WorkerView], now: float) -> dict[str, bool]:
-        """Return the agents set aside, and for each whether it may get one probe now."""
+    def verdict(self, workers: Sequence[WorkerView], now: float) -> Verdict:
+        """Return which of the workers are blamed."""
 
     @abstractmethod
     def drop(self, task_ids: Sequence[str]) -> None:
@@ -93,9 +113,9 @@
     def ended(self, task_id: str, attempt: int, outcome: Outcome, now: float) -> None:
         """Ignore the end."""
 
-    def set_aside(self, workers: Sequence[WorkerView], now: float) -> dict[str, bool]:
-        """Return no agent."""
-        return {}
+    def verdict(self, workers: Sequence[WorkerView], now: float) -> Verdict:
+        """Blame nobody."""
+        return Verdict()
 
     def drop(self, task_ids: Sequence[str]) -> None:
         """Ignore the attempts."""
@@ -160,7 +180,8 @@
     when the job succeeded on another worker after it first failed here. Failures of jobs that
     failed on several workers since their last success do not count. A worker whose score reaches
     `SCORE_TO_SET_ASIDE` gets one probe at a time until something succeeds on it. At most
-    `MAX_SHARE_SET_ASIDE` of each availability zone is set aside, those found first.
+    `MAX_SHARE_SET_ASIDE` of each availability zone is set aside, those found first, so that a
+    failure of a rack or a switch empties no zone.
     """
 
     def __init__(self) -> None:
@@ -200,15 +221,16 @@
             self._failed(start, now)
         self._probe_ended(start, now)
 
-    def set_aside(self, workers: Sequence[WorkerView], now: float) -> dict[str, bool]:
-        """Return the agents set aside within the cap of each availability zone."""
+    def verdict(self, workers: Sequence[WorkerView], now: float) -> Verdict:
+        """Return the blamed agents; those within the cap of each zone are set aside."""
         views = {view.agent_id: view for view in workers if view.agent_id in self._workers}
         for view in views.values():
             self._drop_if_replaced(view)
         found = [(since, name) for name in views if (since := self._since(name, now)) is not None]
         chosen = _within_cap(sorted(found), views, workers) if found else []
         self._aside = frozenset(chosen)
-        return {name: self._may_probe(name, now) for name in chosen}
+        aside = {name: self._may_probe(name, now) for name in chosen}
+        return Verdict(aside, frozenset(name for _, name in found) - self._aside)
 
     def drop(self, task_ids: Sequence[str]) -> None:
         """Forget the attempts; a probe among them ends without an outcome."""
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from hashlib import blake2b
 
-from acaciastand.placement.blame import AvoidLast, Blame, Outcome, Start
+from acaciastand.placement.blame import AvoidLast, Blame, Outcome, Start, Verdict
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.placer import PlacementRequest, Placer
 from acaciastand.placement.worker import WorkerView
@@ -80,7 +80,7 @@
         self.placer = placer
         self.estimator = estimator
         self.blame = AvoidLast() if blame is None else blame
-        self.aside: frozenset[str] = frozenset()
+        self.verdict = Verdict()
         self.probing: frozenset[str] = frozenset()
 
     def waiting(self) -> bool:
@@ -136,8 +136,8 @@
             yield worker.replace(free=NO_ROOM if refused else free)
 
     def _without_blamed(self, views: list[WorkerView], now: float) -> Iterator[WorkerView]:
-        aside = self.blame.set_aside(views, now)
-        self.aside = frozenset(aside)
+        self.verdict = self.blame.verdict(views, now)
+        aside = self.verdict.aside
         self.probing = frozenset(name for name, may_probe in aside.items() if may_probe)
         for view in views:
             blocked = not aside.get(view.agent_id, True)
@@ -200,11 +200,13 @@
         last = self.shard.avoid.get(task.task_id)
         avoided = {last} if last else set()
         if job.spec.urgent or task.failures:
-            avoided |= self.probing  # a probe probably fails
+            avoided |= self.probing | self.verdict.suspects  # these probably fail it
         if not avoided:
             return avoided
         others = (
-            v for v in pool.views if v.agent_id not in avoided and v.agent_id not in self.aside
+            v
+            for v in pool.views
+            if v.agent_id not in avoided and v.agent_id not in self.verdict.aside
         )
         # The only suitable worker is used again.
         return avoided if any(v.suits(size, job.spec.service) for v in others) else set()
--- a/src/acaciastand_lab/bad_workers.py
+++ b/src/acaciastand_lab/experiments/bad_workers.py
@@ -1,19 +1,15 @@
-"""Experiment ``bad-workers``: workers and jobs whose starts fail, with and without blame.
-
-Usage: ``python -m acaciastand_lab.bad_workers [--seeds N] [--processes N]``
+"""Workers and jobs whose starts fail, with and without blame.
 
 The product's shard, scheduler and placer run against simulated workers and a simulated clock.
 """
 
 from __future__ import annotations
 
-import argparse
 import heapq
 import random
 import statistics
 from collections import Counter
-from collections.abc import Callable, Sequence
-from multiprocessing import Pool
+from collections.abc import Callable
 
 from acaciastand.placement.blame import AvoidLast, Blame, CrossEvidence
 from acaciastand.placement.estimates import SizeEstimator
@@ -28,21 +24,25 @@
 from acaciastand.shard.scheduling import Scheduler
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import ShardState, job_id_of
+from acaciastand_lab.harness import BLUE_MAHOE, MAISON_REPRISE, Experiment, Firm, register
+from acaciastand_lab.harness.experiment import Figures
 
 STEP_SECONDS = 0.25
 RUN_SECONDS = 900.0
 ARRIVALS_UNTIL = 720.0  # the rest lets the last tasks finish
 FAULT_FROM = 120.0
 WAVE_SECONDS = 120.0
-TASK_CORES = 2.0
-TASK_MEMORY_MB = 4_000
+TASKS_PER_WORKER = 8  # that fit at once
+
 RUN_TIME = (20.0, 90.0)  # seconds, uniform
 LOAD = 0.7  # share of the cores that the arriving tasks take
 TASKS_PER_JOB = 4
 BAD_JOB_TASKS = 40
 FAIL_TIME = (0.2, 2.0)  # seconds from a start to its failure, uniform
 RACK = 3  # workers to a rack
-ZONES = 3
+MEMORY_MB = 64_000  # of a worker; no task is limited by it
+FIRMS = (MAISON_REPRISE, BLUE_MAHOE)
+SCALES = (1, 10)
 SCENARIOS = ("bad worker", "bad job", "both", "rack wave")
 POLICIES: dict[str, Callable[[], Blame]] = {"avoid last": AvoidLast, "blame": CrossEvidence}
 MEASURES = (
@@ -51,27 +51,12 @@
     "wasted core seconds",
     "good tasks failed",
     "good tasks delayed",
-    "healthy workers set aside",
-    "detection seconds",
+    "healthy workers blamed",
+    "seconds from first failure to blame",
     "largest share of a zone aside",
 )
 
 
-class Firm(Record):
-    """A deployment: `scale` times 11 workers of one size."""
-
-    __slots__ = ("name", "cores", "memory_mb")
-
-    def __init__(self, name: str, cores: float, memory_mb: int) -> None:
-        self.name = name
-        self.cores = cores
-        self.memory_mb = memory_mb
-
-
-FIRMS = (Firm("Maison Reprise", 32.0, 125_000), Firm("Blue Mahoe", 16.0, 60_000))
-WORKERS = 11
-
-
 class Case(Record):
     """One run."""
 
@@ -117,7 +102,8 @@
         self.submitted: dict[str, float] = {}
         self.run_times: dict[str, float] = {}
         self.totals: Counter[str] = Counter()
-        self.healthy_aside: set[str] = set()
+        self.first_failures: dict[str, float] = {}
+        self.healthy_blamed: set[str] = set()
         self.detected: dict[str, float] = {}
         self.largest_share = 0.0
         self._next_job = 0
@@ -146,7 +132,7 @@
             return
         cores = self.case.firm.cores * len(self.workers)
         mean_run = sum(RUN_TIME) / 2.0
-        jobs_a_second = LOAD * cores / (TASK_CORES * mean_run * TASKS_PER_JOB)
+        jobs_a_second = LOAD * cores / (_task_size(self.case.firm).cores * mean_run * TASKS_PER_JOB)
         for _ in range(_poisson(self.arrivals, jobs_a_second * STEP_SECONDS)):
             self._submit_job(TASKS_PER_JOB, urgent=self.arrivals.random() < 0.1)
         has_bad_job = self.case.scenario in ("bad job", "both")
@@ -156,7 +142,7 @@
     def _submit_job(self, tasks: int, urgent: bool = False) -> str:
         self._next_job += 1
         job_id = f"j0-{self._next_job:012x}"
-        size = Resources(TASK_CORES, TASK_MEMORY_MB, 0)
+        size = _task_size(self.case.firm)
         run_time = self.arrivals.uniform(*RUN_TIME)
         self.shard.submit(JobSpec(job_id, "team", "class", urgent, tasks, size), "", job_id)
         for number in range(tasks):
@@ -179,6 +165,8 @@
 
     def _count_failure(self, ended: Running) -> None:
         self.totals["failed starts"] += 1
+        if ended.grant.agent_id in self.broken:
+            self.first_failures.setdefault(ended.grant.agent_id, self.now)
         seconds = ended.ends - ended.started
         self.totals["wasted core seconds"] += round(seconds * ended.grant.size.cores)
         if job_id_of(ended.grant.task_id) not in self.bad_jobs:
@@ -230,11 +218,11 @@
         self.workers[agent_id] = view.replace(free=view.free.plus(size))
 
     def _observe(self) -> None:
-        aside = self.scheduler.aside
-        for name in aside:
-            if name in self.broken:
-                self.detected.setdefault(name, self.now - FAULT_FROM)
-        self.healthy_aside.update(aside - self.broken)
+        aside = self.scheduler.verdict.aside.keys()
+        blamed = aside | self.scheduler.verdict.suspects
+        for name in blamed & self.first_failures.keys():
+            self.detected.setdefault(name, self.now - self.first_failures[name])
+        self.healthy_blamed.update(blamed - self.broken)
         zones = Counter(view.availability_zone for view in self.workers.values())
         in_zone = Counter(self.workers[name].availability_zone for name in aside)
         for zone, count in in_zone.items():
@@ -242,24 +230,30 @@
 
     def _measures(self) -> dict[str, float]:
         values: dict[str, float] = {name: float(self.totals[name]) for name in MEASURES}
-        values["healthy workers set aside"] = float(len(self.healthy_aside))
+        values["healthy workers blamed"] = float(len(self.healthy_blamed))
         values["largest share of a zone aside"] = self.largest_share
         found = list(self.detected.values())
-        values["detection seconds"] = statistics.mean(found) if found else float("nan")
+        values["seconds from first failure to blame"] = (
+            statistics.mean(found) if found else float("nan")
+        )
         return values
 
 
 def _fleet(case: Case) -> list[WorkerView]:
-    size = Resources(case.firm.cores, case.firm.memory_mb, 0)
+    size = Resources(case.firm.cores, MEMORY_MB, 0)
     fleet = []
-    for number in range(WORKERS * case.scale):
+    for number in range(case.firm.hosts * case.scale):
         rack = number // RACK
-        zone = f"zone-{rack % ZONES}"
+        zone = case.firm.zone_of(rack)
         name = f"agent-{number:04d}"
         fleet.append(WorkerView(name, f"{name}-1", zone, f"rack-{rack}", size, size))
     return fleet
 
 
+def _task_size(firm: Firm) -> Resources:
+    return Resources(firm.cores / TASKS_PER_WORKER, MEMORY_MB // TASKS_PER_WORKER, 0)
+
+
 def _poisson(source: random.Random, mean: float) -> int:
     count, at = 0, source.expovariate(1.0)
     while at < mean:
@@ -268,51 +262,24 @@
     return count
 
 
-def run_case(case: Case) -> dict[str, float]:
-    """Run one case."""
-    return Simulation(case).run()
-
+@register
+class BadWorkers(Experiment):
+    """Failed starts with and without blame."""
 
-def cases(seeds: int, scales: Sequence[int]) -> list[Case]:
-    """Return all cases in the order of the table."""
-    return [
-        Case(scenario, firm, scale, policy, seed)
+    name = "bad-workers"
+    title = "Bad workers and bad jobs"
+    cases = tuple(
+        f"{scenario}, {firm.name} x{scale}"
         for scenario in SCENARIOS
         for firm in FIRMS
-        for scale in scales
-        for policy in POLICIES
-        for seed in range(1, seeds + 1)
-    ]
-
-
-def spread(values: Sequence[float]) -> str:
-    """Return mean, minimum and maximum; a dash when nothing was measured."""
-    known = [value for value in values if value == value]
-    if not known:
-        return "-"
-    return f"{statistics.mean(known):.3g} ({min(known):.3g} to {max(known):.3g})"
-
-
-def main() -> None:
-    """Run all cases and print the table."""
-    parser = argparse.ArgumentParser(prog="python -m acaciastand_lab.bad_workers")
-    parser.add_argument("--seeds", type=int, default=10)
-    parser.add_argument("--scales", type=int, nargs="+", default=[1, 10])
-    parser.add_argument("--processes", type=int, default=4)
-    options = parser.parse_args()
-    chosen = cases(options.seeds, options.scales)
-    with Pool(options.processes) as pool:
-        results = pool.map(run_case, chosen, chunksize=1)
-    print("| scenario | firm | workers | policy |", " | ".join(MEASURES), "|")
-    print("|---|---|---:|---|" + "---:|" * len(MEASURES))
-    for index in range(0, len(chosen), options.seeds):
-        case = chosen[index]
-        row = results[index : index + options.seeds]
-        cells = [spread([values[name] for values in row]) for name in MEASURES]
-        workers = WORKERS * case.scale
-        head = f"| {case.scenario} | {case.firm.name} | {workers} | {case.policy} |"
-        print(head, " | ".join(cells), "|")
-
-
-if __name__ == "__main__":
-    main()
+        for scale in SCALES
+    )
+    candidates = tuple(POLICIES)
+    plotted = "failed starts of good tasks"
+
+    def run(self, case: str, candidate: str, seed: int) -> Figures:
+        """Return the figures of one run."""
+        scenario, _, size = case.partition(", ")
+        firm_name, _, scale = size.rpartition(" x")
+        firm = next(firm for firm in FIRMS if firm.name == firm_name)
+        return Simulation(Case(scenario, firm, int(scale), candidate, seed)).run()
