--- /dev/null
+++ b/features/machines/blame_machine.py
@@ -0,0 +1,159 @@
+"""State machine of the blame for failed starts against a simple oracle.
+
+Guards against more workers set aside than the capped share of an availability zone, against healthy
+workers condemned by one bad job, against two probes at once, and against a worker that stays aside
+after a success.
+"""
+
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from acaciastand.placement.blame import (
+    MAX_PROBE_SECONDS,
+    MAX_SHARE_SET_ASIDE,
+    CrossEvidence,
+    Outcome,
+    Start,
+)
+from acaciastand.placement.worker import WorkerView
+
+BAD_JOB = "bad"
+WORKERS = 9
+ZONES = 2
+numbers = st.integers(0, WORKERS - 1)
+jobs = st.sampled_from([f"job-{number}" for number in range(5)])
+steps_of_time = st.sampled_from([0.0, 0.3, 2.0, 11.0, 90.0, 700.0])
+
+
+class BlameMachine(RuleBasedStateMachine):
+    """Workers 0 to `broken` fail everything; the others fail only the bad job."""
+
+    @initialize(broken=st.integers(-1, WORKERS - 1))
+    def start(self, broken):
+        self.now = 100.0
+        self.blame = CrossEvidence()
+        self.broken = broken
+        self.views = [
+            WorkerView(f"agent-{number}", "1", f"zone-{number % ZONES}")
+            for number in range(WORKERS)
+        ]
+        self.running = {}
+        self.probes = {}
+        self.started = 0
+        self.look()
+
+    def look(self):
+        self.verdict = self.blame.verdict(self.views, self.now)
+
+    @rule(seconds=steps_of_time)
+    def wait(self, seconds):
+        self.now += seconds
+        self.look()
+
+    @rule(number=numbers, job=st.one_of(jobs, st.just(BAD_JOB)))
+    def start_task(self, number, job):
+        self.assign(number, job)
+
+    def assign(self, number, job):
+        agent_id = self.views[number].agent_id
+        may_probe = self.verdict.aside.get(agent_id)
+        if may_probe is False:
+            return False  # the scheduler gives it nothing
+        self.started += 1
+        task_id = f"{job}/{self.started}"
+        incarnation = self.views[number].incarnation
+        self.blame.started(Start(agent_id, incarnation, task_id, 1, self.now))
+        self.running[task_id] = (number, job)
+        if may_probe:
+            assert agent_id not in self.probes, "two probes at once"
+            self.probes[agent_id] = task_id
+        self.look()
+        return True
+
+    @rule(number=numbers, job=st.one_of(jobs, st.just(BAD_JOB)), count=st.integers(1, 4))
+    def run_tasks(self, number, job, count):
+        for _ in range(count):
+            if self.assign(number, job):
+                self.end_task(f"{job}/{self.started}", True)
+
+    @precondition(lambda self: self.broken >= 0)
+    @rule(number=numbers)
+    def run_many_jobs(self, number):
+        for job in range(3):
+            self.run_tasks(number, f"job-{job}", 1)
+
+    @precondition(lambda self: self.verdict.aside)
+    @rule(index=st.integers(0, 1000), job=jobs)
+    def probe(self, index, job):
+        agent_id = sorted(self.verdict.aside)[index % len(self.verdict.aside)]
+        self.wait(11.0)
+        self.assign(int(agent_id.partition("-")[2]), job)
+
+    @precondition(lambda self: self.running)
+    @rule(index=st.integers(0, 1000), known=st.booleans())
+    def end(self, index, known):
+        self.end_task(sorted(self.running)[index % len(self.running)], known)
+
+    def end_task(self, task_id, known):
+        number, job = self.running.pop(task_id)
+        agent_id = self.views[number].agent_id
+        fails = job == BAD_JOB or number <= self.broken
+        outcome = Outcome.FAILED if fails else Outcome.SUCCEEDED
+        self.blame.ended(task_id, 1, outcome if known else Outcome.UNKNOWN, self.now)
+        if self.probes.get(agent_id) == task_id:
+            del self.probes[agent_id]
+            if known and not fails:
+                aside = self.blame.verdict(self.views, self.now).aside
+                assert agent_id not in aside, f"{agent_id} is aside after a success"
+        self.look()
+
+    @rule(number=numbers)
+    def replace_worker(self, number):
+        view = self.views[number]
+        self.views[number] = view.replace(incarnation=str(int(view.incarnation) + 1))
+        self.probes.pop(view.agent_id, None)
+        self.look()
+
+    @rule()
+    def lose_shard(self):
+        self.blame.drop(list(self.running))
+        self.running.clear()
+        self.probes.clear()
+        self.look()
+
+    @precondition(lambda self: self.verdict.aside and not self.running)
+    @rule()
+    def probe_comes_in_time(self):
+        self.now += MAX_PROBE_SECONDS
+        self.look()
+        assert all(self.verdict.aside.values()), "a worker without a probe gets none"
+
+    @precondition(lambda self: self.broken >= 0)
+    @rule()
+    def repair_workers(self):
+        self.broken = -1
+
+    @invariant()
+    def check_share(self):
+        if not hasattr(self, "verdict"):
+            return
+        in_zone = Counter(view.availability_zone for view in self.views)
+        aside = Counter(
+            view.availability_zone for view in self.views if view.agent_id in self.verdict.aside
+        )
+        for zone, count in aside.items():
+            assert count <= MAX_SHARE_SET_ASIDE * in_zone[zone], f"{count} aside in {zone}"
+
+    @invariant()
+    def check_healthy(self):
+        """Only a worker that was broken at some time can be blamed."""
+        if hasattr(self, "verdict"):
+            blamed = self.verdict.aside.keys() | self.verdict.suspects
+            self.ever_broken = max(getattr(self, "ever_broken", -1), self.broken)
+            healthy = {view.agent_id for view in self.views[self.ever_broken + 1 :]}
+            assert not blamed & healthy, f"healthy workers {blamed & healthy} are blamed"
+
+
+MACHINES = {"blame": BlameMachine}
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,227 @@
+"""Steps on the decisions of placement."""
+
+from unittest.mock import patch
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+from machines.blame_machine import BlameMachine
+
+from acaciastand.placement import blame as blame_module
+from acaciastand.placement.blame import (
+    FIRST_PROBE_SECONDS,
+    CrossEvidence,
+    Outcome,
+    Start,
+)
+from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.placer import BestFit
+from acaciastand.placement.worker import WorkerView
+from acaciastand.resources import Resources
+from acaciastand.shard import shard as shard_module
+from acaciastand.shard.effects import Grant
+from acaciastand.shard.job import JobSpec
+from acaciastand.shard.knowledge import Report
+from acaciastand.shard.limits import Timings
+from acaciastand.shard.scheduling import Scheduler
+from acaciastand.shard.shard import Shard
+from acaciastand.shard.state import ShardState
+
+STEPS = 50
+LIMIT = 5  # stands in for the real bounds, which would take long to reach
+CORE = Resources(1.0, 1, 0)
+
+
+def every_failure(_blame, _job_id, failures):
+    return failures.count
+
+
+def all_found(found, _views, _workers):
+    return [name for _, name in found]
+
+
+def always(_blame, _agent_id, _now):
+    return True
+
+
+def nothing(_blame, _task_ids):
+    return None
+
+
+def not_newer(_blame, _start, _worker):
+    return False
+
+
+REMOVED = {
+    "cap of each zone": (blame_module, "_within_cap", all_found),
+    "one count for a bad job": (CrossEvidence, "_weight", every_failure),
+    "one probe at a time": (CrossEvidence, "_may_probe", always),
+    "a lost probe is forgotten": (CrossEvidence, "drop", nothing),
+    "a success clears": (CrossEvidence, "_newer_than_failures", not_newer),
+}
+
+
+def run_machine(context, machine, number, examples):
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        print_blob=False,
+        report_multiple_bugs=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    context.violation = None
+    try:
+        seeded = seed(number)(type("Seeded", (machine,), {}))
+        run_state_machine_as_test(seeded, settings=chosen)
+    except AssertionError as error:
+        context.violation = str(error)
+
+
+@when("the blame machine runs with seed {number:d} and {examples:d} examples")
+def step_machine(context, number, examples):
+    run_machine(context, BlameMachine, number, examples)
+
+
+@when(
+    "the blame machine runs with seed {number:d} and {examples:d} examples "
+    'without the guard "{guard}"'
+)
+def step_without_guard(context, number, examples, guard):
+    with patch.object(*REMOVED[guard]):
+        run_machine(context, BlameMachine, number, examples)
+
+
+@then("the blame machine finds no violation")
+def step_no_violation(context):
+    assert context.violation is None, context.violation
+
+
+@then('the blame machine finds "{text}"')
+def step_violation(context, text):
+    assert context.violation is not None and text in context.violation, context.violation
+
+
+def fail(blame, number, agent_id, job_id):
+    task_id = f"{job_id}/{number}"
+    blame.started(Start(agent_id, "1", task_id, 1, float(number)))
+    blame.ended(task_id, 1, Outcome.FAILED, float(number))
+
+
+def fill_workers(blame):
+    for number in range(LIMIT + 1):
+        fail(blame, number, f"name-{number}", "job")
+    return list(blame._workers)
+
+
+def fill_jobs(blame):
+    for number in range(LIMIT + 1):
+        fail(blame, number, "agent", f"name-{number}")
+    return list(blame._jobs)
+
+
+def fill_starts(blame):
+    for number in range(LIMIT + 1):
+        blame.started(Start("agent", "1", f"name-{number}", 1, 0.0))
+    return list(blame._starts)
+
+
+def fill_jobs_per_worker(blame):
+    for number in range(1, LIMIT + 2):
+        fail(blame, number, "agent", f"name-{LIMIT + 1 - number}")
+    return list(blame._workers["agent"].failures)
+
+
+def fill_ends(_blame):
+    with patch.object(shard_module, "MAX_KEPT_ENDS", LIMIT):
+        shard = Shard(ShardState(0), Timings())
+    shard.submit(JobSpec("name", "team", "class", False, LIMIT + 1, CORE), "", "j0-1")
+    for task in shard.state.jobs["j0-1"].tasks:
+        shard.start(task, "agent", "1", CORE)
+        shard.report(Report("agent", task.task_id, 1, "evicted"), 0.0)
+    return [end.task_id.replace("j0-1/", "name-") for end in shard.ends]
+
+
+FILL = {
+    "workers": ("MAX_BLAMED_WORKERS", fill_workers),
+    "jobs": ("MAX_BLAMED_JOBS", fill_jobs),
+    "starts": ("MAX_STARTS", fill_starts),
+    "jobs per worker": ("MAX_JOBS_PER_WORKER", fill_jobs_per_worker),
+    "ends": ("MAX_STARTS", fill_ends),
+}
+
+
+@when("the blame is filled beyond its bound of {bound}")
+def step_fill(context, bound):
+    constant, fill = FILL[bound]
+    with patch.object(blame_module, constant, LIMIT):
+        context.kept = fill(CrossEvidence())
+
+
+@then("it keeps the newest of {bound} and no more than the bound")
+def step_kept(context, bound):
+    assert sorted(context.kept) == [f"name-{number}" for number in range(1, LIMIT + 1)]
+
+
+def submit(context, job_id, urgent=False):
+    spec = JobSpec(job_id, "team", "class", urgent, 1, CORE)
+    context.shard.submit(spec, "", job_id)
+    context.shard.batch_committed(len(context.shard.pending))
+
+
+def start_tasks(context, views, now):
+    context.scheduler.start_tasks(views, {}, now)
+    context.shard.batch_committed(len(context.shard.pending))
+    grants = [effect for effect in context.shard.take_effects() if isinstance(effect, Grant)]
+    return {grant.task_id: grant for grant in grants}
+
+
+def report(context, grant, result, now):
+    context.shard.report(Report(grant.agent_id, grant.task_id, grant.attempt, result), now)
+
+
+def view(name):
+    return WorkerView(name, "1", "zone", name, CORE, CORE)
+
+
+@given("a shard with one worker that fails three jobs and one healthy worker")
+def step_failing(context):
+    context.shard = Shard(ShardState(0), Timings())
+    context.shard.took_over(context.shard.takeover_event("owner"), 0.0)
+    context.blame = CrossEvidence()
+    context.scheduler = Scheduler(context.shard, 1, BestFit(), SizeEstimator(), context.blame)
+    context.views = [view("failing"), view("healthy"), view("full").replace(free=Resources())]
+    for number in range(3):
+        submit(context, f"j0-{number}")
+        grants = start_tasks(context, context.views[:1], float(number) * 0.1)
+        report(context, grants[f"j0-{number}/0"], "start_failed", float(number) * 0.1)
+
+
+@when("the pause before the probe has passed and an urgent and a normal job wait")
+def step_wait(context):
+    for number in range(3):
+        context.shard.cancel(f"j0-{number}")
+    context.scheduler.take_ends(1.0)
+    assert context.blame.verdict(context.views, 1.0).aside == {"failing": False}
+    for name, urgent in (("j0-a", True), ("j0-b", True), ("j0-c", False), ("j0-d", False)):
+        submit(context, name, urgent)
+    context.grants = start_tasks(context, context.views, 1.0 + FIRST_PROBE_SECONDS)
+
+
+@then("only the normal job is started on the failing worker")
+def step_probe(context):
+    placed = {task_id: grant.agent_id for task_id, grant in context.grants.items()}
+    assert placed == {"j0-a/0": "healthy", "j0-c/0": "failing"}, placed
+
+
+@when("the probe completes")
+def step_probe_completes(context):
+    report(context, context.grants["j0-c/0"], "completed", 8.0)
+    context.scheduler.take_ends(8.0)
+
+
+@then("the worker is no longer set aside")
+def step_returned(context):
+    assert not context.blame.verdict(context.views, 8.0).aside
