--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -207,6 +207,7 @@
         expired = self.shard.expire(now)
         if expired:
             self.context.counters.increment("owner.attempts_expired", expired)
+        self.scheduler.take_ends(now)
         if not self.store_down and not self.shard.releasing:
             self.shard.change_timings(timings_of(self.context.settings()))
             self._schedule(now)
@@ -226,6 +227,7 @@
         if now >= self._next_tasks and self.scheduler.waiting():
             room = self.context.quota_room()
             started = self.scheduler.start_tasks(self.context.workers(), room, now)
+            self.context.counters.gauge("owner.workers_set_aside", len(self.scheduler.verdict.aside))
             self._next_tasks = now if started else now + IDLE_SECONDS
 
     def _commit(self) -> None:
