React to surges and to use above declared sizes on the host

Cause: an agent ignored what tasks really use; a task far above its declared size or a sudden rain slowed the service on the same host, and nothing was shed. Change: pressure/ holds the surge detector, the headroom, the staged policy and its baselines; agent/shedder.py applies it through new commands throttle, checkpoint and evict of the host. A shedding host takes no new tasks (reason shedding), and the announced free resources leave out the headroom. GrantAttempt carries urgent as a trailing field, so that urgent tasks are evicted last.

--- /dev/null
+++ b/features/steps/pressure_steps.py
@@ -0,0 +1,149 @@
+"""Steps on the pressure decisions."""
+
+import sys
+from pathlib import Path
+from unittest.mock import patch
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from acaciastand.pressure import HeadroomPolicy, HostView, StagedPressure, SurgeDetector, TaskView
+from acaciastand.pressure import Weights as OutcomeWeights
+from acaciastand.pressure.budget import EvictionBudget
+from acaciastand.pressure.headroom import LOWER_SECONDS
+from acaciastand.pressure.staged import eviction_order
+from acaciastand.resources import Resources
+
+sys.path.insert(0, str(Path(__file__).parents[1]))
+from machines.pressure_machine import PressureMachine
+
+SAMPLE_SECONDS = 0.25
+STAGED = "acaciastand.pressure.staged"
+original_choose = StagedPressure._choose
+
+
+def choose_young(self, view, tasks, now):
+    old = [task.replace(run_seconds=float("inf")) for task in tasks]
+    return original_choose(self, view, old, now)
+
+
+WITHOUT = {
+    "minimum run time": lambda: patch.object(StagedPressure, "_choose", choose_young),
+    "eviction rate limit": lambda: patch.object(EvictionBudget, "available", lambda *_: 9),
+    "rounds per surge": lambda: patch(f"{STAGED}.MAX_ROUNDS_PER_SURGE", 99),
+    "protection": lambda: patch.object(HostView, "batch", property(lambda self: self.tasks)),
+    "eviction for memory": lambda: patch(f"{STAGED}.evictions_for_memory", lambda *_: []),
+    "steps back": lambda: patch.object(StagedPressure, "_step_back", lambda *_: []),
+}
+
+
+@given('the policy without "{guard}"')
+def step_without(context, guard):
+    context.stack.enter_context(WITHOUT[guard]())
+
+
+@when("the pressure machine runs with seed {number:d} and {examples:d} examples")
+def step_machine(context, number, examples):
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=30,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        report_multiple_bugs=False,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    context.violation = None
+    try:
+        machine = type("SeededPressureMachine", (PressureMachine,), {})
+        run_state_machine_as_test(seed(number)(machine), settings=chosen)
+    except AssertionError as error:
+        context.violation = str(error)
+
+
+@then("the pressure machine finds no violation")
+def step_none(context):
+    assert context.violation is None, context.violation
+
+
+@then('the pressure machine finds "{text}"')
+def step_violation(context, text):
+    assert context.violation is not None and text in context.violation, context.violation
+
+
+def changes(levels):
+    """Return the times at which a detector that is fed `levels` changes its mind."""
+    detector, found, before = SurgeDetector(), [], False
+    for number, level in enumerate(levels):
+        now = number * SAMPLE_SECONDS
+        if detector.record(level, now) != before:
+            before = not before
+            found.append(now)
+    return found
+
+
+def lasting(level, seconds):
+    return [level] * int(seconds / SAMPLE_SECONDS)
+
+
+@given("a level that doubles for {seconds:d} s and then returns")
+def step_doubles(context, seconds):
+    context.rise, context.fall = 300, 300 + seconds
+    levels = lasting(10.0, 300) + lasting(20.0, seconds) + lasting(10.0, 300)
+    context.changes = changes(levels)
+
+
+@then("one surge begins within {rise:d} s of the rise and ends within {fall:d} s of the fall")
+def step_one_surge(context, rise, fall):
+    began, ended = context.changes
+    assert 0 < began - context.rise <= rise and 0 < ended - context.fall <= fall, context.changes
+
+
+@given("a level that swings between {low:f} and {high:f} of the usual one")
+def step_swings(context, low, high):
+    swing = (lasting(low, 4) + lasting(high, 4)) * 20
+    context.changes = changes(lasting(1.0, 300) + swing)
+
+
+@then("no surge begins")
+def step_no_surge(context):
+    assert context.changes == []
+
+
+@then("the headroom rises from {base:f} to {share:f} in a surge and returns in steps of {step:f}")
+def step_headroom(context, base, share, step):
+    row = context.active_outline
+    weights = OutcomeWeights(float(row["tail"]), float(row["batch"]), 0.2)
+    policy = HeadroomPolicy(base, weights)
+    assert policy.share(False, 0.0) == base
+    assert abs(policy.share(True, 1.0) - share) < 1e-9
+    now, last = 1.0, share
+    while last > base:
+        now += LOWER_SECONDS
+        lowered = policy.share(False, now)
+        assert 0 < last - lowered <= step + 1e-9
+        last = lowered
+    assert policy.share(False, now + LOWER_SECONDS) == base
+
+
+@then('"{tasks}" are evicted in the order "{order}"')
+def step_order(context, tasks, order):
+    views = []
+    for text in tasks.split():
+        name, priority, unsaved = text.split(":")
+        urgent = priority == "urgent"
+        views.append(
+            TaskView(name, 1, Resources(1.0), Resources(1.0), 60.0, float(unsaved), urgent)
+        )
+    assert [task.task_id for task in eviction_order(views)] == order.split()
+
+
+@then("{count:d} evictions at once keep {kept:d} times at a limit of {limit:d}")
+def step_budget(context, count, kept, limit):
+    budget = EvictionBudget(limit)
+    for _ in range(count):
+        budget.spend(0.0)
+    assert len(budget._times) == kept and budget.available(59.0) == 0
+    assert budget.available(60.0) == limit
--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -14,6 +14,7 @@
 from acaciastand.agent.links import Links
 from acaciastand.agent.reporter import Reporter
 from acaciastand.agent.runner import Runner
+from acaciastand.agent.shedder import Shedder
 from acaciastand.errors import AcaciastandError
 from acaciastand.host import Attempt, AttemptResult, Grant, Host
 from acaciastand.platform.target_client import TargetClient
@@ -76,6 +77,7 @@
         self.stopping = False
         self.exit_code = 0
         self.runner = Runner(self.host, self.worker, self.target, counters, clock, self._superseded)
+        self.shedder = Shedder(self.host, self.executor, counters, clock, self.runner.wake.set)
         self.links = Links(settings.entries, settings.availability_zone, self, rng)
         self.reporter = Reporter(self.host, self.links, counters, clock)
         self._tasks: list[gevent.Greenlet] = []
@@ -88,6 +90,7 @@
             self.runner.run_commands,
             self._adjust_links,
             self.reporter.run,
+            self.shedder.run,
         )
         self._tasks = [gevent.spawn(loop) for loop in loops]
 
@@ -236,6 +239,7 @@
         self.effective = EffectiveSettings(values, revision)
         self.host.grant_seconds = self.effective.grant_seconds
         self.host.requests.set_key_window(self.effective.key_window_seconds)
+        self.shedder.apply(self.effective)
         self.links.fanout = self.effective.entry_fanout
         self._apply_draining(self.settings.agent_id in self.effective.draining)
         self.links.beat_now()  # confirms the revision without waiting for the interval
--- a/src/acaciastand/agent/executor.py
+++ b/src/acaciastand/agent/executor.py
@@ -16,6 +16,8 @@
 from acaciastand.wire.codec import MAX_BODY_BYTES
 from acaciastand.wire.messages import Execute, ExecuteReply
 
+LATENCY_WEIGHT = 0.1  # of the newest answer in the recent latency
+
 
 class CounterSink(Protocol):
     """What the agent needs of `acaciastand.telemetry.Counters`."""
@@ -31,6 +33,13 @@
     ----------
     clock
         Monotonic seconds.
+
+    Attributes
+    ----------
+    arrived
+        Requests so far, also refused ones.
+    recent_seconds
+        Moving average of the target's latency.
     """
 
     def __init__(
@@ -44,9 +53,12 @@
         self.target = target
         self.counters = counters
         self.clock = clock
+        self.arrived = 0
+        self.recent_seconds = 0.0
 
     def execute(self, message: Execute) -> ExecuteReply:
         """Return the target's answer, or why there is none."""
+        self.arrived += 1
         facts = _facts(message)
         admission = self.host.requests.admit(facts, self.clock())
         if admission.decision is Decision.REFUSE:
@@ -77,6 +89,7 @@
         self, message: Execute, facts: RequestFacts, timeout_seconds: float
     ) -> ExecuteReply:
         desk = self.host.requests
+        started = self.clock()
         try:
             answer = self.target.execute(
                 message.request_id,
@@ -98,6 +111,7 @@
         except BaseException:
             desk.unknown(facts, self.clock())
             raise
+        self.recent_seconds += (self.clock() - started - self.recent_seconds) * LATENCY_WEIGHT
         return self._answered(facts, answer)
 
     def _answered(self, facts: RequestFacts, answer: HttpAnswer) -> ExecuteReply:
--- a/src/acaciastand/agent/runner.py
+++ b/src/acaciastand/agent/runner.py
@@ -145,6 +145,11 @@
             return
         if command.kind is CommandKind.START:
             self._start(command)
+        elif command.kind is CommandKind.THROTTLE:
+            self.worker.throttle(command.task_id, command.attempt, command.limit_cores)
+        elif command.kind is CommandKind.CHECKPOINT:
+            reference = self.worker.checkpoint(command.task_id, command.attempt)
+            self.host.checkpointed(command, reference)
         else:
             self.worker.change(command.kind, command.task_id, command.attempt, command.valid_until)
         self.host.command_done(command, self.clock())
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -372,4 +372,5 @@
             grant.batch_class,
             session.last_heartbeat_sequence,
             self.shard.timings.grant_seconds,
+            grant.urgent,
         )
--- a/src/acaciastand/host/attempts.py
+++ b/src/acaciastand/host/attempts.py
@@ -38,14 +38,24 @@
     RENEW = "renew"
     PAUSE = "pause"
     RESUME = "resume"
+    THROTTLE = "throttle"
+    CHECKPOINT = "checkpoint"
     STOP = "stop"
     FORGET = "forget"
 
 
 class Command(Record):
-    """One call to the worker; a lease ends at `valid_until`, monotonic seconds."""
+    """One call to the worker.
 
-    __slots__ = ("kind", "task_id", "attempt", "valid_until", "keep_progress")
+    Parameters
+    ----------
+    valid_until
+        End of the lease, monotonic seconds.
+    limit_cores
+        Cores that a throttled task may use; 0 for no limit.
+    """
+
+    __slots__ = ("kind", "task_id", "attempt", "valid_until", "keep_progress", "limit_cores")
 
     def __init__(
         self,
@@ -54,12 +64,14 @@
         attempt: int,
         valid_until: float = 0.0,
         keep_progress: bool = False,
+        limit_cores: float = 0.0,
     ) -> None:
         self.kind = kind
         self.task_id = task_id
         self.attempt = attempt
         self.valid_until = valid_until
         self.keep_progress = keep_progress
+        self.limit_cores = limit_cores
 
 
 class Grant(Record):
@@ -76,6 +88,7 @@
         "batch_class",
         "heartbeat_sequence",
         "grant_seconds",
+        "urgent",
     )
 
     def __init__(
@@ -90,6 +103,7 @@
         batch_class: str = "",
         heartbeat_sequence: int = 0,
         grant_seconds: float = 0.0,
+        urgent: bool = False,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -101,6 +115,7 @@
         self.batch_class = batch_class
         self.heartbeat_sequence = heartbeat_sequence
         self.grant_seconds = grant_seconds
+        self.urgent = urgent
 
 
 class WorkerTask(Record):
@@ -125,6 +140,7 @@
         "checkpoint",
         "run_seconds",
         "batch_class",
+        "urgent",
     )
 
     def __init__(
@@ -139,6 +155,7 @@
         checkpoint: str = "",
         run_seconds: float = 0.0,
         batch_class: str = "",
+        urgent: bool = False,
     ) -> None:
         self.task_id = task_id
         self.attempt = attempt
@@ -150,6 +167,7 @@
         self.checkpoint = checkpoint
         self.run_seconds = run_seconds
         self.batch_class = batch_class
+        self.urgent = urgent
 
 
 class Attempt:
@@ -170,6 +188,11 @@
         Result that a stop will have; only a stop that the owner asked for is ``stopped``.
     start_unknown
         Whether a start call without an answer may still reach the worker.
+    limit_cores, limit_sent
+        Cores that the task may use, and the limit last sent to the worker; 0 for no limit, and
+        `limit_sent` is None when the worker's limit is unknown.
+    checkpoint, checkpoint_seconds
+        Latest known checkpoint, and the run time that it covers.
     """
 
     __slots__ = (
@@ -189,6 +212,11 @@
         "end_checkpoint",
         "run_seconds",
         "detail",
+        "limit_cores",
+        "limit_sent",
+        "checkpoint_wanted",
+        "checkpoint",
+        "checkpoint_seconds",
     )
 
     def __init__(self, grant: Grant, valid_until: float, held_since: float) -> None:
@@ -208,6 +236,11 @@
         self.end_checkpoint = ""
         self.run_seconds = 0.0
         self.detail = ""
+        self.limit_cores = 0.0
+        self.limit_sent: float | None = 0.0
+        self.checkpoint_wanted = False
+        self.checkpoint = grant.checkpoint
+        self.checkpoint_seconds = 0.0
 
     @property
     def task_id(self) -> str:
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -20,6 +20,7 @@
 MAX_SHARDS = 1024  # shards whose highest epoch is remembered
 RENEW_BELOW = 2 / 3  # share of the grant left on the lease at which the lease is extended
 
+OVER_STATES = (AttemptState.STOPPING, AttemptState.ENDED)
 LISTED_RESULTS = {"finished": AttemptResult.COMPLETED, "failed": AttemptResult.FAILED}
 
 
@@ -37,6 +38,13 @@
         Longest grant; updated with the settings.
     key_window_seconds
         How long outcomes of keyed requests are kept.
+
+    Attributes
+    ----------
+    shedding
+        Whether the host is over and takes no new tasks.
+    headroom
+        Share of the cores that tasks leave free.
     """
 
     def __init__(
@@ -55,6 +63,8 @@
         self.requests = RequestDesk(self, services, slots, connections, key_window_seconds)
         self.epochs: dict[int, int] = {}
         self.draining = False
+        self.shedding = False
+        self.headroom = 0.0
         self.worker_up = False
         self.target_up = False
         self.worker_known = False
@@ -68,8 +78,9 @@
 
     @property
     def free(self) -> Resources:
-        """What is not counted for attempts and the service; can be negative."""
-        return self.capacity.minus(self.reserved).minus(self.ledger.counted())
+        """What tasks may still use: without the service, attempts and headroom; can be negative."""
+        kept = Resources(self.capacity.cores * self.headroom)
+        return self.capacity.minus(self.reserved).minus(self.ledger.counted()).minus(kept)
 
     @property
     def drained(self) -> bool:
@@ -171,6 +182,31 @@
         """Admit work again."""
         self.draining = False
 
+    def throttle(self, task_id: str, number: int, cores: float) -> bool:
+        """Limit the cores of a task, 0 for no limit; return whether it can be throttled."""
+        attempt = self._batch(task_id, number)
+        if attempt is None:
+            return False
+        attempt.limit_cores = cores
+        return True
+
+    def checkpoint(self, task_id: str, number: int) -> bool:
+        """Have a task save its progress; return whether it can."""
+        attempt = self._batch(task_id, number)
+        if attempt is None:
+            return False
+        attempt.checkpoint_wanted = True
+        return True
+
+    def evict(self, task_id: str, number: int) -> bool:
+        """Stop a task with its progress, so that its owner resumes it elsewhere."""
+        attempt = self._batch(task_id, number)
+        if attempt is None:
+            return False
+        attempt.stop_result = AttemptResult.EVICTED
+        self._begin_stop(attempt, keep_progress=True)
+        return True
+
     def reports(self) -> list[Attempt]:
         """Return the ended attempts whose result waits for confirmation."""
         return self.ledger.ended()
@@ -216,9 +252,18 @@
             return
         attempt.busy = False
         attempt.confirmed_at = now
+        if command.kind is CommandKind.THROTTLE:
+            attempt.limit_sent = command.limit_cores
         if command.kind is CommandKind.START and attempt.state is AttemptState.STARTING:
             attempt.state = AttemptState.RUNNING
 
+    def checkpointed(self, command: Command, checkpoint: str) -> None:
+        """Record the checkpoint that the worker made."""
+        attempt = self.ledger.find(command.task_id, command.attempt)
+        if attempt is not None and checkpoint:
+            attempt.checkpoint = checkpoint
+            attempt.checkpoint_seconds = attempt.run_seconds
+
     def command_unknown(self, command: Command) -> None:
         """Record that nobody knows whether a command was carried out; it is repeated."""
         self._orphans.pop((command.task_id, command.attempt), None)
@@ -229,6 +274,8 @@
             return
         attempt.busy = False
         attempt.lease_until = 0.0
+        if command.kind is CommandKind.THROTTLE:
+            attempt.limit_sent = None
         attempt.start_unknown = attempt.start_unknown or command.kind is CommandKind.START
 
     def start_refused(self, command: Command, detail: str) -> None:
@@ -253,11 +300,18 @@
         if attempt is None or attempt.state is AttemptState.ENDED:
             return
         attempt.end(AttemptResult.COMPLETED if completed else attempt.stop_result)
-        attempt.end_checkpoint = checkpoint or attempt.grant.checkpoint
+        attempt.end_checkpoint = checkpoint or attempt.checkpoint
         attempt.run_seconds = run_seconds
 
     # Private
 
+    def _batch(self, task_id: str, number: int) -> Attempt | None:
+        """Return an attempt that pressure may act on: a task that is not being stopped."""
+        attempt = self.ledger.find(task_id, number)
+        if attempt is None or attempt.is_bucket:
+            return None
+        return None if attempt.state in OVER_STATES else attempt
+
     def _valid_until(self, link: str, grant: Grant, now: float) -> float | None:
         sent = self.heartbeats.sent_at(link, grant.heartbeat_sequence)
         if sent is None or sent + grant.grant_seconds <= now:
@@ -276,6 +330,8 @@
             return self.requests.bucket_refusal(attempt.task_id)
         if not self.worker_up:
             return Reason.WORKER_UNAVAILABLE
+        if self.shedding:
+            return Reason.SHEDDING
         return None if attempt.counted.fits_in(self.free) else Reason.OVER_CAPACITY
 
     def _take(self, attempt: Attempt) -> None:
@@ -325,11 +381,13 @@
             return None
         grant = Grant(task.shard, 0, task.task_id, task.attempt, task.size)
         grant.batch_class = task.batch_class
+        grant.urgent = task.urgent
         grant.grant_seconds = self.grant_seconds
         attempt = Attempt(grant, asked_at + task.lease_seconds, now)
         attempt.state = AttemptState.RUNNING
         attempt.start_sent = True
         attempt.lease_until = attempt.valid_until
+        attempt.limit_sent = None  # the former process may have throttled it
         self.ledger.take(attempt)
         return attempt
 
@@ -346,7 +404,12 @@
         if kind in (CommandKind.START, CommandKind.RENEW, CommandKind.RESUME):
             attempt.lease_until = attempt.valid_until
         return Command(
-            kind, attempt.task_id, attempt.number, attempt.valid_until, attempt.keep_progress
+            kind,
+            attempt.task_id,
+            attempt.number,
+            attempt.valid_until,
+            attempt.keep_progress,
+            attempt.limit_cores,
         )
 
     def _next_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
@@ -361,6 +424,14 @@
         if attempt.state is AttemptState.PAUSED and not lapsed:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
+        if attempt.state is AttemptState.RUNNING and attempt.limit_cores != attempt.limit_sent:
+            return CommandKind.THROTTLE
+        if attempt.state is AttemptState.RUNNING and attempt.checkpoint_wanted:
+            attempt.checkpoint_wanted = False
+            return CommandKind.CHECKPOINT
+        return self._renewal_kind(attempt, now)
+
+    def _renewal_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
         due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
         extended = attempt.valid_until > attempt.lease_until
         running = attempt.state is AttemptState.RUNNING
--- a/src/acaciastand/platform/worker_client.py
+++ b/src/acaciastand/platform/worker_client.py
@@ -119,6 +119,7 @@
             "attempt": grant.attempt,
             "shard": grant.shard,
             "batch_class": grant.batch_class,
+            "urgent": grant.urgent,
             "size": _resources_json(grant.size),
             "run_seconds": grant.run_seconds,
             "checkpoint": grant.checkpoint,
@@ -138,6 +139,19 @@
         if answer.status != GONE:
             self._check(answer)
 
+    def throttle(self, task_id: str, attempt: int, cores: float) -> None:
+        """Limit the cores of a task, 0 for no limit; an unknown task is ignored."""
+        payload = {"attempt": attempt, "cores": cores}
+        answer = self._call("POST", f"/v1/tasks/{quote(task_id, safe='')}/throttle", payload)
+        if answer.status != GONE:
+            self._check(answer)
+
+    def checkpoint(self, task_id: str, attempt: int) -> str:
+        """Have a task save its progress and return the reference; empty for an unknown task."""
+        payload = {"attempt": attempt}
+        answer = self._call("POST", f"/v1/tasks/{quote(task_id, safe='')}/checkpoint", payload)
+        return "" if answer.status == GONE else str(self._json(answer).get("checkpoint", ""))
+
     def stop(self, task_id: str, attempt: int, keep_progress: bool) -> StopOutcome:
         """Stop a task; the worker refuses this and lower attempts from then on."""
         payload = {"attempt": attempt, "keep_progress": keep_progress}
@@ -213,4 +227,5 @@
         str(fields["checkpoint"]),
         float(fields["run_seconds"]),
         str(fields["batch_class"]),
+        bool(fields.get("urgent", False)),
     )
--- a/src/acaciastand/pressure/__init__.py
+++ b/src/acaciastand/pressure/__init__.py
@@ -1,1 +1,23 @@
 """Reaction to surges: headroom, throttling, checkpointing and eviction."""
+
+from acaciastand.pressure.headroom import HeadroomPolicy
+from acaciastand.pressure.policy import EvictFirst, NoReaction, PressurePolicy
+from acaciastand.pressure.staged import StagedPressure
+from acaciastand.pressure.surge import SurgeDetector
+from acaciastand.pressure.view import Action, ActionKind, Cause, HostView, TaskView
+from acaciastand.pressure.weights import Weights
+
+__all__ = [
+    "Action",
+    "ActionKind",
+    "Cause",
+    "EvictFirst",
+    "HeadroomPolicy",
+    "HostView",
+    "NoReaction",
+    "PressurePolicy",
+    "StagedPressure",
+    "SurgeDetector",
+    "TaskView",
+    "Weights",
+]
--- a/src/acaciastand/reasons.py
+++ b/src/acaciastand/reasons.py
@@ -26,6 +26,7 @@
     WORKER_UNAVAILABLE = "worker_unavailable"
     BODY_TOO_LARGE = "body_too_large"
     LEDGER_FULL = "ledger_full"
+    SHEDDING = "shedding"
 
     # At the entry; nothing has run.
     NO_TARGET = "no_target"
--- a/src/acaciastand/shard/effects.py
+++ b/src/acaciastand/shard/effects.py
@@ -23,6 +23,7 @@
         "run_seconds",
         "checkpoint",
         "batch_class",
+        "urgent",
     )
 
     def __init__(
@@ -34,6 +35,7 @@
         run_seconds: float,
         checkpoint: str,
         batch_class: str,
+        urgent: bool = False,
     ) -> None:
         self.agent_id = agent_id
         self.task_id = task_id
@@ -42,6 +44,7 @@
         self.run_seconds = run_seconds
         self.checkpoint = checkpoint
         self.batch_class = batch_class
+        self.urgent = urgent
 
 
 class Stop(Effect):
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -357,6 +357,7 @@
             spec.run_seconds,
             task.checkpoint,
             spec.batch_class,
+            spec.urgent,
         )
         self.attempts[task.task_id] = AttemptKnowledge(GrantState.QUEUED, True, float("-inf"))
         epoch = self.state.epoch
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -381,6 +381,8 @@
         Length of the grant.
     checkpoint
         Reference from the previous attempt, empty for a first start.
+    urgent
+        Whether the job is urgent; such tasks are evicted last.
     """
 
     __slots__ = (
@@ -394,6 +396,7 @@
         "batch_class",
         "heartbeat_sequence",
         "grant_seconds",
+        "urgent",
     )
     type_number = 8
     nested = {"size": Resources}
@@ -410,6 +413,7 @@
         batch_class: str = "",
         heartbeat_sequence: int = 0,
         grant_seconds: float = 0.0,
+        urgent: bool = False,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -421,6 +425,7 @@
         self.batch_class = batch_class
         self.heartbeat_sequence = heartbeat_sequence
         self.grant_seconds = grant_seconds
+        self.urgent = urgent
 
 
 class GrantReply(Message):
--- a/src/acaciastand_standin/worker.py
+++ b/src/acaciastand_standin/worker.py
@@ -26,6 +26,8 @@
         self.attempt = int(fields["attempt"])
         self.shard = int(fields["shard"])
         self.batch_class = str(fields["batch_class"])
+        self.urgent = bool(fields.get("urgent", False))
+        self.limit_cores = 0.0  # 0 for no limit
         self.size = dict(fields["size"])
         self.run_seconds = float(fields["run_seconds"])
         self.progress = progress_of(str(fields["checkpoint"]))
@@ -57,7 +59,9 @@
     Attributes
     ----------
     usage_factor
-        Reported use as a multiple of the declared size.
+        Use of cores and accelerators as a multiple of the declared size.
+    memory_factor
+        Use of memory as a multiple of the declared size.
     fail_starts
         Refuse to start any task.
     guard
@@ -70,6 +74,7 @@
         self.incarnation = uuid.uuid4().hex
         self.session = ""
         self.usage_factor = 1.0
+        self.memory_factor = 1.0
         self.fail_starts = False
         self.tasks: dict[str, Task] = {}
         self.stopped: dict[str, int] = {}
@@ -88,7 +93,8 @@
         for task in self.tasks.values():
             if task.state != "running":
                 continue
-            task.progress += max(0.0, elapsed - max(0.0, now - task.lease_until))
+            ran = max(0.0, elapsed - max(0.0, now - task.lease_until))
+            task.progress += ran * self._speed(task)
             if task.progress >= task.run_seconds:
                 self._end_run(task, "finished", now)
             elif now >= task.lease_until:
@@ -124,14 +130,21 @@
             "tasks": [self._listed(task, now) for task in self.tasks.values()],
         }
 
+    def _speed(self, task: Task) -> float:
+        wanted = task.size["cores"] * self.usage_factor
+        return min(1.0, task.limit_cores / wanted) if task.limit_cores and wanted else 1.0
+
     def _listed(self, task: Task, now: float) -> dict[str, Any]:
         lagging = now - task.started < USAGE_LAG_SECONDS
         factor = 0.0 if lagging else self.usage_factor
         usage = {name: amount * factor for name, amount in task.size.items()}
-        names = ("task_id", "attempt", "shard", "batch_class", "state", "size", "lease_until")
+        usage["memory_mb"] = task.size["memory_mb"] * (self.memory_factor if factor else 0.0)
+        usage["cores"] *= self._speed(task)
+        names = ("task_id", "attempt", "shard", "batch_class", "urgent", "state", "size")
         fields = {name: getattr(task, name) for name in names}
         return {
             **fields,
+            "lease_until": task.lease_until,
             "usage": usage,
             "checkpoint": task.checkpoint,
             "run_seconds": task.progress,
@@ -168,6 +181,8 @@
         if task is None or task.attempt != attempt:
             return 404, {"code": "unknown_task"}
         now = time.monotonic()
+        if call == "throttle":
+            task.limit_cores = float(fields["cores"])
         if call == "checkpoint":
             return 200, {"checkpoint": task.checkpoint}
         if call == "pause":
@@ -219,6 +234,7 @@
 
     def _set_faults(self, fields: dict[str, Any]) -> Answer:
         self.usage_factor = float(fields.get("usage_factor", self.usage_factor))
+        self.memory_factor = float(fields.get("memory_factor", self.memory_factor))
         self.fail_starts = bool(fields.get("fail_starts", self.fail_starts))
         self.guard = bool(fields.get("guard", self.guard))
         return 200, {}
