--- a/features/pressure.feature
+++ b/features/pressure.feature
@@ -38,8 +38,8 @@
 
     Examples:
       | tail | batch | share |
-      | 0.6  | 0.2   | 0.25  |
-      | 0.2  | 0.6   | 0.15  |
+      | 0.6  | 0.2   | 0.175 |
+      | 0.2  | 0.6   | 0.125 |
 
   # Guards against evictions in an order that loses more work than needed.
   Scenario: Tasks are evicted in order of lost work, urgent ones last
--- a/src/acaciastand/pressure/headroom.py
+++ b/src/acaciastand/pressure/headroom.py
@@ -4,7 +4,7 @@
 
 from acaciastand.pressure.weights import Weights
 
-SURGE_HEADROOM = 0.2  # added in a surge when only tail latency counts
+SURGE_HEADROOM = 0.1  # added in a surge when only tail latency counts; see docs/decisions/rain.md
 MAX_HEADROOM = 0.5  # a higher base is kept, but a surge does not raise the share beyond this
 LOWER_STEP = 0.05  # the share returns to its base in steps of this size
 LOWER_SECONDS = 5.0  # time between two steps
--- a/src/acaciastand/pressure/staged.py
+++ b/src/acaciastand/pressure/staged.py
@@ -10,7 +10,7 @@
 from acaciastand.pressure.weights import Weights
 
 MAX_ROUNDS_PER_SURGE = 2  # rounds of throttling or eviction
-ROUND_SECONDS = 60.0  # outside of surges, rounds count against the limit for this long
+ROUND_SECONDS = 60.0  # a round outside of surges counts against the limit for this long
 SETTLE_SECONDS = 2.0  # reported use follows a command by up to a poll interval and the lag
 CHECKPOINT_SECONDS = 1.0  # between the checkpoint and the eviction of a task
 QUIET_SECONDS = 5.0  # time within the budget before the first step back
@@ -87,8 +87,9 @@
     # Private
 
     def _begin(self, view: HostView, now: float) -> None:
-        expired = not view.surging and now - self._last_round >= ROUND_SECONDS
-        if expired or (view.surging and not self._surging):
+        # A round just before the surge was detected belongs to it: noisy tasks come with the rain.
+        begins = view.surging and not self._surging
+        if (begins or not view.surging) and now - self._last_round >= ROUND_SECONDS:
             self.rounds = 0
         self._surging = view.surging
         present = {_name(task): task for task in view.batch}
@@ -225,7 +226,6 @@
     def _end(self, tasks: list[TaskView]) -> list[Action]:
         limited = [task for task in tasks if _name(task) in self.limits]
         self.stage = Stage.NORMAL
-        self.rounds = 0
         self.limits, self._demand = {}, {}
         return [task.action(ActionKind.RELEASE, Cause.CORES) for task in limited]
 
