Replace unchanged lists of held attempts in heartbeats by digests

Ruled out: a digest that the owner computes from its own view, because epoch and end of an attempt, which decide about renewal, are known only from the list; deltas, because they need state that both ends agree on. Change: the entry remembers the last list of each connection and expands a digest to it, so that the owner decides on the same list as before. A reply renews by digest only if it renews everything the agent held in the entry's shards; the agent applies it to what it held when it sent that heartbeat. An unknown digest is not given to the owner, which would take it for an empty list. Fields are at the end; ends of the version before exchange lists. Check: the shard machine carries digests; an owner that answers every digest with a full renewal runs tasks in two places in two scripts.

--- a/features/machines/shard_world.py
+++ b/features/machines/shard_world.py
@@ -35,6 +35,14 @@
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.scheduling import Scheduler
 from acaciastand.shard.shard import Shard
+from acaciastand.wire.held import ENDED_STATE, KnownHeld, SentHeld
+from acaciastand.wire.messages import (
+    AttemptName,
+    Heartbeat,
+    HeartbeatReply,
+    HeldAttempt,
+    ShardEpoch,
+)
 
 STEP_SECONDS = 0.25
 HEARTBEAT_SECONDS = 1.0
@@ -177,6 +185,8 @@
         self.free = Resources(CORES, 1000, 0)
         self.incarnation = agent.worker.incarnation
         self.waiting = {}
+        self.sent_held = SentHeld()
+        self.known_held = KnownHeld()
 
     def send(self, end, kind, *payload):
         """Queue a message towards `end` and return whether the connection is open."""
@@ -289,7 +299,13 @@
         link.sequence += 1
         link.next_heartbeat = self.world.time + HEARTBEAT_SECONDS
         self.host.heartbeat_sent(link.name, link.sequence, self.clock.now())
-        link.send("owner", "heartbeat", link.sequence, self.host.free, self.held())
+        listed = [
+            HeldAttempt(0, epoch, task_id, number, ENDED_STATE if ended else "running")
+            for task_id, number, epoch, ended in self.held()
+        ]
+        message = link.sent_held.abbreviate(Heartbeat(link.sequence, attempts=listed))
+        self.world.digests += bool(message.digest)
+        link.send("owner", "heartbeat", link.sequence, self.host.free, message)
 
     def report(self, link):
         """Report ended attempts to the owner as far as the agent knows it."""
@@ -305,7 +321,10 @@
         """Handle a message of an owner."""
         now = self.clock.now()
         if kind == "reply":
-            sequence, owned, renewed = payload
+            (reply,) = payload
+            sequence = reply.sequence
+            owned = {item.shard: item.epoch for item in reply.owned_shards}
+            renewed = [(n.task_id, n.attempt) for n in link.sent_held.renewed(reply)]
             link.owned = owned
             for shard, epoch in owned.items():
                 self.host.observe_epoch(shard, epoch)
@@ -441,11 +460,9 @@
         if kind == "hello":
             self.contact(link, 0, payload[0])
         elif kind == "heartbeat":
-            sequence, link.free, held = payload
+            sequence, link.free, message = payload
             link.received_sequence = max(link.received_sequence, sequence)
-            renewed = self.contact(link, sequence, held)
-            owned = {0: self.shard.state.epoch} if self.shard is not None else {}
-            link.send("agent", "reply", sequence, owned, renewed)
+            link.send("agent", "reply", self.reply(link, message.replace()))
         elif self.shard is None:
             return
         elif kind == "granted":
@@ -455,6 +472,19 @@
         elif kind == "report":
             self.report(link, *payload)
 
+    def reply(self, link, message):
+        """Return the reply to a heartbeat; a digest of an unknown list asks for the list."""
+        known = link.known_held.expand(message)
+        held = [
+            (item.task_id, item.attempt, item.epoch, item.state == ENDED_STATE)
+            for item in message.attempts
+        ]
+        renewed = self.contact(link, message.sequence, held) if known else []
+        owned = [ShardEpoch(0, self.shard.state.epoch)] if self.shard is not None else []
+        names = [AttemptName(*name) for name in renewed]
+        reply = HeartbeatReply(message.sequence, 0, owned, names)
+        return link.known_held.abbreviate(message, reply) if known else reply
+
     def contact(self, link, sequence, held):
         """Take in a hello or heartbeat and return the renewed attempts."""
         if self.shard is None:
@@ -669,6 +699,7 @@
         self.cancelled = set()
         self.resumed = {}
         self.takeovers = 0
+        self.digests = 0
         self.job_count = 0
         self.buckets = buckets
         self.oracle = Oracle(self)
--- a/features/shard_machine.feature
+++ b/features/shard_machine.feature
@@ -12,6 +12,7 @@
   Scenario Outline: Guard "<guard>" against <case>
     When the script "<case>" runs on the shard world
     Then the shard world shows no violation
+    And agents sent digests in place of lists
     When the script "<case>" runs without the guard "<guard>"
     Then the shard world shows "<violation>"
 
@@ -29,6 +30,8 @@
       | eviction twice in a row with lost reports          | checkpoint with the end     | not the checkpoint |
       | release by an owner that never reached the host    | unconfirmed at release      | runs in two places |
       | cancellation during eviction and takeover          | cancelled tasks do not wait | lost or never      |
+      | takeover while host and new owner are cut off      | digest only of the same renewals | runs in two places |
+      | restarted agent that reaches only the former owner | digest only of the same renewals | runs in two places |
 
   Scenario Outline: Urgent work starts within 9 s when its owner <fault> <moment>
     Given a shard world with two free workers
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -13,6 +13,7 @@
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import CorruptJournal, ShardState, TaskState
+from acaciastand.wire.held import KnownHeld, names_digest, renewable
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.shard_machine import ShardMachine
@@ -78,7 +79,16 @@
     return TaskState.DONE if end == AttemptEnd.COMPLETED else TaskState.WAITING
 
 
+def renew_all_by_digest(self, heartbeat, reply):
+    reply.knows_held = True
+    if heartbeat.digest:
+        names = renewable(self.held, reply.owned_shards)
+        reply.renewed_digest, reply.renewed = names_digest(names), []
+    return reply
+
+
 REMOVED = {
+    "digest only of the same renewals": (KnownHeld, "abbreviate", renew_all_by_digest),
     "wait of a new owner": (Timings, "takeover_seconds", Timings.expiry_seconds),
     "outage hold": (Authority, "__init__", no_hold),
     "expiry of the grant": (Timings, "expiry_seconds", lambda self: 1.0),
@@ -112,7 +122,8 @@
 def run_script(context, case):
     context.violation = None
     try:
-        SCRIPTS[case]().finale()
+        context.world = SCRIPTS[case]()
+        context.world.finale()
     except VIOLATIONS as error:
         context.violation = str(error)
 
@@ -148,6 +159,11 @@
     run_script(context, case)
 
 
+@then("agents sent digests in place of lists")
+def step_digests(context):
+    assert context.world.digests, "every heartbeat carried its list"
+
+
 @when('the script "{case}" runs without the guard "{guard}"')
 def step_without_guard(context, case, guard):
     with patch.object(*REMOVED[guard]):
--- a/src/acaciastand/agent/link.py
+++ b/src/acaciastand/agent/link.py
@@ -12,6 +12,7 @@
 
 from acaciastand.errors import AcaciastandError
 from acaciastand.wire.connection import Connection, dial
+from acaciastand.wire.held import SentHeld
 from acaciastand.wire.messages import (
     Heartbeat,
     HeartbeatReply,
@@ -82,6 +83,7 @@
         self.owned: dict[int, int] = {}
         self.heartbeat_seconds = 1.0
         self.beat_now = Event()
+        self.sent_held = SentHeld()
         self._unanswered = 0
         self._task: gevent.Greenlet | None = None
 
@@ -122,6 +124,7 @@
         self.name = f"{self.address}#{next(self._numbers)}"
         connection = dial(self.address, lambda _connection, message: self._handle(message))
         self.connection = connection
+        self.sent_held = SentHeld()
         welcome = connection.request(self.events.hello(), HELLO_SECONDS)
         if not isinstance(welcome, Welcome):
             raise AcaciastandError(
@@ -149,7 +152,7 @@
         gevent.wait([connection.closed, self.beat_now], self.heartbeat_seconds, count=1)
 
     def _send_heartbeat(self, connection: Connection, sequence: int) -> None:
-        message = self.events.heartbeat(self, sequence)
+        message = self.sent_held.abbreviate(self.events.heartbeat(self, sequence))
         limit = self.heartbeat_seconds * MAX_UNANSWERED_HEARTBEATS
         try:
             reply = connection.request(message, limit)
@@ -158,7 +161,10 @@
         if isinstance(reply, HeartbeatReply) and connection is self.connection:
             self._unanswered = 0
             self.set_owned(reply.owned_shards)
+            reply.renewed = self.sent_held.renewed(reply)
             self.events.heartbeat_answered(self, reply)
+            if message.digest and not reply.knows_held:
+                self.beat_now.set()  # the entry asks for the list
 
     def _handle(self, message: Message) -> Message | None:
         return self.events.received(self, message)
--- a/src/acaciastand/entry/agents.py
+++ b/src/acaciastand/entry/agents.py
@@ -8,6 +8,7 @@
 from acaciastand.record import Record
 from acaciastand.routing import Router, TargetView
 from acaciastand.wire.connection import Connection
+from acaciastand.wire.held import KnownHeld
 from acaciastand.wire.messages import Heartbeat, Hello, Message
 
 MAX_AGENTS = 8192  # agents connected to one entry
@@ -58,6 +59,7 @@
         "heartbeat_seconds",
         "last_heartbeat_sequence",
         "last_heard",
+        "known_held",
     )
 
     def __init__(self, connection: Connection, hello: Hello, now: float) -> None:
@@ -81,6 +83,7 @@
         self.heartbeat_seconds = HEARTBEAT_SECONDS
         self.last_heartbeat_sequence = 0
         self.last_heard = now
+        self.known_held = KnownHeld()
 
     @property
     def leaving(self) -> bool:
@@ -111,7 +114,8 @@
         self.settings_revision = heartbeat.settings_revision
         self.target_healthy = heartbeat.target_healthy
         self.draining = heartbeat.draining
-        self.attempts = heartbeat.attempts
+        if self.known_held.expand(heartbeat):
+            self.attempts = heartbeat.attempts
         return True
 
     def is_silent(self, now: float) -> bool:
--- a/src/acaciastand/entry/desk.py
+++ b/src/acaciastand/entry/desk.py
@@ -147,15 +147,17 @@
     def _on_heartbeat(self, session: AgentSession, heartbeat: Heartbeat) -> Message | None:
         if not self.registry.heartbeat(session, heartbeat, self.clock()):
             return None  # late or of an ended session; no grant may be renewed from it
-        renewed = self.owner.on_heartbeat(session, heartbeat)
+        known = session.known_held.knows(heartbeat)
+        renewed = self.owner.on_heartbeat(session, heartbeat) if known else []
         if heartbeat.settings_revision < self.settings.revision and not self._pushes.full():
             self._pushes.spawn(self._push, session)  # the update was lost or is under way
-        return HeartbeatReply(
+        reply = HeartbeatReply(
             sequence=heartbeat.sequence,
             settings_revision=self.settings.revision,
             owned_shards=self.owner.owned_shards(),
             renewed=renewed,
         )
+        return session.known_held.abbreviate(heartbeat, reply) if known else reply
 
     def _on_report(self, session: AgentSession, report: AttemptReport) -> Message | None:
         try:
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -216,7 +216,9 @@
     free
         Resources not taken by held attempts and the service.
     attempts
-        All held attempts.
+        All held attempts; empty when `digest` stands for them.
+    digest
+        Digest of a list that the entry has confirmed to know; 0 when `attempts` is the list.
     """
 
     __slots__ = (
@@ -227,6 +229,7 @@
         "target_healthy",
         "draining",
         "attempts",
+        "digest",
     )
     type_number = 4
     nested = {"free": Resources}
@@ -241,6 +244,7 @@
         target_healthy: bool = True,
         draining: bool = False,
         attempts: list[HeldAttempt] | None = None,
+        digest: int = 0,
     ) -> None:
         self.sequence = sequence
         self.in_flight = in_flight
@@ -249,6 +253,7 @@
         self.target_healthy = target_healthy
         self.draining = draining
         self.attempts = attempts or []
+        self.digest = digest
 
 
 class HeartbeatReply(Message):
@@ -266,9 +271,22 @@
         Attempts that are current and renewed.
     grant_seconds
         Length of the renewed grants; 0 leaves the length of the first grant.
+    knows_held
+        Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
+    renewed_digest
+        Digest that stands for `renewed`: everything is renewed that the agent held in shards of
+        `owned_shards` when it sent the heartbeat; 0 when `renewed` is the list.
     """
 
-    __slots__ = ("sequence", "settings_revision", "owned_shards", "renewed", "grant_seconds")
+    __slots__ = (
+        "sequence",
+        "settings_revision",
+        "owned_shards",
+        "renewed",
+        "grant_seconds",
+        "knows_held",
+        "renewed_digest",
+    )
     type_number = 5
     nested_lists = {"owned_shards": ShardEpoch, "renewed": AttemptName}
 
@@ -279,12 +297,16 @@
         owned_shards: list[ShardEpoch] | None = None,
         renewed: list[AttemptName] | None = None,
         grant_seconds: float = 0.0,
+        knows_held: bool = False,
+        renewed_digest: int = 0,
     ) -> None:
         self.sequence = sequence
         self.settings_revision = settings_revision
         self.owned_shards = owned_shards or []
         self.renewed = renewed or []
         self.grant_seconds = grant_seconds
+        self.knows_held = knows_held
+        self.renewed_digest = renewed_digest
 
 
 class Execute(Message):
