Measure records, owner, agent and a fleet of idle agents

Cause: most rows of the capacity page needed slopes that nothing had measured. Agent and fleet are not measured yet.

--- a/src/acaciastand_lab/bench.py
+++ b/src/acaciastand_lab/bench.py
@@ -5,10 +5,16 @@
 import sys
 from collections.abc import Callable
 
-from acaciastand_lab import bench_wire
+from acaciastand_lab import bench_agent, bench_fleet, bench_memory, bench_shard, bench_wire
 from acaciastand_lab.measurements import MEASUREMENTS_FILE, Slope, save
 
-SECTIONS: dict[str, Callable[[], list[Slope]]] = {"wire": bench_wire.measure}
+SECTIONS: dict[str, Callable[[], list[Slope]]] = {
+    "wire": bench_wire.measure,
+    "memory": bench_memory.measure,
+    "shard": bench_shard.measure,
+    "agent": bench_agent.measure,
+    "fleet": bench_fleet.measure,
+}
 
 
 def main() -> None:
--- a/src/acaciastand_lab/bench_wire.py
+++ b/src/acaciastand_lab/bench_wire.py
@@ -20,6 +20,7 @@
 from acaciastand.resources import Resources
 from acaciastand.wire.codec import encode
 from acaciastand.wire.connection import Connection, Listener, dial
+from acaciastand.wire.held import KnownHeld, SentHeld, held_digest, names_digest
 from acaciastand.wire.messages import (
     AttemptName,
     AttemptReport,
@@ -41,6 +42,7 @@
 TCP_IP_BYTES = 52  # IPv4 and TCP headers with timestamps; acknowledgements travel with replies
 MASK_BYTES = 4  # a client masks its frames
 SMALL_FRAME = 126
+OWNED = [ShardEpoch(12 + 76 * number, 7) for number in range(8)]  # shards of one entry
 TASK_ID = "j12-a1b2c3d4e5f6/7"
 
 
@@ -62,7 +64,18 @@
 def sample_reply(attempts: int) -> HeartbeatReply:
     """Return the reply that renews `attempts` attempts."""
     renewed = [AttemptName(TASK_ID, 2) for _ in range(attempts)]
-    return HeartbeatReply(100_000, 70_000, [ShardEpoch(12, 7)], renewed)
+    return HeartbeatReply(100_000, 70_000, OWNED, renewed)
+
+
+def digest_heartbeat() -> Heartbeat:
+    """Return a heartbeat with a digest in place of its list."""
+    return sample_heartbeat(0).replace(digest=held_digest(sample_heartbeat(8).attempts))
+
+
+def digest_reply(renewed: int = 8) -> HeartbeatReply:
+    """Return the reply that renews everything by digest."""
+    digest = names_digest(sample_reply(renewed).renewed)
+    return sample_reply(0).replace(knows_held=True, renewed_digest=digest)
 
 
 def measure_bytes() -> list[Slope]:
@@ -88,6 +101,8 @@
             GrantAttempt(12, 7, TASK_ID, 2, size, 9.4, "c" * 40, "print-run", 100_000, 15.0),
             False,
         ),
+        ("bytes.heartbeat_digest", digest_heartbeat(), True),
+        ("bytes.heartbeat_digest_reply", digest_reply(), False),
         ("bytes.grant_reply", GrantReply(12, TASK_ID, 2, True, ""), True),
         ("bytes.report", AttemptReport(12, TASK_ID, 2, "done", "", size, 9.4, ""), True),
         ("bytes.report_confirmed", ReportConfirmed(12, TASK_ID, 2), False),
@@ -135,22 +150,25 @@
 
 def measure_processor() -> list[Slope]:
     """Return processor seconds per heartbeat round trip at each end, with 8 attempts listed."""
-    near: list[float] = []
-    far: list[float] = []
-    with far_end() as (address, process):
-        connection = _open(address, 1)[0]
-        _round_trips(connection, 200)
-        for count in ROUND_TRIPS:
-            far_before = _processor_seconds(process)
-            near_before = time.process_time()
-            _round_trips(connection, count)
-            near.append(time.process_time() - near_before)
-            far.append(_processor_seconds(process) - far_before)
-        connection.close()
-    return [
-        fit("processor.heartbeat_sender", "seconds per heartbeat", ROUND_TRIPS, near),
-        fit("processor.heartbeat_receiver", "seconds per heartbeat", ROUND_TRIPS, far),
-    ]
+    slopes = []
+    for prefix, work in (("heartbeat", _list_round_trips), ("digest", _digest_round_trips)):
+        near: list[float] = []
+        far: list[float] = []
+        with far_end() as (address, process):
+            connection = _open(address, 1)[0]
+            work(connection, 200)
+            for count in ROUND_TRIPS:
+                far_before = _processor_seconds(process)
+                near_before = time.process_time()
+                work(connection, count)
+                near.append(time.process_time() - near_before)
+                far.append(_processor_seconds(process) - far_before)
+            connection.close()
+        slopes += [
+            fit(f"processor.{prefix}_sender", "seconds per heartbeat", ROUND_TRIPS, near),
+            fit(f"processor.{prefix}_receiver", "seconds per heartbeat", ROUND_TRIPS, far),
+        ]
+    return slopes
 
 
 def _open(address: str, count: int) -> list[Connection]:
@@ -160,10 +178,24 @@
     return connections
 
 
-def _round_trips(connection: Connection, count: int) -> None:
-    heartbeat = sample_heartbeat(8)
-    for _ in range(count):
-        connection.request(heartbeat, 5.0)
+def _list_round_trips(connection: Connection, count: int) -> None:
+    sent = SentHeld()
+    for sequence in range(1, count + 1):
+        heartbeat = sample_heartbeat(8).replace(sequence=sequence)
+        sent.known = 0  # as if the list had changed since the last heartbeat
+        reply = connection.request(sent.abbreviate(heartbeat), 5.0)
+        assert isinstance(reply, HeartbeatReply)
+        assert len(sent.renewed(reply)) == 8
+
+
+def _digest_round_trips(connection: Connection, count: int) -> None:
+    # Both ends do all that the daemons do for a digest; the first heartbeat carries the list.
+    sent = SentHeld()
+    for sequence in range(1, count + 1):
+        heartbeat = sample_heartbeat(8).replace(sequence=sequence)
+        reply = connection.request(sent.abbreviate(heartbeat), 5.0)
+        assert isinstance(reply, HeartbeatReply)
+        assert len(sent.renewed(reply)) == 8
 
 
 def _processor_seconds(process: psutil.Process) -> float:
@@ -176,8 +208,15 @@
     return [*measure_bytes(), *measure_memory(), *measure_processor()]
 
 
-def _answer(_connection: Connection, message: Message) -> Message | None:
-    return sample_reply(len(message.attempts)) if isinstance(message, Heartbeat) else None
+def _answer(connection: Connection, message: Message) -> Message | None:
+    if not isinstance(message, Heartbeat):
+        return None
+    if connection.user_data is None:
+        connection.user_data = KnownHeld()
+    known: KnownHeld = connection.user_data
+    expanded = known.expand(message)
+    reply = sample_reply(len(message.attempts)).replace(sequence=message.sequence)
+    return known.abbreviate(message, reply) if expanded else reply
 
 
 def main() -> None:
--- a/src/acaciastand_lab/capacity_rows.py
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from acaciastand.record import Record
+from acaciastand.shard.limits import MAX_EVENTS_PER_COMMIT, MAX_JOBS, MAX_TASKS
 from acaciastand_lab.measurements import Slope
 from acaciastand_lab.scale import SECONDS_PER_DAY, Scale
 
@@ -114,9 +116,46 @@
             self.rows.append(Row(quantity, None, unit, limit, mechanism, str(missing)))
 
 
-def heartbeat_bytes(scale: Scale, slopes: Slopes) -> float:
-    """Return the bytes of one heartbeat of an agent."""
-    return slopes.at("bytes.heartbeat", scale.attempts_per_agent)
+LONG_TASK_SECONDS = 600.0  # run time of the rows for long tasks
+
+
+def long_tasks(scale: Scale) -> Scale:
+    """Return the deployment with as many running tasks that each run for ten minutes."""
+    return scale.replace(starts=scale.batch_running / LONG_TASK_SECONDS)
+
+
+def heartbeat_bytes(scale: Scale, slopes: Slopes, name: str, digest_name: str) -> float:
+    """Return the mean bytes of a heartbeat or of its reply, with lists and digests."""
+    listed = slopes.at(name, scale.attempts_per_agent)
+    share = scale.digest_share
+    return share * slopes.per_item(digest_name) + (1.0 - share) * listed
+
+
+def bytes_up(scale: Scale, slopes: Slopes) -> float:
+    """Return the mean bytes of one heartbeat of an agent."""
+    return heartbeat_bytes(scale, slopes, "bytes.heartbeat", "bytes.heartbeat_digest")
+
+
+def bytes_down(scale: Scale, slopes: Slopes) -> float:
+    """Return the mean bytes of the reply to a heartbeat."""
+    return heartbeat_bytes(scale, slopes, "bytes.heartbeat_reply", "bytes.heartbeat_digest_reply")
+
+
+def heartbeat_seconds(scale: Scale, slopes: Slopes, end: str) -> float:
+    """Return the mean processor seconds of a heartbeat at one end."""
+    share = scale.digest_share
+    listed = slopes.per_item(f"processor.heartbeat_{end}")
+    return share * slopes.per_item(f"processor.digest_{end}") + (1.0 - share) * listed
+
+
+def digest_percent(scale: Scale) -> float:
+    """Return the share of heartbeats with a digest in percent."""
+    return 100.0 * scale.digest_share
+
+
+def scaled(factor: float, value: Callable[[], float]) -> float:
+    """Return a multiple of a value that may not have been measured."""
+    return factor * value()
 
 
 def start_bytes(slopes: Slopes) -> float:
@@ -125,10 +164,22 @@
     return sum(slopes.per_item(name) for name in names)
 
 
+def agent_memory(scale: Scale, slopes: Slopes, name: str) -> float:
+    """Return the memory of a connected agent in MB; `name` is a reading of smaps_rollup."""
+    connections = scale.connections_per_agent * slopes.per_item("memory.connection_dialled")
+    held = slopes.at(f"memory.agent_{name}", scale.attempts_per_agent)
+    return (held + connections) / MB
+
+
+def megabytes(slopes: Slopes, name: str) -> float:
+    """Return the value per item of a slope in MB."""
+    return slopes.per_item(name) / MB
+
+
 def agent_rows(scale: Scale, slopes: Slopes) -> list[Row]:
     """Return the rows of the agent."""
     table = Table()
-    beats = scale.entry_fanout / scale.heartbeat_seconds
+    beats = scale.connections_per_agent / scale.heartbeat_seconds
     starts = scale.starts / scale.workers
     table.add(
         "batch attempts held",
@@ -137,12 +188,15 @@
         "ledger of `host.Host`, bounded",
     )
     table.add(
-        "connections", lambda: scale.entry_fanout, "connections", "`entry_fanout`, nearest first"
+        "connections",
+        lambda: scale.connections_per_agent,
+        "connections",
+        "`entry_fanout`, nearest first, and the owners of the shards it runs tasks of",
     )
     table.add(
         "control bytes out",
         lambda: (
-            beats * heartbeat_bytes(scale, slopes)
+            beats * bytes_up(scale, slopes)
             + starts * (slopes.per_item("bytes.grant_reply") + slopes.per_item("bytes.report"))
         ),
         "bytes a second",
@@ -152,9 +206,9 @@
     table.add(
         "control bytes in",
         lambda: (
-            beats * slopes.at("bytes.heartbeat_reply", scale.attempts_per_agent)
+            beats * bytes_down(scale, slopes)
             + starts * (slopes.per_item("bytes.grant") + slopes.per_item("bytes.report_confirmed"))
-            + scale.changes * scale.entry_fanout * slopes.per_item("bytes.settings_update")
+            + scale.changes * scale.connections_per_agent * slopes.per_item("bytes.settings_update")
         ),
         "bytes a second",
         "settings pushed once per connection, only effective values",
@@ -163,36 +217,31 @@
     table.add(
         "processor for control",
         lambda: (
-            beats * slopes.per_item("processor.heartbeat_sender")
+            beats * heartbeat_seconds(scale, slopes, "sender")
             + starts * slopes.per_item("processor.attempt_agent")
         ),
         "of a core",
         "heartbeats and attempts; requests are the service's own work",
         PROCESSOR_LIMIT,
     )
-    table.add(
-        "memory, proportional",
-        lambda: (
-            slopes.find("memory.agent_proportional").base / MB
-            + scale.entry_fanout * slopes.per_item("memory.connection_dialled") / MB
-        ),
-        "MB",
-        "no HTTP server framework and no command-line framework in the process",
-        MEMORY_LIMIT_MB,
-    )
-    table.add(
-        "memory, resident",
-        lambda: slopes.find("memory.agent_resident").base / MB,
-        "MB",
-        "shared pages of the interpreter and libraries counted in full",
-        MEMORY_LIMIT_MB,
-    )
-    table.add(
-        "memory, anonymous",
-        lambda: slopes.find("memory.agent_anonymous").base / MB,
-        "MB",
-        "what the process alone adds to its host",
-    )
+    for name, limit, mechanism in (
+        ("resident", MEMORY_LIMIT_MB, "the limit is held to this reading"),
+        ("proportional", None, "shared pages are divided by the processes that map them"),
+        ("anonymous", None, "what the process alone adds to its host"),
+    ):
+        table.add(
+            f"memory, {name}",
+            partial(agent_memory, scale, slopes, name),
+            "MB",
+            mechanism,
+            limit,
+        )
+        table.add(
+            f"memory before any connection, {name}",
+            partial(megabytes, slopes, f"memory.agent_started_{name}"),
+            "MB",
+            "interpreter and libraries",
+        )
     return table.rows
 
 
@@ -205,27 +254,48 @@
     table.add(
         "peer connections", lambda: max(peers, 0.0), "connections", "full mesh within a region"
     )
-    table.add(
-        "heartbeat bytes in",
-        lambda: beats * heartbeat_bytes(scale, slopes),
-        "bytes a second",
-        "interval up to 5 s; a digest of attempts in place of the list would carry it",
-        BYTES_LIMIT,
-    )
-    table.add(
-        "heartbeat bytes out",
-        lambda: beats * slopes.at("bytes.heartbeat_reply", scale.attempts_per_agent),
-        "bytes a second",
-        "a digest confirmed in place of the list would carry it",
-        BYTES_LIMIT,
-    )
-    table.add(
-        "processor for heartbeats",
-        lambda: beats * slopes.per_item("processor.heartbeat_receiver"),
+    for case, at in (("at the peak", scale), ("tasks of 10 minutes", long_tasks(scale))):
+        table.add(
+            f"heartbeats with a digest, {case}",
+            partial(digest_percent, at),
+            "%",
+            "worked out from starts and ends; each changes the set",
+        )
+        table.add(
+            f"heartbeat bytes in, {case}",
+            partial(scaled, beats, partial(bytes_up, at, slopes)),
+            "bytes a second",
+            "listing only the attempts of the receiver's shards, or more entries, would carry it",
+            BYTES_LIMIT,
+        )
+        table.add(
+            f"heartbeat bytes out, {case}",
+            partial(scaled, beats, partial(bytes_down, at, slopes)),
+            "bytes a second",
+            "more entries divide it; 74 of the bytes are headers and owned shards",
+            BYTES_LIMIT,
+        )
+        table.add(
+            f"processor for heartbeats, {case}",
+            partial(scaled, beats, partial(heartbeat_seconds, at, slopes, "receiver")),
+            "of a core",
+            "entries are few and larger than agents; more entries per zone divide it",
+            PROCESSOR_LIMIT,
+        )
+    table.add(
+        "whole entry with idle agents, processor",
+        lambda: slopes.at("processor.entry_agent", scale.agents_per_entry),
         "of a core",
-        "entries are few and larger than agents; more entries per zone divide it",
+        "measured up to 300 agents, worked out above",
         PROCESSOR_LIMIT,
     )
+    table.add(
+        "whole entry with idle agents, resident memory",
+        lambda: slopes.at("memory.entry_agent", scale.agents_per_entry) / MB,
+        "MB",
+        "measured up to 300 agents, worked out above",
+        MEMORY_LIMIT_MB,
+    )
     table.add(
         "memory of connections and agents",
         lambda: (
@@ -276,7 +346,28 @@
         "processor for starts",
         lambda: starts * slopes.per_item("processor.start_owner"),
         "of a core",
-        "placement, commit and grant",
+        "placement, commit, grant and report; more owners divide it",
+        PROCESSOR_LIMIT,
+    )
+    table.add(
+        "processor for placement rounds",
+        lambda: (
+            scale.shards_per_entry
+            / scale.commit_seconds
+            * scale.agents_per_entry
+            * slopes.per_item("processor.placement_round")
+        ),
+        "of a core",
+        "a round copies the views of all workers; views kept between rounds would carry it",
+        PROCESSOR_LIMIT,
+    )
+    table.add(
+        "processor for renewals",
+        lambda: (
+            scale.owned_per_entry / scale.heartbeat_seconds * slopes.per_item("processor.renewal")
+        ),
+        "of a core",
+        "one look-up for each attempt",
         PROCESSOR_LIMIT,
     )
     table.add(
@@ -286,6 +377,34 @@
         "slotted classes",
         MEMORY_LIMIT_MB,
     )
+    table.add(
+        "running tasks of one shard",
+        lambda: scale.batch_running / scale.shards,
+        "tasks",
+        "`MAX_TASKS`, which counts waiting tasks as well",
+        MAX_TASKS,
+    )
+    table.add(
+        "a day's jobs of one shard",
+        lambda: scale.jobs_per_day / scale.shards,
+        "jobs",
+        "`MAX_JOBS`, if not one of them finished that day",
+        MAX_JOBS,
+    )
+    table.add(
+        "events of one commit",
+        lambda: 2 * scale.starts / scale.shards * scale.commit_seconds,
+        "events",
+        "`MAX_EVENTS_PER_COMMIT`; a start and an end are an event each",
+        MAX_EVENTS_PER_COMMIT,
+    )
+    table.add(
+        "shards that the running tasks of a region fill",
+        lambda: scale.batch_running / scale.regions / MAX_TASKS,
+        "shards",
+        "limit: the shards of a region",
+        scale.shards / scale.regions,
+    )
     return table.rows
 
 
@@ -313,6 +432,13 @@
         "push, confirmed by the next heartbeat; peers a second later",
         19.0,
     )
+    table.add(
+        "processor for changes",
+        lambda: scale.changes * slopes.per_item("processor.settings_change"),
+        "of a core",
+        "each entry applies each change; measured with 2,000 paths",
+        PROCESSOR_LIMIT,
+    )
     table.add(
         "memory of the tree",
         lambda: scale.settings_nodes * slopes.per_item("memory.settings_node") / MB,
@@ -394,7 +520,7 @@
     )
     table.add(
         "announcements a second while a zone comes back",
-        lambda: zone_agents * scale.entry_fanout / 5.0 / scale.entries_per_zone,
+        lambda: zone_agents * scale.connections_per_agent / 5.0 / scale.entries_per_zone,
         "a second and entry",
         "jitter over 5 s",
     )
--- a/src/acaciastand_lab/scale.py
+++ b/src/acaciastand_lab/scale.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from acaciastand.record import Record
 
 SECONDS_PER_DAY = 86_400
@@ -106,10 +108,31 @@
         """Entries over all availability zones."""
         return self.entries_per_zone * self.availability_zones
 
+    @property
+    def connections_per_agent(self) -> float:
+        """Entries of its region that an agent is connected to: the fan-out and shard owners.
+
+        Shards are taken as spread evenly over the entries of the region, and the attempts of an
+        agent over the shards.
+        """
+        regional = self.entries / self.regions
+        fanout = min(float(self.entry_fanout), regional)
+        owners = regional * (1.0 - (1.0 - 1.0 / regional) ** self.attempts_per_agent)
+        return fanout + owners * (1.0 - fanout / regional)
+
     @property
     def agents_per_entry(self) -> float:
         """Agents connected to one entry."""
-        return self.workers * self.entry_fanout / self.entries
+        return self.workers * self.connections_per_agent / self.entries
+
+    @property
+    def digest_share(self) -> float:
+        """Share of the heartbeats whose attempts did not change since the one before.
+
+        Starts and ends are taken as independent of each other.
+        """
+        changes = 2.0 * self.starts / self.workers * self.heartbeat_seconds
+        return math.exp(-changes)
 
     @property
     def attempts_per_agent(self) -> float:
