--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -3,7 +3,7 @@
 from behave import then, when
 from process_support import agent_with_task, other_entry, owner_of
 
-from acaciastand_lab.processes import FIRM_PATH, call, wait_until
+from acaciastand_lab.processes import call, wait_until
 
 
 def tasks_of(context, agent):
@@ -42,7 +42,8 @@
 
 @then('the restarted entry shows {value:d} for "{key}"')
 def step_restarted_shows(context, value, key):
-    url = f"{context.deployment.url(context.restarted)}/v1/settings/{FIRM_PATH}/{key}"
+    path = context.deployment.firm.region_path
+    url = f"{context.deployment.url(context.restarted)}/v1/settings/{path}/{key}"
     assert call("GET", url).json()["value"] == value
 
 
--- a/src/acaciastand/host/attempts.py
+++ b/src/acaciastand/host/attempts.py
@@ -242,6 +242,11 @@
         self.checkpoint = grant.checkpoint
         self.checkpoint_seconds = 0.0
 
+    @property
+    def extended(self) -> bool:
+        """Whether the grant now lasts longer than the lease at the worker."""
+        return self.valid_until > self.lease_until
+
     @property
     def task_id(self) -> str:
         """Task of the attempt."""
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -421,10 +421,9 @@
         if attempt.state is AttemptState.RUNNING and lapsed:
             attempt.state = AttemptState.PAUSED
             return CommandKind.PAUSE
-        extended = attempt.valid_until > attempt.lease_until
         # The worker's clock is estimated low, so a lease ends before its grant by up to the time
         # of a status call; a resume for that rest would end in one more pause.
-        if attempt.state is AttemptState.PAUSED and not lapsed and extended:
+        if attempt.state is AttemptState.PAUSED and not lapsed and attempt.extended:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
         if attempt.state is AttemptState.RUNNING and attempt.limit_cores != attempt.limit_sent:
@@ -437,7 +436,7 @@
     def _renewal_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
         due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
         running = attempt.state is AttemptState.RUNNING
-        return CommandKind.RENEW if running and due and extended else None
+        return CommandKind.RENEW if running and due and attempt.extended else None
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
--- a/src/acaciastand_lab/bench_agent.py
+++ b/src/acaciastand_lab/bench_agent.py
@@ -12,7 +12,6 @@
 
 from acaciastand_lab.measurements import Slope, fit
 from acaciastand_lab.processes import (
-    SERVICE,
     Deployment,
     call,
     call_json,
@@ -153,7 +152,7 @@
     shares = [idle_share(process) for process in pair]
     values: list[list[float]] = [[], []]
     for count in REQUEST_COUNTS:
-        work = partial(send_requests, deployment.http["entry-0"], count)
+        work = partial(send_requests, deployment.http["entry-0"], deployment.firm.service, count)
         for series, seconds in zip(values, work_seconds(pair, shares, work), strict=True):
             series.append(seconds)
     return [
@@ -162,12 +161,12 @@
     ]
 
 
-def send_requests(address: str, count: int) -> None:
+def send_requests(address: str, service: str, count: int) -> None:
     """Send idempotent requests one after the other on one connection."""
     connection = http.client.HTTPConnection(address, timeout=10.0)
     headers = {"Idempotent": "true", "Request-Timeout-Ms": "5000"}
     for _ in range(count):
-        connection.request("POST", f"/v1/services/{SERVICE}/requests", BODY, headers)
+        connection.request("POST", f"/v1/services/{service}/requests", BODY, headers)
         answer = connection.getresponse()
         answer.read()
         assert answer.status == 200, answer.status
