Spread buckets again when agents join

Cause: buckets were assigned once; an agent that joined later held none until another one left, and homes kept an uneven share for good.

Change: each shard asks the fullest home of a service for one bucket a second, only while all of its buckets in the shard have a home and another home has at least two fewer.

Before: the new owner scenario ended with 16, 16 and 0 buckets after 20 s. The new script of the shard world shows no violation, and "has two homes" with the guard "bucket ends before it moves" removed. shard_machine (33 scenarios), owner, agent and shard_bounds pass.

--- a/features/machines/shard_scripts.py
+++ b/features/machines/shard_scripts.py
@@ -1,6 +1,7 @@
 """Fault cases of the shard as scripts on a `World`, each aimed at one guard."""
 
 from acaciastand.coordination.faults import FaultKind
+from acaciastand.shard.limits import BUCKETS_PER_SERVICE
 from machines.shard_world import TIMINGS, World
 
 SETTLE_SECONDS = 8.0
@@ -296,10 +297,30 @@
     world.finale()
 
 
+def joining_agent():
+    """Let an agent join after the other one became the home of all buckets."""
+    world = World(buckets=True)
+    first, second = world.agents
+    for owner in world.owners:
+        world.cut_link(second, owner)
+    until(world, lambda: len(first.homes()) == BUCKETS_PER_SERVICE)
+    world.cut.clear()
+    # A stop is under way for so long that the next attempt could start before it arrives.
+    for owner in world.owners:
+        world.delays[(first.name, owner.name)] = 1.0
+    until(world, lambda: len(second.homes()) >= 4)
+    world.delays.clear()
+    world.advance(BUCKETS_PER_SERVICE * 1.5)
+    held = [len(agent.homes()) for agent in world.agents]
+    assert held == [BUCKETS_PER_SERVICE // 2] * 2, f"buckets are not spread: {held}"
+    return world
+
+
 SCRIPTS = {
     "takeover while host and new owner are cut off": takeover_out_of_reach,
     "silent host that comes back": silent_agent,
     "lost reply to a grant": lost_grant_reply,
+    "agent that joins and gets buckets": joining_agent,
     "agent that has not seen the new epoch": epoch_not_seen,
     "restarted agent that reaches only the former owner": restarted_agent,
     "start that its owner cannot commit": uncommitted_start,
--- a/features/owner.feature
+++ b/features/owner.feature
@@ -36,6 +36,15 @@
     When a job of 1 tasks is submitted with key "small"
     Then the agent is granted 1 attempts
 
+  Scenario: Buckets move one at a time to an agent that joins
+    Given a connected agent "w1" with 8 cores
+    And a connected agent "w2" with 8 cores
+    Then each agent holds 16 buckets of its service within 5 s
+    When agent "w3" joins
+    Then each agent holds at least 10 buckets within 20 s
+    And each moved bucket had ended at its former home before, and was without one for under 1 s
+    And no shard had more than one bucket of the service without a home
+
   Scenario: Buckets of a service are spread over its agents and a cancelled job is stopped
     Given a connected agent "w1" with 8 cores
     And a connected agent "w2" with 8 cores
--- a/features/shard_machine.feature
+++ b/features/shard_machine.feature
@@ -29,6 +29,7 @@
       | eviction twice in a row with lost reports          | checkpoint with the end     | not the checkpoint |
       | release by an owner that never reached the host    | unconfirmed at release      | runs in two places |
       | cancellation during eviction and takeover          | cancelled tasks do not wait | lost or never      |
+      | agent that joins and gets buckets                  | bucket ends before it moves | has two homes      |
 
   Scenario Outline: Urgent work starts within 9 s when its owner <fault> <moment>
     Given a shard world with two free workers
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -1,6 +1,7 @@
 """Steps on the owner service over an in-process store and scripted agents."""
 
 import time
+from collections import Counter
 
 import gevent
 from behave import given, then, when
@@ -260,3 +261,80 @@
 def step_stopped(context):
     agents = context.registry.sessions()
     wait_for(lambda: any(agent.stops for agent in agents))
+
+
+class BucketLog:
+    """Homes of buckets as their agents see them; agents report a stopped bucket at once."""
+
+    def __init__(self, service):
+        self.service = service
+        self.ended_at = {}
+        self.gaps = []
+        self.most_without_home = 0
+        self.double_homes = []
+
+    def stop(self, agent, message):
+        """End the bucket at its home and report it."""
+        held = [grant for grant in agent.grants if grant.task_id == message.task_id]
+        if not held or held[-1].attempt != message.attempt:
+            return  # the stop was repeated
+        agent.grants.remove(held[-1])
+        self.ended_at[message.task_id] = time.monotonic()
+        shards = Counter(int(name.rpartition("/")[2]) % 2 for name in self.ended_at)
+        self.most_without_home = max(self.most_without_home, *shards.values())
+        gevent.spawn(self.report, agent, message)
+
+    def report(self, agent, message):
+        """Report the stopped bucket as its agent does."""
+        report = AttemptReport(message.shard, message.task_id, message.attempt, "stopped")
+        self.service.on_report(agent, report)
+
+    def granted(self, agent, message, others):
+        """Note a grant of a bucket."""
+        name = message.task_id
+        if any(name in {grant.task_id for grant in other.grants} for other in others):
+            self.double_homes.append(name)
+        if name in self.ended_at:
+            self.gaps.append(time.monotonic() - self.ended_at.pop(name))
+
+
+@when('agent "{agent_id}" joins')
+def step_join(context, agent_id):
+    context.log = log = BucketLog(context.service)
+    step_agent(context, agent_id, 8)
+    for agent in context.registry.sessions():
+        others = [other for other in context.registry.sessions() if other is not agent]
+        original = agent.request
+
+        def request(message, seconds, agent=agent, others=others, original=original):
+            log.granted(agent, message, others)
+            return original(message, seconds)
+
+        agent.request = request
+        agent.send = lambda message, agent=agent: log.stop(agent, message)
+
+
+@then("each agent holds at least {count:d} buckets within 20 s")
+def step_rebalanced(context, count):
+    agents = context.registry.sessions()
+    deadline = time.monotonic() + 20.0
+    while not all(len(agent.grants) >= count for agent in agents) or context.log.ended_at:
+        held = {agent.agent_id: len(agent.grants) for agent in agents}
+        assert time.monotonic() < deadline, held
+        for agent in agents:
+            agent.last_heartbeat_sequence += 1
+            context.service.on_heartbeat(
+                agent, Heartbeat(agent.last_heartbeat_sequence, attempts=agent.attempts)
+            )
+        gevent.sleep(0.05)
+
+
+@then("each moved bucket had ended at its former home before, and was without one for under 1 s")
+def step_gaps(context):
+    assert context.log.gaps and max(context.log.gaps) < 1.0, context.log.gaps
+    assert not context.log.double_homes, context.log.double_homes
+
+
+@then("no shard had more than one bucket of the service without a home")
+def step_one_at_a_time(context):
+    assert context.log.most_without_home == 1, context.log.most_without_home
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -78,7 +78,17 @@
     return TaskState.DONE if end == AttemptEnd.COMPLETED else TaskState.WAITING
 
 
+def end_when_asked(self, task_id):
+    task = self.state.running[task_id]
+    end_when_asked.original(self, task_id)
+    self._end(task, AttemptEnd.STOPPED)
+
+
+end_when_asked.original = Shard.stop_bucket
+
+
 REMOVED = {
+    "bucket ends before it moves": (Shard, "stop_bucket", end_when_asked),
     "wait of a new owner": (Timings, "takeover_seconds", Timings.expiry_seconds),
     "outage hold": (Authority, "__init__", no_hold),
     "expiry of the grant": (Timings, "expiry_seconds", lambda self: 1.0),
--- a/src/acaciastand/shard/limits.py
+++ b/src/acaciastand/shard/limits.py
@@ -20,6 +20,7 @@
 CLOCK_DRIFT = 1.05  # the agent's clock may run this much slower than the owner's
 BUCKETS_PER_SERVICE = 32
 BUCKET_SETTLE_SECONDS = 2.0  # lets a service's agents connect before its buckets are spread
+REBALANCE_SECONDS = 1.0  # between two buckets of a service that a shard moves to even them out
 MAX_BUCKETS = 256  # buckets of one shard over all services
 
 
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -11,11 +11,13 @@
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
 from acaciastand.shard.job import JobSpec
+from acaciastand.shard.knowledge import GrantState
 from acaciastand.shard.limits import (
     BUCKET_SETTLE_SECONDS,
     BUCKETS_PER_SERVICE,
     MAX_BUCKETS,
     MAX_EVENTS_PER_COMMIT,
+    REBALANCE_SECONDS,
 )
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import BUCKET_PREFIX, Job, Task, TaskState, job_id_of
@@ -64,6 +66,7 @@
         self.shard_count = shard_count
         self.placer = placer
         self.estimator = estimator
+        self._rebalanced_at: dict[str, float] = {}
 
     def waiting(self) -> bool:
         """Return whether any committed job has a waiting task."""
@@ -173,7 +176,7 @@
     # Buckets
 
     def start_buckets(self, workers: Iterable[WorkerView], now: float) -> int:
-        """Assign buckets without a home, and ask draining homes to give theirs up."""
+        """Assign buckets without a home, and ask draining and overfull homes to give some up."""
         views = {view.agent_id: view for view in workers}
         homes: dict[str, list[WorkerView]] = {}
         for view in views.values():
@@ -208,8 +211,39 @@
                 held[home.agent_id] += 1
                 self.shard.start(task, home.agent_id, home.incarnation, BUCKET_SIZE)
                 started += 1
+        if all(self._has_home(task) for task in buckets):
+            self._rebalance(service, buckets, homes, now)
         return started
 
+    def _rebalance(
+        self, service: str, buckets: list[Task], homes: list[WorkerView], now: float
+    ) -> None:
+        """Ask the fullest home for one bucket if another has at least two fewer.
+
+        The bucket gets its next home like any other, after its end was reported and committed.
+        """
+        if now < self._rebalanced_at.get(service, now):
+            return
+        held = Counter({view.agent_id: 0 for view in homes})
+        held.update(task.agent_id for task in buckets if task.agent_id in held)
+        fullest = max(sorted(held), key=held.__getitem__)
+        if held[fullest] - min(held.values()) < 2:
+            return
+        # The same bucket is chosen again while the answer to a stop is outstanding.
+        moving = min(
+            (task for task in buckets if task.agent_id == fullest), key=lambda task: task.task_id
+        )
+        self._rebalanced_at[service] = now + REBALANCE_SECONDS
+        self.shard.stop_bucket(moving.task_id)
+
+    def _has_home(self, task: Task) -> bool:
+        known = self.shard.attempts.get(task.task_id)
+        answered = known is not None and known.grant_state not in (
+            GrantState.QUEUED,
+            GrantState.SENT,
+        )
+        return task.state == TaskState.RUNNING and answered
+
     def _bucket(self, task_id: str) -> Task:
         return self.shard.state.buckets.get(task_id) or Task(task_id)
 
