Refuse distant protocol versions with a counter, and announce buckets at once

Cause: a frame of a distant version was counted and logged as any foreign frame, at entries only; the agent closed the connection silently. No test ran an agent or an entry of another version against the real other side. A granted bucket was announced with the next heartbeat, up to 5 s later, and its keys were refused until then.

Ruled out: a change of decoding; versions one apart worked on both sides once the scenarios ran.

Change: VersionRefused, a ProtocolError; entries count wire.version_refused, agents agent.wire.version_refused, both log an error with the remedy. The agent sends a heartbeat as soon as it takes a bucket.

Before: the refusal scenarios found no counter and the bucket was not announced within 1 s. After: agents of version 0 and 2 are served by a real entry, a real agent runs a task for entries of version 0 and 2, versions -1 and 3 are refused, and the bucket is announced within 1 s.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -76,6 +76,25 @@
     When the entry sends the log level "" with revision 5
     Then the process logs at level "info"
 
+  Scenario Outline: An entry of protocol version <version> owns a task
+    Given the entry's frames say version <version>
+    When the entry grants a task of 0.2 s
+    Then it receives 1 reports that the task completed
+
+    Examples:
+      | version |
+      | 0       |
+      | 2       |
+
+  Scenario: An entry of a distant protocol version is refused
+    When the entry's frames say version 3
+    Then the agent counts a refused version and is not connected
+
+  Scenario: A granted bucket is announced without waiting for the heartbeat interval
+    Given the heartbeat interval is 5 s
+    When the entry grants a bucket
+    Then the bucket is announced within 1 s
+
   Scenario: A planned stop reports a running task with its progress
     When the entry grants a task of 30.0 s
     And the agent is asked to stop
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -161,6 +161,28 @@
     Then agent "a" executed 0 requests
     And agents "a" and "b" received the settings of revision 4
 
+  Scenario Outline: An agent of protocol version <version> is served
+    Given an agent "a" whose frames say version <version>
+    When agent "a" sends a heartbeat
+    Then the reply states the owner's grant length
+    When a non-idempotent request is sent with a timeout of 5000 ms
+    Then the answer is 200 from "a"
+
+    Examples:
+      | version |
+      | 0       |
+      | 2       |
+
+  Scenario Outline: An agent of protocol version <version> is refused
+    When an agent "a" whose frames say version <version> dials
+    Then no agent is a member
+    And the refused version was counted once and logged with "upgrade one version at a time"
+
+    Examples:
+      | version |
+      | -1      |
+      | 3       |
+
   Scenario: A heartbeat reply states the length of the owner's grants
     Given an agent "a" that "answers"
     When agent "a" sends a heartbeat
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -6,6 +6,7 @@
 
 import gevent
 from behave import given, then, when
+from skew import of_version
 
 from acaciastand.agent.daemon import Agent
 from acaciastand.host import BUCKETS_PER_SERVICE, Attempt, Grant
@@ -17,6 +18,7 @@
 from acaciastand.telemetry import Counters
 from acaciastand.wire.connection import Listener
 from acaciastand.wire.messages import (
+    PROTOCOL_VERSION,
     AttemptName,
     AttemptReport,
     Drain,
@@ -46,6 +48,7 @@
 
     def __init__(self):
         self.sequence = 0
+        self.version = PROTOCOL_VERSION
         self.renews = True
         self.ignored_reports = 0
         self.reports = []
@@ -54,13 +57,19 @@
         self.listener = Listener("127.0.0.1:0", self.handle)
         self.listener.start()
 
+    def say_version(self, connection):
+        send = connection._send_frame
+        connection._send_frame = lambda data, *limit: send(of_version(data, self.version), *limit)
+
     def handle(self, connection, message):
         if isinstance(message, Hello):
+            self.say_version(connection)
             self.connection = connection
             self.hello = message
             return Welcome("entry-1", 0.1, owned_shards=[ShardEpoch(1, EPOCH)])
         if isinstance(message, Heartbeat):
             self.sequence = message.sequence
+            self.listed = {held.task_id for held in message.attempts}
             held = message.attempts if self.renews else []
             renewed = [AttemptName(a.task_id, a.attempt) for a in held]
             return HeartbeatReply(message.sequence, 0, [ShardEpoch(1, EPOCH)], renewed)
@@ -320,6 +329,51 @@
     assert context.replies[0].status == 200 and dict(context.target.by_key) == {"k": 1}
 
 
+@given("the entry's frames say version {version:d}")
+def step_entry_version(context, version):
+    step_distant_entry(context, version)
+    first = context.entry.connection
+    wait_until(lambda: context.entry.connection is not first, "a new connection")
+    (link,) = context.agent.links.links.values()
+    wait_until(lambda: link.is_open and link.owned, "the entry is known as the owner")
+    wait_until(lambda: context.entry.sequence, "a heartbeat on the new connection")
+
+
+@when("the entry's frames say version {version:d}")
+def step_distant_entry(context, version):
+    context.entry.version = version
+    context.entry.sequence = 0
+    context.entry.connection.close()
+
+
+@then("the agent counts a refused version and is not connected")
+def step_refuses_version(context):
+    totals = context.agent.counters.totals
+    wait_until(lambda: totals().get("agent.wire.version_refused"), "the counter")
+    assert not any(link.is_open for link in context.agent.links.links.values())
+
+
+@given("the heartbeat interval is 5 s")
+def step_interval(context):
+    (link,) = context.agent.links.links.values()
+    link.heartbeat_seconds = 5.0
+    sequence = context.entry.sequence
+    wait_until(lambda: context.entry.sequence > sequence, "the last heartbeat at the old interval")
+
+
+@when("the entry grants a bucket")
+def step_grant_bucket(context):
+    assert context.entry.ask(grant(context, f"bucket/{SERVICE}/0", cores=0)).accepted
+
+
+@then("the bucket is announced within 1 s")
+def step_bucket_announced(context):
+    # Entries route by announcements; until then they refuse the bucket's keys.
+    with gevent.Timeout(1.0, AssertionError("the bucket was not announced")):
+        while f"bucket/{SERVICE}/0" not in context.entry.listed:
+            gevent.sleep(0.01)
+
+
 @then("the agent has announced its site")
 def step_announced_site(context):
     assert context.entry.hello.path == SITE, context.entry.hello
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps on callers' requests, with fake agents over loopback sockets."""
 
+import io
 import json
 import logging
 import time
@@ -16,6 +17,7 @@
     wait_for,
 )
 from gevent import socket
+from skew import of_version
 
 import acaciastand.entry.http as http_module
 import acaciastand.entry.http_errors as http_errors
@@ -24,8 +26,9 @@
 import acaciastand.routing.deadline as deadline_module
 import acaciastand.routing.target as target_module
 from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.logs import JsonFormatter
 from acaciastand.wire.codec import MAX_BODY_BYTES, encode
-from acaciastand.wire.connection import REPLY_BIT
+from acaciastand.wire.connection import REPLY_BIT, ConnectionClosed
 from acaciastand.wire.messages import (
     Drain,
     Execute,
@@ -354,6 +357,40 @@
     wait_for(lambda: context.entry.daemon.registry.get(name).leaving, "the settings took effect")
 
 
+@given('an agent "{name}" whose frames say version {version:d}')
+def step_agent_of_version(context, name, version):
+    agent = context.agents[name] = FakeAgent(context.stack, name)
+    agent.mangle = lambda data: [of_version(data, version)]
+    agent.dial(context.entry.address)
+
+
+@when('an agent "{name}" whose frames say version {version:d} dials')
+def step_distant_agent(context, name, version):
+    context.lines = io.StringIO()
+    handler = logging.StreamHandler(context.lines)
+    handler.setFormatter(JsonFormatter())
+    logging.getLogger().addHandler(handler)
+    context.stack.callback(logging.getLogger().removeHandler, handler)
+    try:
+        step_agent_of_version(context, name, version)
+    except ConnectionClosed:
+        return
+    raise AssertionError("the agent was welcomed")
+
+
+@then("no agent is a member")
+def step_nobody(context):
+    assert context.entry.daemon.registry.sessions() == []
+
+
+@then('the refused version was counted once and logged with "{remedy}"')
+def step_version_refused(context, remedy):
+    wait_for(lambda: context.entry.count("wire.version_refused") == 1, "the counter")
+    lines = [json.loads(line) for line in context.lines.getvalue().splitlines()]
+    (line,) = [line for line in lines if line["message"] == "protocol version refused"]
+    assert line["level"] == "error" and remedy in line["error"], line
+
+
 @when('agent "{name}" sends a heartbeat')
 def step_heartbeat(context, name):
     context.reply = context.agents[name].heartbeat()
--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -21,6 +21,7 @@
 from acaciastand.settings.process import AgentSettings
 from acaciastand.settings.schema import EffectiveSettings
 from acaciastand.telemetry import apply_level
+from acaciastand.wire.codec import ProtocolError, VersionRefused
 from acaciastand.wire.messages import (
     AttemptReport,
     Directory,
@@ -173,6 +174,15 @@
             self.counters.increment("agent.messages.unexpected")
         return None
 
+    def protocol_error(self, link: Link, error: ProtocolError) -> None:
+        """Count and log a frame that cannot be read."""
+        if isinstance(error, VersionRefused):
+            self.counters.increment("agent.wire.version_refused")
+            log.error("protocol version of %s refused: %s", link.address, error)
+            return
+        self.counters.increment("agent.wire.protocol_errors")
+        log.warning("foreign frame of %s: %s", link.address, error)
+
     def closed(self, link: Link) -> None:
         """Refuse grants of the closed connection from now on."""
         self.host.heartbeats.forget(link.name)
@@ -202,6 +212,9 @@
         reason = self.host.grant(link.name, Grant(**fields), self.clock())
         if reason is None:
             self.runner.wake.set()
+            held = self.host.ledger.find(message.task_id, message.attempt)
+            if held is not None and held.is_bucket:
+                self.links.beat_now()  # entries route by announcements; the interval is up to 5 s
         else:
             self.counters.increment(f"agent.grants.not_run.{reason}")
         return GrantReply(
--- a/src/acaciastand/agent/link.py
+++ b/src/acaciastand/agent/link.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from acaciastand.errors import AcaciastandError
+from acaciastand.wire.codec import ProtocolError
 from acaciastand.wire.connection import Connection, dial
 from acaciastand.wire.messages import (
     Heartbeat,
@@ -54,6 +55,10 @@
     def received(self, link: Link, message: Message) -> Message | None:
         """Handle a message of the entry and return the reply, if any."""
 
+    @abstractmethod
+    def protocol_error(self, link: Link, error: ProtocolError) -> None:
+        """Take note of a frame that cannot be read; the connection ends."""
+
     @abstractmethod
     def closed(self, link: Link) -> None:
         """Forget what belonged to the connection."""
@@ -120,7 +125,11 @@
 
     def _connect(self) -> None:
         self.name = f"{self.address}#{next(self._numbers)}"
-        connection = dial(self.address, lambda _connection, message: self._handle(message))
+        connection = dial(
+            self.address,
+            lambda _connection, message: self._handle(message),
+            on_protocol_error=lambda _connection, error: self.events.protocol_error(self, error),
+        )
         self.connection = connection
         welcome = connection.request(self.events.hello(), HELLO_SECONDS)
         if not isinstance(welcome, Welcome):
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -32,6 +32,7 @@
 from acaciastand.settings.confirmation import Confirmations, InForce
 from acaciastand.settings.process import EntrySettings
 from acaciastand.telemetry import Counters, apply_level
+from acaciastand.wire.codec import VersionRefused
 from acaciastand.wire.connection import Connection, Listener
 from acaciastand.wire.messages import (
     Directory,
@@ -256,6 +257,10 @@
         self.owner.on_agent_gone(session)
 
     def _protocol_error(self, _connection: Connection, error: AcaciastandError) -> None:
+        if isinstance(error, VersionRefused):
+            self.counters.increment("wire.version_refused")
+            logger.error("protocol version refused", extra={"error": str(error)})
+            return
         self.counters.increment("wire.protocol_errors")
         logger.warning("foreign frame", extra={"error": str(error)})
 
--- a/src/acaciastand/wire/codec.py
+++ b/src/acaciastand/wire/codec.py
@@ -26,6 +26,12 @@
     code = "protocol_error"
 
 
+class VersionRefused(ProtocolError):
+    """A frame's protocol version is more than one away from this one."""
+
+    code = "version_refused"
+
+
 class Frame(Record):
     """A decoded frame."""
 
@@ -61,12 +67,14 @@
     Raises
     ------
     ProtocolError
-        `data` is not a frame of a supported version and type.
+        `data` is not a frame of a known type.
+    VersionRefused
+        Its version is not supported.
     """
     items = _load_array(data)
     version, type_number, correlation_id = items[:HEADER_FIELDS]
     if not isinstance(version, int) or abs(version - PROTOCOL_VERSION) > 1:
-        raise ProtocolError(
+        raise VersionRefused(
             f"protocol version {version!r} is not within one of {PROTOCOL_VERSION}",
             "upgrade one version at a time",
         )
