Say what each metric means, and bring the pages up to the code

Ruled out: a description at each call; a name is recorded in several places, and the agent would hold the texts in memory.

--- a/src/acaciastand_lab/reference.py
+++ b/src/acaciastand_lab/reference.py
@@ -17,7 +17,7 @@
 from acaciastand.settings.schema import SPECS, SettingSpec
 from acaciastand.settings.validation import allowed
 from acaciastand_lab.capacity import Page
-from acaciastand_lab.reference_metrics import metrics
+from acaciastand_lab.reference_metrics import describe, metrics
 
 DOCS = Path("docs")
 SOURCE = Path("src/acaciastand")
@@ -61,7 +61,7 @@
 
 def _metrics_page() -> str:
     rows = [
-        (f"`{metric.name}`", metric.kind, f"`{metric.module}`", metric.event)
+        (f"`{metric.name}`", metric.kind, describe(metric), f"`{metric.module}`", metric.event)
         for metric in metrics(SOURCE)
     ]
     return _page(
@@ -70,7 +70,7 @@
         " of an entry. A part in angle brackets stands for a reason or an error code, see"
         " [ERRORS.md](ERRORS.md). Timings are in milliseconds; their totals are `<name>.count` and"
         " `<name>.sum_ms`.",
-        _table(("name", "kind", "module", "recorded in"), rows),
+        _table(("name", "kind", "meaning", "module", "recorded in"), rows),
     )
 
 
