Test the sends of a shard and checkpoints at their bounds

Cause: MAX_SENDING and a checkpoint beyond its length had no test.

Change: three scenarios in owner.feature. The pool of a shard has MAX_SENDING places, and with a pool of two the third grant waits for an answer; a checkpoint of 200 bytes reaches the next attempt and one of 201 is left out.

--- a/features/owner.feature
+++ b/features/owner.feature
@@ -52,3 +52,19 @@
     When a job of 1 tasks is submitted with key "c"
     And the running job is cancelled
     Then an agent is asked to stop its attempt
+
+  Scenario: The number of grants that one shard sends at once is bounded
+    Given an agent "w1" with 8 cores that keeps 2 grants of a shard waiting
+    When a job of 3 tasks is submitted with key "s"
+    Then 2 grants wait, and the third follows when they are answered
+
+  Scenario Outline: A checkpoint of <length> bytes is <result>
+    Given a connected agent "w1" with 8 cores
+    When a job of 1 tasks is submitted with key "c"
+    And its attempt ends as evicted with a checkpoint of <length> bytes
+    Then the next attempt is granted with a checkpoint of <kept> bytes
+
+    Examples:
+      | length | kept | result    |
+      | 200    | 200  | passed on |
+      | 201    | 0    | left out  |
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -5,10 +5,13 @@
 
 import gevent
 from behave import given, then, when
+from gevent.event import Event
+from gevent.pool import Pool
 
 from acaciastand.coordination.faults import CallKind, FaultKind, FaultPlan
 from acaciastand.coordination.lease import LeaseSession
 from acaciastand.coordination.memory import MemoryStore
+from acaciastand.entry.owned_shard import MAX_SENDING
 from acaciastand.entry.owner import OwnerService
 from acaciastand.errors import AcaciastandError
 from acaciastand.resources import Resources
@@ -338,3 +341,47 @@
 @then("no shard had more than one bucket of the service without a home")
 def step_one_at_a_time(context):
     assert context.log.most_without_home == 1, context.log.most_without_home
+
+
+@given('an agent "{agent_id}" with {cores:d} cores that keeps {count:d} grants of a shard waiting')
+def step_waiting_agent(context, agent_id, cores, count):
+    for owned in context.service.owned.values():
+        assert owned._sending.size == MAX_SENDING
+        owned._sending = Pool(count)  # the real bound needs more tasks than a short test can send
+    step_agent(context, agent_id, cores)
+    context.begun, context.release = [], Event()
+    agent = context.registry.get(agent_id)
+    original = agent.request
+
+    def request(message, seconds):
+        context.begun.append(message.task_id)
+        context.release.wait()
+        return original(message, seconds)
+
+    agent.request = request
+
+
+@then("{count:d} grants wait, and the third follows when they are answered")
+def step_grants_wait(context, count):
+    wait_for(lambda: len(context.begun) == count)
+    gevent.sleep(0.1)  # a third one would be sent within this time
+    assert len(context.begun) == count, context.begun
+    context.release.set()
+    wait_for(lambda: len(context.registry.get("w1").tasks()) == count + 1)
+
+
+@when("its attempt ends as evicted with a checkpoint of {length:d} bytes")
+def step_evicted(context, length):
+    agent = context.registry.get("w1")
+    wait_for(agent.tasks)
+    (grant,) = agent.tasks()
+    context.service.on_report(
+        agent, AttemptReport(grant.shard, grant.task_id, grant.attempt, "evicted", "c" * length)
+    )
+
+
+@then("the next attempt is granted with a checkpoint of {length:d} bytes")
+def step_next_checkpoint(context, length):
+    agent = context.registry.get("w1")
+    wait_for(lambda: len(agent.tasks()) == 2)
+    assert len(agent.tasks()[1].checkpoint) == length, agent.tasks()[1]
