--- a/features/owner.feature
+++ b/features/owner.feature
@@ -36,6 +36,15 @@
     When a job of 1 tasks is submitted with key "small"
     Then the agent is granted 1 attempts
 
+  Scenario: Buckets move one at a time to an agent that joins
+    Given a connected agent "w1" with 8 cores
+    And a connected agent "w2" with 8 cores
+    Then each agent holds 16 buckets of its service within 5 s
+    When agent "w3" joins
+    Then each agent holds at least 10 buckets within 20 s
+    And each moved bucket had ended at its former home before, and was without one for under 1 s
+    And no shard had more than one bucket of the service without a home
+
   Scenario: Buckets of a service are spread over its agents and a cancelled job is stopped
     Given a connected agent "w1" with 8 cores
     And a connected agent "w2" with 8 cores
@@ -43,3 +52,19 @@
     When a job of 1 tasks is submitted with key "c"
     And the running job is cancelled
     Then an agent is asked to stop its attempt
+
+  Scenario: The number of grants that one shard sends at once is bounded
+    Given an agent "w1" with 8 cores that keeps 2 grants of a shard waiting
+    When a job of 3 tasks is submitted with key "s"
+    Then 2 grants wait, and the third follows when they are answered
+
+  Scenario Outline: A checkpoint of <length> bytes is <result>
+    Given a connected agent "w1" with 8 cores
+    When a job of 1 tasks is submitted with key "c"
+    And its attempt ends as evicted with a checkpoint of <length> bytes
+    Then the next attempt is granted with a checkpoint of <kept> bytes
+
+    Examples:
+      | length | kept | result    |
+      | 200    | 200  | passed on |
+      | 201    | 0    | left out  |
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -79,6 +79,15 @@
     return TaskState.DONE if end == AttemptEnd.COMPLETED else TaskState.WAITING
 
 
+def end_when_asked(self, task_id):
+    task = self.state.running[task_id]
+    end_when_asked.original(self, task_id)
+    self._end(task, AttemptEnd.STOPPED)
+
+
+end_when_asked.original = Shard.stop_bucket
+
+
 def renew_all_by_digest(self, heartbeat, reply):
     reply.knows_held = True
     if heartbeat.digest:
@@ -88,6 +97,7 @@
 
 
 REMOVED = {
+    "bucket ends before it moves": (Shard, "stop_bucket", end_when_asked),
     "digest only of the same renewals": (KnownHeld, "abbreviate", renew_all_by_digest),
     "wait of a new owner": (Timings, "takeover_seconds", Timings.expiry_seconds),
     "outage hold": (Authority, "__init__", no_hold),
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -435,6 +435,7 @@
 
     def _renewal_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
         due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
+        extended = attempt.valid_until > attempt.lease_until
         running = attempt.state is AttemptState.RUNNING
         return CommandKind.RENEW if running and due and attempt.extended else None
 
