--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -7,7 +7,7 @@
 from hashlib import blake2b
 
 from acaciastand.placement.blame import AvoidLast, Blame, Outcome, Start, Verdict
-from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.estimates import SizeModel
 from acaciastand.placement.placer import PlacementRequest, Placer
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
@@ -72,7 +72,7 @@
         shard: Shard,
         shard_count: int,
         placer: Placer,
-        estimator: SizeEstimator,
+        estimator: SizeModel,
         blame: Blame | None = None,
     ) -> None:
         self.shard = shard
