Learn interference from late measurements

Cause: placement ignores which batch classes slow which services down. Change: placement/interference.py learns the slowdown of each (service, batch class, load bucket); each measurement is credited to the tasks that were on the worker when it was taken. QuietFit places by it with the firm's weights. The owner keeps BestFit, because heartbeats carry neither latencies nor batch classes yet.

--- /dev/null
+++ b/features/machines/interference_machine.py
@@ -0,0 +1,65 @@
+"""State machine of the credit for late measurements against a plain list of all changes.
+
+Guards against a measurement that is credited to tasks which came or left after it was taken, and
+against a slowdown below zero.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from acaciastand.placement.interference import MAX_HISTORY, LearnedInterference
+
+CLASSES = ("a", "b", "c")
+AGENTS = ("agent-0", "agent-1")
+
+
+class CreditMachine(RuleBasedStateMachine):
+    """Tasks of one class at a time come and go; measurements arrive in any order and lag."""
+
+    @initialize()
+    def start(self):
+        self.now = 0.0
+        self.learned = LearnedInterference()
+        self.changes = {agent: [] for agent in AGENTS}
+        self.late = []
+        self.credited = dict.fromkeys(CLASSES, 0)
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 60.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(agent=st.sampled_from(AGENTS), name=st.sampled_from([*CLASSES, ""]))
+    def place(self, agent, name):
+        self.now += 0.25
+        shares = {name: 0.5} if name else {}
+        self.learned.placed(agent, shares, self.now)
+        self.changes[agent].append((self.now, name))
+
+    @rule(agent=st.sampled_from(AGENTS), stretch=st.sampled_from([0.8, 1.0, 1.5, 4.0]))
+    def take(self, agent, stretch):
+        self.late.append((agent, stretch, self.now))
+
+    @precondition(lambda self: self.late)
+    @rule(index=st.integers(0, 1000))
+    def arrive(self, index):
+        agent, stretch, taken_at = self.late.pop(index % len(self.late))
+        credited = self.learned.measured(agent, "service", stretch, 0.5, taken_at)
+        changes = self.changes[agent]
+        before = [change for change in changes if change[0] <= taken_at]
+        kept = bool(before) and len(changes) - len(before) < MAX_HISTORY
+        assert credited == kept, f"a measurement taken at {taken_at} was credited: {credited}"
+        if kept and before[-1][1]:
+            self.credited[before[-1][1]] += 1
+
+    @invariant()
+    def check_credit(self):
+        if not hasattr(self, "credited"):
+            return
+        for name in CLASSES:
+            pair = self.learned._pairs.get(("service", name, 2))
+            samples = pair.samples if pair else 0
+            assert samples == self.credited[name], f"class {name} was credited {samples} times"
+            assert pair is None or pair.slowdown >= 0.0, f"slowdown {pair.slowdown}"
+
+
+MACHINES = {"interference credit": CreditMachine}
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -40,3 +40,38 @@
     Then only the normal job is started on the failing worker
     When the probe completes
     Then the worker is no longer set aside
+
+  Scenario Outline: The state machine of the credit for late measurements holds with seed <seed>
+    When the credit machine runs with seed <seed> and 100 examples
+    Then the credit machine finds no violation
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario Outline: Without the guard "<guard>" the credit machine finds "<violation>"
+    When the credit machine runs with seed 1 and 100 examples without the guard "<guard>"
+    Then the credit machine finds "<violation>"
+
+    Examples:
+      | guard                  | violation      |
+      | credit by time taken   | was credited   |
+      | kept history only      | was credited:  |
+
+  Scenario Outline: At its bound of <bound> the interference drops the oldest
+    When the interference is filled beyond its bound of <bound>
+    Then it keeps the newest of <bound> and no more than the bound
+
+    Examples:
+      | bound   |
+      | pairs   |
+      | hosts   |
+      | history |
+
+  Scenario: A known loud class goes elsewhere, and one task of an unknown class is let in
+    Given measurements that class "loud" doubles the time of service "desk"
+    Then a task of class "loud" goes to a worker without "desk"
+    And the expected slowdown of an unknown class rises from 0 to 1 once one task of it is there
+    And the loud class is unknown again after 300 s without measurements
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,8 +6,10 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 from machines.blame_machine import BlameMachine
+from machines.interference_machine import CreditMachine
 
 from acaciastand.placement import blame as blame_module
+from acaciastand.placement import interference as interference_module
 from acaciastand.placement.blame import (
     FIRST_PROBE_SECONDS,
     CrossEvidence,
@@ -15,7 +17,14 @@
     Start,
 )
 from acaciastand.placement.estimates import SizeEstimator
-from acaciastand.placement.placer import BestFit
+from acaciastand.placement.interference import (
+    FORGET_SECONDS,
+    KNOWN_SAMPLES,
+    UNKNOWN_SLOWDOWN,
+    LearnedInterference,
+    QuietFit,
+)
+from acaciastand.placement.placer import BestFit, PlacementRequest
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
 from acaciastand.shard import shard as shard_module
@@ -225,3 +234,114 @@
 @then("the worker is no longer set aside")
 def step_returned(context):
     assert not context.blame.verdict(context.views, 8.0).aside
+
+
+def newest_shares(interference, agent_id, _taken_at):
+    history = interference._history.get(agent_id)
+    return history[-1].by_class if history else None
+
+
+def oldest_if_unknown(interference, agent_id, taken_at):
+    history = interference._history.get(agent_id, ())
+    before = [shares for shares in history if shares.at <= taken_at]
+    return before[-1].by_class if before else (history[0].by_class if history else None)
+
+
+CREDIT_REMOVED = {
+    "credit by time taken": newest_shares,
+    "kept history only": oldest_if_unknown,
+}
+
+
+@when("the credit machine runs with seed {number:d} and {examples:d} examples")
+def step_credit_machine(context, number, examples):
+    run_machine(context, CreditMachine, number, examples)
+
+
+@when(
+    "the credit machine runs with seed {number:d} and {examples:d} examples "
+    'without the guard "{guard}"'
+)
+def step_credit_without_guard(context, number, examples, guard):
+    with patch.object(LearnedInterference, "_shares_at", CREDIT_REMOVED[guard]):
+        run_machine(context, CreditMachine, number, examples)
+
+
+@then("the credit machine finds no violation")
+def step_no_credit_violation(context):
+    assert context.violation is None, context.violation
+
+
+@then('the credit machine finds "{text}"')
+def step_credit_violation(context, text):
+    assert context.violation is not None and text in context.violation, context.violation
+
+
+def fill_pairs(interference):
+    for number in range(LIMIT + 1):
+        interference.placed("agent", {f"name-{number}": 0.5}, float(number))
+        interference.measured("agent", "desk", 2.0, 0.5, float(number))
+    return [name for _, name, _ in interference._pairs]
+
+
+def fill_hosts(interference):
+    for number in range(LIMIT + 1):
+        interference.placed(f"name-{number}", {}, 0.0)
+    return list(interference._history)
+
+
+def fill_history(interference):
+    for number in range(LIMIT + 1):
+        interference.placed("agent", {f"name-{number}": 0.5}, float(number))
+    assert not interference.measured("agent", "desk", 2.0, 0.5, 0.5)
+    return [name for shares in interference._history["agent"] for name in shares.by_class]
+
+
+FILL_INTERFERENCE = {
+    "pairs": ("MAX_PAIRS", fill_pairs),
+    "hosts": ("MAX_HOSTS", fill_hosts),
+    "history": ("MAX_HISTORY", fill_history),
+}
+
+
+@when("the interference is filled beyond its bound of {bound}")
+def step_fill_interference(context, bound):
+    constant, fill = FILL_INTERFERENCE[bound]
+    with patch.object(interference_module, constant, LIMIT):
+        context.kept = fill(LearnedInterference())
+
+
+@given('measurements that class "{name}" doubles the time of service "{service}"')
+def step_measured(context, name, service):
+    context.interference = LearnedInterference()
+    context.interference.placed("with", {name: 1.0}, 0.0)
+    for number in range(10 * KNOWN_SAMPLES):
+        context.interference.measured("with", service, 2.0, 0.0, float(number))
+
+
+@then('a task of class "{name}" goes to a worker without "{service}"')
+def step_quiet(context, name, service):
+    with_service = view("with").replace(services=frozenset([service]))
+    request = PlacementRequest(CORE, batch_class=name)
+    chosen = QuietFit(context.interference).choose(request, [with_service, view("without")])
+    assert chosen is not None and chosen.agent_id == "without"
+
+
+@then(
+    "the expected slowdown of an unknown class rises from 0 to {value:g} "
+    "once one task of it is there"
+)
+def step_unknown(context, value):
+    assert value == UNKNOWN_SLOWDOWN
+    assert context.interference.added("with", "desk", "new", 0.0) == 0.0
+    context.interference.placed("with", {"new": 0.1}, 100.0)
+    assert context.interference.added("with", "desk", "new", 0.0) == value
+
+
+@then("the loud class is unknown again after {seconds:g} s without measurements")
+def step_forgotten(context, seconds):
+    assert seconds == FORGET_SECONDS
+    assert context.interference.added("without", "desk", "loud", 0.0) > 0.9
+    last = 10 * KNOWN_SAMPLES - 1
+    context.interference.measured("with", "desk", 1.0, 0.0, last + seconds + 1.0)
+    assert context.interference.added("without", "desk", "loud", 0.0) == 0.0
--- a/src/acaciastand/placement/placer.py
+++ b/src/acaciastand/placement/placer.py
@@ -27,9 +27,11 @@
         Agents that recently failed or refused the task.
     spread
         Workers that already run tasks of the same job, as (availability zone, rack, agent id).
+    batch_class
+        Class of the job, by which interference is known.
     """
 
-    __slots__ = ("size", "service", "avoid", "spread")
+    __slots__ = ("size", "service", "avoid", "spread", "batch_class")
 
     def __init__(
         self,
@@ -37,11 +39,13 @@
         service: str = "",
         avoid: Iterable[str] = (),
         spread: Iterable[tuple[str, str, str]] = (),
+        batch_class: str = "",
     ) -> None:
         self.size = size
         self.service = service
         self.avoid = frozenset(avoid)
         self.spread = list(spread)
+        self.batch_class = batch_class
 
 
 class Placer(ABC):
--- a/src/acaciastand/placement/worker.py
+++ b/src/acaciastand/placement/worker.py
@@ -19,6 +19,8 @@
         Resources not taken, as far as known; the agent has the last word.
     services
         Services whose target runs on the worker.
+    load
+        Share of their slots that are taken.
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         "free",
         "services",
         "draining",
+        "load",
     )
 
     def __init__(
@@ -42,6 +45,7 @@
         free: Resources | None = None,
         services: Iterable[str] = (),
         draining: bool = False,
+        load: float = 0.0,
     ) -> None:
         self.agent_id = agent_id
         self.incarnation = incarnation
@@ -51,6 +55,7 @@
         self.free = free or Resources()
         self.services = frozenset(services)
         self.draining = draining
+        self.load = load
 
     def suits(self, size: Resources, service: str) -> bool:
         """Return whether the worker could ever run a task of `size` for `service`."""
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -193,7 +193,7 @@
         running = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
         avoid = self._avoided(job, task, size, pool)
-        request = PlacementRequest(size, job.spec.service, avoid, spread)
+        request = PlacementRequest(size, job.spec.service, avoid, spread, job.spec.batch_class)
         return self.placer.choose(request, pool.views)
 
     def _avoided(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> set[str]:
