Test the agent's reaction over the real agent and the stand-in worker

Cause: the reaction was proven on the policy alone, not through polls, commands and reports. MAX_OVER_CORES_SECONDS and MAX_OVER_MEMORY_SECONDS state how long a host may be over; the first two scenarios measure the real use against them.

--- /dev/null
+++ b/features/steps/shedding_steps.py
@@ -0,0 +1,139 @@
+"""Steps on the agent's reaction to pressure; the agent itself is set up in agent_steps."""
+
+import time
+
+import gevent
+from agent_steps import CAPACITY, SERVICE, grant, wait_until
+from behave import given, then, when
+
+from acaciastand.agent.shedder import MAX_OVER_CORES_SECONDS, MAX_OVER_MEMORY_SECONDS
+from acaciastand.settings.schema import EffectiveSettings
+
+NORMAL_SECONDS = 30.0  # the steps back take 5 s each
+WATCH_SECONDS = 8.0
+
+
+def apply(context, **values):
+    context.agent.shedder.apply(EffectiveSettings(values))
+
+
+@given("tasks may be evicted after {seconds:d} s, at most {count:d} a minute")
+def step_limits(context, seconds, count):
+    apply(context, min_run_seconds=float(seconds), evictions_per_minute=count)
+
+
+@when("the entry grants {count:d} tasks of 1 core and they have run for {seconds:f} s")
+def step_tasks(context, count, seconds):
+    for number in range(count):
+        assert context.entry.ask(grant(context, f"job/{number}", seconds=600)).accepted
+    wait_until(lambda: len(context.worker.runs) == count, "the tasks start")
+    gevent.sleep(seconds)
+
+
+@when("tasks use {factor:d} times their size and the service uses {cores:f} of 4 cores")
+def step_use(context, factor, cores):
+    context.worker.usage_factor, context.worker.service_cores = float(factor), cores
+
+
+@when("tasks use {factor:d} times their memory")
+def step_memory(context, factor):
+    context.worker.memory_factor = float(factor)
+
+
+def longest_over(context, name):
+    """Return the longest time that the host is really over its capacity while watched."""
+    longest, since = 0.0, None
+    end = time.monotonic() + WATCH_SECONDS
+    while time.monotonic() < end:
+        now = time.monotonic()
+        if context.worker.use()[name] <= CAPACITY[name] + 1e-6:
+            since = None
+        else:
+            since = since or now
+            longest = max(longest, now - since)
+        gevent.sleep(0.02)
+    return longest
+
+
+@then("the host is over its cores for at most the stated bound")
+def step_over_cores(context):
+    longest = longest_over(context, "cores")
+    assert 0.0 < longest <= MAX_OVER_CORES_SECONDS, longest
+
+
+@then("the host is over its memory for at most the stated bound")
+def step_over_memory(context):
+    longest = longest_over(context, "memory_mb")
+    assert 0.0 < longest <= MAX_OVER_MEMORY_SECONDS, longest
+    assert context.agent.counters.totals()["pressure.evicted.memory"] == 1
+
+
+@then('{count:d} tasks were throttled, checkpointed and then evicted because of "{cause}"')
+def step_counted(context, count, cause):
+    totals = context.agent.counters.totals()
+    assert totals["pressure.throttled"] >= count, totals
+    assert totals["pressure.checkpointed"] == totals[f"pressure.evicted.{cause}"] == count, totals
+
+
+@then("the entry receives {count:d} reports of evicted tasks with a checkpoint")
+def step_reports(context, count):
+    wait_until(lambda: len(context.entry.reports) >= count, "the reports")
+    reports = {report.task_id: report for report in context.entry.reports}
+    assert len(reports) == count and {item.result for item in reports.values()} == {"evicted"}
+    assert all(report.checkpoint.startswith("progress:") for report in reports.values())
+
+
+@then("the worker runs {count:d} task")
+def step_running(context, count):
+    running = [task for task in context.worker.tasks.values() if task.state == "running"]
+    assert len(running) == count
+
+
+@when("the load is gone")
+def step_gone(context):
+    context.worker.usage_factor, context.worker.service_cores = 1.0, 0.0
+
+
+@then("the remaining task has no limit and the host sheds no more")
+def step_normal(context):
+    end = time.monotonic() + NORMAL_SECONDS
+    limits = [-1.0]
+    while time.monotonic() < end and (context.host.shedding or any(limits)):
+        gevent.sleep(0.05)
+        limits = [task.limit_cores for task in context.worker.tasks.values()]
+    assert not context.host.shedding and limits == [0.0], limits
+
+
+@given("the host sheds")
+def step_sheds(context):
+    gevent.kill(context.agent._tasks[-1])
+    context.host.shedding = True
+
+
+@then('a grant of a task is refused because of "{reason}" and one of a bucket is accepted')
+def step_refused(context, reason):
+    assert context.entry.ask(grant(context, "job/1")).reason == reason
+    assert context.entry.ask(grant(context, f"bucket/{SERVICE}/0", cores=0)).accepted
+
+
+@given("a headroom of {share:f}")
+def step_headroom(context, share):
+    apply(context, headroom=share)
+
+
+@then('the agent announces {free:d} free cores and refuses a task of {cores:f} cores as "{reason}"')
+def step_free(context, free, cores, reason):
+    link = next(iter(context.agent.links.links.values()))
+    assert context.agent.heartbeat(link, 10_000).free.cores == free
+    assert context.entry.ask(grant(context, "job/1", cores=cores)).reason == reason
+    assert context.entry.ask(grant(context, "job/1", cores=float(free))).accepted
+
+
+@given("a task that a former agent process limited to {cores:f} cores")
+def step_former(context, cores):
+    assert context.entry.ask(grant(context, "job/1", seconds=600)).accepted
+    wait_until(lambda: context.worker.runs, "the task starts")
+    context.worker.tasks["job/1"].limit_cores = cores
+    context.host.ledger.attempts.clear()
+    context.host.worker_known = False
+    wait_until(lambda: context.host.ledger.attempts, "the task is adopted")
--- a/src/acaciastand/agent/shedder.py
+++ b/src/acaciastand/agent/shedder.py
@@ -22,6 +22,10 @@
 from acaciastand.settings.schema import EffectiveSettings
 
 SHED_INTERVAL_SECONDS = 0.25
+# Two rounds (2 s until the first one shows, 1 s for checkpoints) and twice the delay of the
+# worker's list (0.5 s between polls, its own lag) and of commands (0.1 s).
+MAX_OVER_CORES_SECONDS = 6.0
+MAX_OVER_MEMORY_SECONDS = 2.0  # one delay of the list, one decision and the worker's stop
 MIN_SURGE_RATE = 2.0  # requests per second; slower rates double by chance
 MIN_SURGE_SLOT_SHARE = 0.5  # share of the slots; a few slots in use double by chance
 MIN_SURGE_LATENCY_SECONDS = 0.02  # faster targets are not slowed by a lack of cores
--- a/src/acaciastand_standin/worker.py
+++ b/src/acaciastand_standin/worker.py
@@ -62,6 +62,8 @@
         Use of cores and accelerators as a multiple of the declared size.
     memory_factor
         Use of memory as a multiple of the declared size.
+    service_cores
+        Cores that the service on this host uses.
     fail_starts
         Refuse to start any task.
     guard
@@ -75,6 +77,7 @@
         self.session = ""
         self.usage_factor = 1.0
         self.memory_factor = 1.0
+        self.service_cores = 0.0
         self.fail_starts = False
         self.tasks: dict[str, Task] = {}
         self.stopped: dict[str, int] = {}
@@ -127,6 +130,7 @@
             "session": self.session,
             "clock": now,
             "capacity": self.capacity,
+            "service_usage": {"cores": self.service_cores, "memory_mb": 0, "accelerators": 0},
             "tasks": [self._listed(task, now) for task in self.tasks.values()],
         }
 
@@ -134,6 +138,16 @@
         wanted = task.size["cores"] * self.usage_factor
         return min(1.0, task.limit_cores / wanted) if task.limit_cores and wanted else 1.0
 
+    def use(self) -> dict[str, float]:
+        """Return what service and running tasks use now, without the lag of the reports."""
+        total = {"cores": self.service_cores, "memory_mb": 0.0}
+        for task in self.tasks.values():
+            if task.state == "running":
+                cores = task.size["cores"] * self.usage_factor
+                total["cores"] += cores * self._speed(task)
+                total["memory_mb"] += task.size["memory_mb"] * self.memory_factor
+        return total
+
     def _listed(self, task: Task, now: float) -> dict[str, Any]:
         lagging = now - task.started < USAGE_LAG_SECONDS
         factor = 0.0 if lagging else self.usage_factor
@@ -234,6 +248,7 @@
 
     def _set_faults(self, fields: dict[str, Any]) -> Answer:
         self.usage_factor = float(fields.get("usage_factor", self.usage_factor))
+        self.service_cores = float(fields.get("service_cores", self.service_cores))
         self.memory_factor = float(fields.get("memory_factor", self.memory_factor))
         self.fail_starts = bool(fields.get("fail_starts", self.fail_starts))
         self.guard = bool(fields.get("guard", self.guard))
