--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -5,6 +5,7 @@
 import time
 
 from behave import given, then, when
+from process_support import agent_with_task, other_entry, owner_of
 
 from acaciastand_lab.demo import (
     edit,
@@ -16,8 +17,6 @@
     wait_running,
 )
 from acaciastand_lab.processes import (
-    FIRM_PATH,
-    SERVICE,
     Deployment,
     call,
     call_json,
@@ -34,7 +33,7 @@
 
 @given("a running deployment with short grants")
 def step_deployment(context):
-    context.deployment = context.stack.enter_context(Deployment())
+    context.deployment = context.stack.enter_context(Deployment(cores=4))
     context.deployment.start()
     edit(context.deployment, "grant_seconds", GRANT_SECONDS)
     edit(context.deployment, "stop_seconds", STOP_SECONDS)
@@ -48,32 +47,6 @@
     wait_running(context.deployment, "entry-0", context.job_id)
 
 
-def owner_of(deployment, job_id):
-    shard = int(job_id.partition("-")[0].removeprefix("j"))
-
-    def find():
-        for name in deployment.http:
-            if deployment.programs[name].running and shard in deployment.status(name)["shards"]:
-                return name
-        return None
-
-    return wait_until(find, f"shard {shard} has an owner")
-
-
-def other_entry(deployment, name):
-    return next(entry for entry in deployment.http if entry != name)
-
-
-def agent_with_task(deployment):
-    def find():
-        for agent, audit in deployment.audits("worker").items():
-            if any(run["stopped"] is None for run in audit["runs"]):
-                return agent
-        return None
-
-    return wait_until(find, "a task runs on some worker")
-
-
 def kill_owner(context):
     owner = owner_of(context.deployment, context.job_id)
     context.deployment.programs[owner].kill()
@@ -209,7 +182,9 @@
 
 @then('a job submission is refused as not run with the code "{code}"')
 def step_submission_refused(context, code):
-    answer = call_json("POST", f"{context.deployment.url()}/v1/jobs", job_payload())
+    answer = call_json(
+        "POST", f"{context.deployment.url()}/v1/jobs", job_payload(context.deployment)
+    )
     assert answer.status == 503, answer
     assert answer.json()["outcome"] == "not_run", answer
     assert answer.json()["code"] == code, answer
@@ -221,7 +196,7 @@
     wait_done(context.deployment, "entry-0", job_id)
 
 
-def job_payload():
+def job_payload(deployment):
     return {
         "name": "job",
         "team": "print",
@@ -232,7 +207,7 @@
         "memory_mb": 100,
         "accelerators": 0,
         "run_seconds": 0.1,
-        "service": SERVICE,
+        "service": deployment.firm.service,
     }
 
 
@@ -250,7 +225,7 @@
 
 @then('"{name}" shows {value:d} for "{key}"')
 def step_shows(context, name, value, key):
-    url = f"{context.deployment.url(name)}/v1/settings/{FIRM_PATH}/{key}"
+    url = f"{context.deployment.url(name)}/v1/settings/{context.deployment.firm.region_path}/{key}"
     wait_until(lambda: call("GET", url).json()["value"] == value, f"{name} shows {value}")
 
 
@@ -449,7 +424,7 @@
     answers = {}
 
     def put(entry, value):
-        url = f"{deployment.url(entry)}/v1/settings/{FIRM_PATH}/{key}"
+        url = f"{deployment.url(entry)}/v1/settings/{deployment.firm.region_path}/{key}"
         payload = {"value": value, "if_revision": revision, "author": entry}
         answers[value] = call_json("PUT", url, payload)
 
