Raise the headroom of a region when one of its services surges

Cause: an agent kept cores free only when its own target was busier. Ruled out: an exchange between entries; the balancer spreads the callers, so each entry sees the surge in its own share. Change: entries watch the request rate of each service and put surging into the trailing field of HeartbeatReply; agents raise the headroom when any entry says so.

--- a/features/pressure.feature
+++ b/features/pressure.feature
@@ -48,3 +48,14 @@
   # Guards against a table of evictions that grows with each memory eviction.
   Scenario: The memory of the eviction limit is bounded
     Then 1000 evictions at once keep 3 times at a limit of 3
+
+  # Guards against a surge of one service that is lost among the other services of its region.
+  Scenario: A region surges when one of its services does
+    Given an entry that receives 40 requests per second of "a" and of "b"
+    When the requests of "a" double for 5 s
+    Then the region surges
+    When the requests of "a" return for 20 s
+    Then the region does not surge
+
+  Scenario: The number of watched services is bounded
+    Then an entry watches 256 of 300 services
--- a/features/shedding.feature
+++ b/features/shedding.feature
@@ -40,3 +40,10 @@
   Scenario: A restarted agent lifts limits that it does not know
     Given a task that a former agent process limited to 0.1 cores
     Then the remaining task has no limit and the host sheds no more
+
+  # Guards against an agent that waits for its own service to surge before it keeps cores free.
+  Scenario: The headroom rises when another service of the region surges
+    When the entry reports a surge of the region
+    Then the agent's headroom is above 0.1
+    When the entry reports no surge of the region
+    Then the agent's headroom returns to 0.1
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -47,6 +47,7 @@
     def __init__(self):
         self.sequence = 0
         self.renews = True
+        self.surging = False
         self.ignored_reports = 0
         self.reports = []
         self.drains = []
@@ -63,7 +64,8 @@
             self.sequence = message.sequence
             held = message.attempts if self.renews else []
             renewed = [AttemptName(a.task_id, a.attempt) for a in held]
-            return HeartbeatReply(message.sequence, 0, [ShardEpoch(1, EPOCH)], renewed)
+            owned = [ShardEpoch(1, EPOCH)]
+            return HeartbeatReply(message.sequence, 0, owned, renewed, surging=self.surging)
         if isinstance(message, AttemptReport):
             self.reports.append(message)
             if len(self.reports) > self.ignored_reports:
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -12,6 +12,7 @@
 from acaciastand.pressure import Weights as OutcomeWeights
 from acaciastand.pressure.budget import EvictionBudget
 from acaciastand.pressure.headroom import LOWER_SECONDS
+from acaciastand.pressure.region import RegionSurges
 from acaciastand.pressure.staged import eviction_order
 from acaciastand.resources import Resources
 
@@ -147,3 +148,44 @@
         budget.spend(0.0)
     assert len(budget._times) == kept and budget.available(59.0) == 0
     assert budget.available(60.0) == limit
+
+
+def receive(context, rates, seconds):
+    for _ in range(int(seconds)):
+        context.now += 1.0
+        for service, rate in rates.items():
+            for _ in range(rate):
+                context.surges.count(service)
+        context.surging = context.surges.surging(context.now)
+
+
+@given('an entry that receives {rate:d} requests per second of "a" and of "b"')
+def step_region(context, rate):
+    context.rate, context.now, context.surges = rate, 0.0, RegionSurges()
+    context.surges.surging(0.0)
+    receive(context, {"a": rate, "b": rate}, 120)
+    assert not context.surging
+
+
+@when('the requests of "a" {change} for {seconds:d} s')
+def step_change(context, change, seconds):
+    rate = context.rate * (2 if change == "double" else 1)
+    receive(context, {"a": rate, "b": context.rate}, seconds)
+
+
+@then("the region surges")
+def step_surges(context):
+    assert context.surging
+
+
+@then("the region does not surge")
+def step_surges_not(context):
+    assert not context.surging
+
+
+@then("an entry watches {watched:d} of {count:d} services")
+def step_watched(context, watched, count):
+    surges = RegionSurges()
+    for number in range(count):
+        surges.count(f"s{number}")
+    assert len(surges.detectors) == watched
--- a/features/steps/shedding_steps.py
+++ b/features/steps/shedding_steps.py
@@ -137,3 +137,21 @@
     context.host.ledger.attempts.clear()
     context.host.worker_known = False
     wait_until(lambda: context.host.ledger.attempts, "the task is adopted")
+
+
+@when("the entry reports {what} surge of the region")
+def step_region(context, what):
+    context.entry.surging = what == "a"
+
+
+@then("the agent's headroom is above {share:f}")
+def step_raised(context, share):
+    wait_until(lambda: context.host.headroom > share, "the headroom rises")
+
+
+@then("the agent's headroom returns to {share:f}")
+def step_returned(context, share):
+    end = time.monotonic() + NORMAL_SECONDS
+    while time.monotonic() < end and context.host.headroom != share:
+        gevent.sleep(0.05)
+    assert context.host.headroom == share
--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -78,8 +78,15 @@
         self.stopping = False
         self.exit_code = 0
         self.runner = Runner(self.host, self.worker, self.target, counters, clock, self._superseded)
-        self.shedder = Shedder(self.host, self.executor, counters, clock, self.runner.wake.set)
         self.links = Links(settings.entries, settings.availability_zone, self, rng)
+        self.shedder = Shedder(
+            self.host,
+            self.executor,
+            counters,
+            clock,
+            self.runner.wake.set,
+            self._region_surging,
+        )
         self.reporter = Reporter(self.host, self.links, counters, clock)
         self._tasks: list[gevent.Greenlet] = []
 
@@ -193,6 +200,9 @@
             for attempt in self.host.ledger
         ]
 
+    def _region_surging(self) -> bool:
+        return any(link.surging for link in self.links.links.values())
+
     def _learn_owners(self, link: Link) -> None:
         for shard, epoch in link.owned.items():
             self.host.observe_epoch(shard, epoch)
--- a/src/acaciastand/agent/link.py
+++ b/src/acaciastand/agent/link.py
@@ -82,6 +82,7 @@
         self.connection: Connection | None = None
         self.owned: dict[int, int] = {}
         self.heartbeat_seconds = 1.0
+        self.surging = False
         self.beat_now = Event()
         self.sent_held = SentHeld()
         self._unanswered = 0
@@ -161,6 +162,7 @@
         if isinstance(reply, HeartbeatReply) and connection is self.connection:
             self._unanswered = 0
             self.set_owned(reply.owned_shards)
+            self.surging = reply.surging
             reply.renewed = self.sent_held.renewed(reply)
             self.events.heartbeat_answered(self, reply)
             if message.digest and not reply.knows_held:
@@ -173,6 +175,7 @@
         connection, self.connection = self.connection, None
         self.entry_id = ""
         self.owned = {}
+        self.surging = False
         if connection is not None:
             connection.close()
             self.events.closed(self)
--- a/src/acaciastand/agent/shedder.py
+++ b/src/acaciastand/agent/shedder.py
@@ -40,6 +40,8 @@
     ----------
     on_action
         Called after the host took actions, to carry out its commands.
+    region_surging
+        Returns whether an entry sees a surge of any service of the region.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         counters: CounterSink,
         clock: Callable[[], float],
         on_action: Callable[[], None],
+        region_surging: Callable[[], bool],
     ) -> None:
         self.host = host
         self.executor = executor
@@ -63,7 +66,7 @@
         self.rate = SurgeDetector(MIN_SURGE_RATE)
         self.slots = SurgeDetector(MIN_SURGE_SLOT_SHARE)
         self.latency = SurgeDetector(MIN_SURGE_LATENCY_SECONDS)
-        self.region_surging = False
+        self.region_surging = region_surging
         self._arrived = 0
         self._observed_at: float | None = None
         self.apply(defaults)
@@ -88,7 +91,7 @@
     def step(self) -> None:
         """Observe and act once."""
         now = self.clock()
-        surging = self._surging(now) or self.region_surging
+        surging = self._surging(now) or self.region_surging()
         self.host.headroom = self.headroom.share(surging, now)
         if self.host.recovering or not self.host.worker_up:
             return  # the observed use is out of date
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -156,6 +156,7 @@
             settings_service,
             self.peers.directory,
             clock,
+            self.requests.surges.surging,
         )
         self.membership = StoreMembership(store, self.lease, self.own, self.peers.learn, clock)
         self.listener = Listener(
--- a/src/acaciastand/entry/desk.py
+++ b/src/acaciastand/entry/desk.py
@@ -77,6 +77,8 @@
         Settings path of agents that name none.
     directory
         Returns the entries that `Welcome` lists.
+    surging
+        Returns whether a service of the region surges at a time of the clock.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         settings: SettingsSource,
         directory: Callable[[], list[EntryAddress]],
         clock: Callable[[], float],
+        surging: Callable[[float], bool] = lambda _now: False,
     ) -> None:
         self.own = own
         self.site = site
@@ -96,6 +99,7 @@
         self.settings = settings
         self.directory = directory
         self.clock = clock
+        self.surging = surging
         self._pushes = Pool(MAX_PUSHES)
         self._handlers: dict[type[Message], Callable[[AgentSession, Any], Message | None]] = {
             Heartbeat: self._on_heartbeat,
@@ -160,6 +164,7 @@
             owned_shards=self.owner.owned_shards(),
             renewed=renewed,
             grant_seconds=self.owner.grant_seconds(),
+            surging=self.surging(self.clock()),
         )
         return session.known_held.abbreviate(heartbeat, reply) if known else reply
 
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -227,7 +227,9 @@
         if now >= self._next_tasks and self.scheduler.waiting():
             room = self.context.quota_room()
             started = self.scheduler.start_tasks(self.context.workers(), room, now)
-            self.context.counters.gauge("owner.workers_set_aside", len(self.scheduler.verdict.aside))
+            self.context.counters.gauge(
+                "owner.workers_set_aside", len(self.scheduler.verdict.aside)
+            )
             self._next_tasks = now if started else now + IDLE_SECONDS
 
     def _commit(self) -> None:
--- a/src/acaciastand/entry/requests.py
+++ b/src/acaciastand/entry/requests.py
@@ -8,6 +8,7 @@
 from acaciastand.entry.agents import AgentRegistry, AgentSession
 from acaciastand.entry.call import Answer, CallerRequest, Failure, RequestRefused
 from acaciastand.errors import Outcome
+from acaciastand.pressure import RegionSurges
 from acaciastand.reasons import Reason
 from acaciastand.routing import Router, TargetView, may_retry
 from acaciastand.telemetry import Counters
@@ -54,6 +55,7 @@
         self.forwarder = forwarder
         self.counters = counters
         self.clock = clock
+        self.surges = RegionSurges()
         self.in_progress = 0
         self.draining = False
 
@@ -154,6 +156,7 @@
         service = self.router.services.get(request.service)
         if service is not None and not request.forwarded:
             service.budget.record_request(self.clock())
+            self.surges.count(request.service)
 
     def _may_retry(self, request: CallerRequest, failure: Failure, tried: set[str]) -> bool:
         return may_retry(
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -432,12 +432,12 @@
         if attempt.state is AttemptState.RUNNING and attempt.checkpoint_wanted:
             attempt.checkpoint_wanted = False
             return CommandKind.CHECKPOINT
-        return self._renewal_kind(attempt, now)
+        return CommandKind.RENEW if extended and self._renewal_due(attempt, now) else None
 
-    def _renewal_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
-        due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
+    def _renewal_due(self, attempt: Attempt, now: float) -> bool:
+        left = attempt.lease_until - now
         running = attempt.state is AttemptState.RUNNING
-        return CommandKind.RENEW if running and due and extended else None
+        return running and left < attempt.grant.grant_seconds * RENEW_BELOW
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -276,6 +276,8 @@
     renewed_digest
         Digest that stands for `renewed`: everything is renewed that the agent held in shards of
         `owned_shards` when it sent the heartbeat; 0 when `renewed` is the list.
+    surging
+        Whether a service of the region surges at this entry.
     """
 
     __slots__ = (
@@ -286,6 +288,7 @@
         "grant_seconds",
         "knows_held",
         "renewed_digest",
+        "surging",
     )
     type_number = 5
     nested_lists = {"owned_shards": ShardEpoch, "renewed": AttemptName}
@@ -299,6 +302,7 @@
         grant_seconds: float = 0.0,
         knows_held: bool = False,
         renewed_digest: int = 0,
+        surging: bool = False,
     ) -> None:
         self.sequence = sequence
         self.settings_revision = settings_revision
@@ -307,6 +311,7 @@
         self.grant_seconds = grant_seconds
         self.knows_held = knows_held
         self.renewed_digest = renewed_digest
+        self.surging = surging
 
 
 class Execute(Message):
