--- a/features/shedding.feature
+++ b/features/shedding.feature
@@ -30,6 +30,7 @@
   Scenario: A host that sheds takes buckets and no tasks
     Given the host sheds
     Then a grant of a task is refused because of "shedding" and one of a bucket is accepted
+    And the agent announces no free cores
 
   # Guards against batch tasks on the cores that are kept for the service.
   Scenario: The headroom is neither announced nor given to tasks
--- a/features/steps/shedding_steps.py
+++ b/features/steps/shedding_steps.py
@@ -116,6 +116,12 @@
     assert context.entry.ask(grant(context, f"bucket/{SERVICE}/0", cores=0)).accepted
 
 
+@then("the agent announces no free cores")
+def step_no_free(context):
+    link = next(iter(context.agent.links.links.values()))
+    assert context.agent.heartbeat(link, 10_000).free.cores == 0
+
+
 @given("a headroom of {share:f}")
 def step_headroom(context, share):
     apply(context, headroom=share)
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -80,7 +80,11 @@
     def free(self) -> Resources:
         """What tasks may still use: without the service, attempts and headroom; can be negative."""
         kept = Resources(self.capacity.cores * self.headroom)
-        return self.capacity.minus(self.reserved).minus(self.ledger.counted()).minus(kept)
+        free = self.capacity.minus(self.reserved).minus(self.ledger.counted()).minus(kept)
+        if not self.shedding:
+            return free
+        # Owners would go on offering tasks that are then refused.
+        return Resources(*(min(amount, 0) for amount in free.values()))
 
     @property
     def drained(self) -> bool:
