--- a/src/acaciastand/agent/shedder.py
+++ b/src/acaciastand/agent/shedder.py
@@ -22,6 +22,10 @@
 from acaciastand.settings.schema import EffectiveSettings
 
 SHED_INTERVAL_SECONDS = 0.25
+# Two rounds (2 s until the first one shows, 1 s for checkpoints) and twice the delay of the
+# worker's list (0.5 s between polls, its own lag) and of commands (0.1 s).
+MAX_OVER_CORES_SECONDS = 6.0
+MAX_OVER_MEMORY_SECONDS = 2.0  # one delay of the list, one decision and the worker's stop
 MIN_SURGE_RATE = 2.0  # requests per second; slower rates double by chance
 MIN_SURGE_SLOT_SHARE = 0.5  # share of the slots; a few slots in use double by chance
 MIN_SURGE_LATENCY_SECONDS = 0.02  # faster targets are not slowed by a lack of cores
@@ -36,6 +40,8 @@
     ----------
     on_action
         Called after the host took actions, to carry out its commands.
+    region_surging
+        Returns whether an entry sees a surge of any service of the region.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         counters: CounterSink,
         clock: Callable[[], float],
         on_action: Callable[[], None],
+        region_surging: Callable[[], bool],
     ) -> None:
         self.host = host
         self.executor = executor
@@ -59,7 +66,7 @@
         self.rate = SurgeDetector(MIN_SURGE_RATE)
         self.slots = SurgeDetector(MIN_SURGE_SLOT_SHARE)
         self.latency = SurgeDetector(MIN_SURGE_LATENCY_SECONDS)
-        self.region_surging = False
+        self.region_surging = region_surging
         self._arrived = 0
         self._observed_at: float | None = None
         self.apply(defaults)
@@ -84,7 +91,7 @@
     def step(self) -> None:
         """Observe and act once."""
         now = self.clock()
-        surging = self._surging(now) or self.region_surging
+        surging = self._surging(now) or self.region_surging()
         self.host.headroom = self.headroom.share(surging, now)
         if self.host.recovering or not self.host.worker_up:
             return  # the observed use is out of date
