--- a/src/acaciastand_lab/bench_wire.py
+++ b/src/acaciastand_lab/bench_wire.py
@@ -18,6 +18,7 @@
 import psutil
 
 from acaciastand.resources import Resources
+from acaciastand.settings.schema import EffectiveSettings
 from acaciastand.wire.codec import encode
 from acaciastand.wire.connection import Connection, Listener, dial
 from acaciastand.wire.held import KnownHeld, SentHeld, held_digest
@@ -43,6 +44,7 @@
 MASK_BYTES = 4  # a client masks its frames
 SMALL_FRAME = 126
 OWNED = [ShardEpoch(12 + 76 * number, 7) for number in range(8)]  # shards of one entry
+EFFECTIVE = EffectiveSettings({"draining": ["agent-000123"]}, 70_000)  # all keys are sent
 TASK_ID = "j12-a1b2c3d4e5f6/7"
 
 
@@ -106,7 +108,7 @@
         ("bytes.grant_reply", GrantReply(12, TASK_ID, 2, True, ""), True),
         ("bytes.report", AttemptReport(12, TASK_ID, 2, "done", "", size, 9.4, ""), True),
         ("bytes.report_confirmed", ReportConfirmed(12, TASK_ID, 2), False),
-        ("bytes.settings_update", SettingsUpdate(70_000, {"request_timeout_ms": 1500}), False),
+        ("bytes.settings_update", SettingsUpdate(70_000, EFFECTIVE.values), False),
     ]
     for name, message, from_client in singles:
         one = wire_bytes(message, from_client)
--- a/src/acaciastand_lab/capacity_rows.py
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -121,6 +121,11 @@
 LONG_TASK_SECONDS = 600.0  # run time of the rows for long tasks
 
 
+def beat_rate(scale: Scale) -> float:
+    """Return the heartbeats a second of one connection; each change of settings brings one on."""
+    return 1.0 / scale.heartbeat_seconds + scale.changes
+
+
 def long_tasks(scale: Scale) -> Scale:
     """Return the deployment with as many running tasks that each run for ten minutes."""
     return scale.replace(starts=scale.batch_running / LONG_TASK_SECONDS)
@@ -181,7 +186,7 @@
 def agent_rows(scale: Scale, slopes: Slopes) -> list[Row]:
     """Return the rows of the agent."""
     table = Table()
-    beats = scale.connections_per_agent / scale.heartbeat_seconds
+    beats = scale.connections_per_agent * beat_rate(scale)
     starts = scale.starts / scale.workers
     table.add(
         "batch attempts held",
@@ -213,7 +218,7 @@
             + scale.changes * scale.connections_per_agent * slopes.per_item("bytes.settings_update")
         ),
         "bytes a second",
-        "settings pushed once per connection, only effective values",
+        "all effective values on every connection at each change",
         BYTES_LIMIT,
     )
     table.add(
@@ -250,7 +255,7 @@
 def entry_rows(scale: Scale, slopes: Slopes) -> list[Row]:
     """Return the rows of an entry without its shards."""
     table = Table()
-    beats = scale.agents_per_entry / scale.heartbeat_seconds
+    beats = scale.agents_per_entry * beat_rate(scale)
     peers = scale.entries / scale.regions - 1
     table.add("agents connected", lambda: scale.agents_per_entry, "agents", "fan-out over entries")
     table.add(
@@ -424,7 +429,8 @@
         "pushes of one entry",
         lambda: (scale.changes * scale.agents_per_entry * slopes.per_item("bytes.settings_update")),
         "bytes a second",
-        "only agents whose effective values changed; the others confirm by heartbeat",
+        "each change sends all effective values to every agent; sending them only to agents whose "
+        "values changed would carry it",
         BYTES_LIMIT,
     )
     table.add(
