--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,10 +1,12 @@
 """Steps on the agent's wiring; the entry is a listener inside the test."""
 
+import logging
 import random
 import time
 
 import gevent
 from behave import given, then, when
+from skew import of_version
 
 from acaciastand.agent.daemon import Agent
 from acaciastand.host import BUCKETS_PER_SERVICE, Attempt, Grant
@@ -16,6 +18,7 @@
 from acaciastand.telemetry import Counters
 from acaciastand.wire.connection import Listener
 from acaciastand.wire.messages import (
+    PROTOCOL_VERSION,
     AttemptName,
     AttemptReport,
     Drain,
@@ -25,6 +28,7 @@
     HeartbeatReply,
     Hello,
     ReportConfirmed,
+    SettingsUpdate,
     ShardEpoch,
     Welcome,
 )
@@ -34,6 +38,7 @@
 
 WAIT_SECONDS = 10.0
 SERVICE = "shop"
+SITE = "firm/region/site"
 CAPACITY = {"cores": 4, "memory_mb": 1000, "accelerators": 0}
 EPOCH = 5
 
@@ -43,7 +48,9 @@
 
     def __init__(self):
         self.sequence = 0
+        self.version = PROTOCOL_VERSION
         self.renews = True
+        self.surging = False
         self.ignored_reports = 0
         self.reports = []
         self.drains = []
@@ -51,15 +58,23 @@
         self.listener = Listener("127.0.0.1:0", self.handle)
         self.listener.start()
 
+    def say_version(self, connection):
+        send = connection._send_frame
+        connection._send_frame = lambda data, *limit: send(of_version(data, self.version), *limit)
+
     def handle(self, connection, message):
         if isinstance(message, Hello):
+            self.say_version(connection)
             self.connection = connection
+            self.hello = message
             return Welcome("entry-1", 0.1, owned_shards=[ShardEpoch(1, EPOCH)])
         if isinstance(message, Heartbeat):
             self.sequence = message.sequence
+            self.listed = {held.task_id for held in message.attempts}
             held = message.attempts if self.renews else []
             renewed = [AttemptName(a.task_id, a.attempt) for a in held]
-            return HeartbeatReply(message.sequence, 0, [ShardEpoch(1, EPOCH)], renewed)
+            owned = [ShardEpoch(1, EPOCH)]
+            return HeartbeatReply(message.sequence, 0, owned, renewed, surging=self.surging)
         if isinstance(message, AttemptReport):
             self.reports.append(message)
             if len(self.reports) > self.ignored_reports:
@@ -91,7 +106,7 @@
         urls.append(f"http://127.0.0.1:{server.server_port}")
     settings = AgentSettings(
         agent_id="agent-1",
-        path="firm/region/site",
+        path=SITE,
         availability_zone="gent",
         rack="rack-1",
         services=[SERVICE],
@@ -316,6 +331,71 @@
     assert context.replies[0].status == 200 and dict(context.target.by_key) == {"k": 1}
 
 
+@given("the entry's frames say version {version:d}")
+def step_entry_version(context, version):
+    step_distant_entry(context, version)
+    first = context.entry.connection
+    wait_until(lambda: context.entry.connection is not first, "a new connection")
+    (link,) = context.agent.links.links.values()
+    wait_until(lambda: link.is_open and link.owned, "the entry is known as the owner")
+    wait_until(lambda: context.entry.sequence, "a heartbeat on the new connection")
+
+
+@when("the entry's frames say version {version:d}")
+def step_distant_entry(context, version):
+    context.entry.version = version
+    context.entry.sequence = 0
+    context.entry.connection.close()
+
+
+@then("the agent counts a refused version and is not connected")
+def step_refuses_version(context):
+    totals = context.agent.counters.totals
+    wait_until(lambda: totals().get("agent.wire.version_refused"), "the counter")
+    assert not any(link.is_open for link in context.agent.links.links.values())
+
+
+@given("the heartbeat interval is 5 s")
+def step_interval(context):
+    (link,) = context.agent.links.links.values()
+    link.heartbeat_seconds = 5.0
+    sequence = context.entry.sequence
+    wait_until(lambda: context.entry.sequence > sequence, "the last heartbeat at the old interval")
+
+
+@when("the entry grants a bucket")
+def step_grant_bucket(context):
+    assert context.entry.ask(grant(context, f"bucket/{SERVICE}/0", cores=0)).accepted
+
+
+@then("the bucket is announced within 1 s")
+def step_bucket_announced(context):
+    # Entries route by announcements; until then they refuse the bucket's keys.
+    with gevent.Timeout(1.0, AssertionError("the bucket was not announced")):
+        while f"bucket/{SERVICE}/0" not in context.entry.listed:
+            gevent.sleep(0.01)
+
+
+@then("the agent has announced its site")
+def step_announced_site(context):
+    assert context.entry.hello.path == SITE, context.entry.hello
+
+
+@when('the entry sends the log level "{level}" with revision {revision:d}')
+@when('the entry sends the log level "" with revision {revision:d}')
+def step_send_log_level(context, revision, level=""):
+    root = logging.getLogger()
+    context.stack.callback(root.setLevel, root.level)
+    context.entry.connection.send(SettingsUpdate(revision, {"log_level": level}))
+    wait_until(lambda: context.agent.effective.revision == revision, "the settings")
+
+
+@then('the process logs at level "{level}"')
+def step_log_level(context, level):
+    found = logging.getLevelName(logging.getLogger().level)
+    assert found == level.upper(), found
+
+
 @when("the agent is asked to stop")
 def step_ask_stop(context):
     context.agent.request_stop()
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -13,6 +13,7 @@
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import CorruptJournal, ShardState, TaskState
+from acaciastand.wire.held import KnownHeld
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.shard_machine import ShardMachine
@@ -78,7 +79,25 @@
     return TaskState.DONE if end == AttemptEnd.COMPLETED else TaskState.WAITING
 
 
+def end_when_asked(self, task_id):
+    task = self.state.running[task_id]
+    end_when_asked.original(self, task_id)
+    self._end(task, AttemptEnd.STOPPED)
+
+
+end_when_asked.original = Shard.stop_bucket
+
+
+def renew_all_by_digest(self, heartbeat, reply):
+    reply.knows_held = True
+    if heartbeat.digest:
+        reply.renewed_digest, reply.renewed = heartbeat.digest, []
+    return reply
+
+
 REMOVED = {
+    "bucket ends before it moves": (Shard, "stop_bucket", end_when_asked),
+    "digest only of the same renewals": (KnownHeld, "abbreviate", renew_all_by_digest),
     "wait of a new owner": (Timings, "takeover_seconds", Timings.expiry_seconds),
     "outage hold": (Authority, "__init__", no_hold),
     "expiry of the grant": (Timings, "expiry_seconds", lambda self: 1.0),
@@ -112,7 +131,8 @@
 def run_script(context, case):
     context.violation = None
     try:
-        SCRIPTS[case]().finale()
+        context.world = SCRIPTS[case]()
+        context.world.finale()
     except VIOLATIONS as error:
         context.violation = str(error)
 
@@ -148,6 +168,11 @@
     run_script(context, case)
 
 
+@then("agents sent digests in place of lists")
+def step_digests(context):
+    assert context.world.digests, "every heartbeat carried its list"
+
+
 @when('the script "{case}" runs without the guard "{guard}"')
 def step_without_guard(context, case, guard):
     with patch.object(*REMOVED[guard]):
--- a/src/acaciastand/agent/daemon.py
+++ b/src/acaciastand/agent/daemon.py
@@ -14,12 +14,15 @@
 from acaciastand.agent.links import Links
 from acaciastand.agent.reporter import Reporter
 from acaciastand.agent.runner import Runner
+from acaciastand.agent.shedder import Shedder
 from acaciastand.errors import AcaciastandError
 from acaciastand.host import Attempt, AttemptResult, Grant, Host
 from acaciastand.platform.target_client import TargetClient
 from acaciastand.platform.worker_client import WorkerClient
 from acaciastand.settings.process import AgentSettings
 from acaciastand.settings.schema import EffectiveSettings
+from acaciastand.telemetry import apply_level
+from acaciastand.wire.codec import ProtocolError, VersionRefused
 from acaciastand.wire.messages import (
     AttemptReport,
     Directory,
@@ -77,6 +80,14 @@
         self.exit_code = 0
         self.runner = Runner(self.host, self.worker, self.target, counters, clock, self._superseded)
         self.links = Links(settings.entries, settings.availability_zone, self, rng)
+        self.shedder = Shedder(
+            self.host,
+            self.executor,
+            counters,
+            clock,
+            self.runner.wake.set,
+            self._region_surging,
+        )
         self.reporter = Reporter(self.host, self.links, counters, clock)
         self._tasks: list[gevent.Greenlet] = []
 
@@ -88,6 +99,7 @@
             self.runner.run_commands,
             self._adjust_links,
             self.reporter.run,
+            self.shedder.run,
         )
         self._tasks = [gevent.spawn(loop) for loop in loops]
 
@@ -119,6 +131,7 @@
             draining=self.host.draining,
             settings_revision=self.effective.revision,
             attempts=self._held(),
+            path=self.settings.path,
         )
 
     def welcomed(self, link: Link, welcome: Welcome) -> None:
@@ -171,6 +184,15 @@
             self.counters.increment("agent.messages.unexpected")
         return None
 
+    def protocol_error(self, link: Link, error: ProtocolError) -> None:
+        """Count and log a frame that cannot be read."""
+        if isinstance(error, VersionRefused):
+            self.counters.increment("agent.wire.version_refused")
+            log.error("protocol version of %s refused: %s", link.address, error)
+            return
+        self.counters.increment("agent.wire.protocol_errors")
+        log.warning("foreign frame of %s: %s", link.address, error)
+
     def closed(self, link: Link) -> None:
         """Refuse grants of the closed connection from now on."""
         self.host.heartbeats.forget(link.name)
@@ -188,6 +210,9 @@
             for attempt in self.host.ledger
         ]
 
+    def _region_surging(self) -> bool:
+        return any(link.surging for link in self.links.links.values())
+
     def _learn_owners(self, link: Link) -> None:
         for shard, epoch in link.owned.items():
             self.host.observe_epoch(shard, epoch)
@@ -200,6 +225,9 @@
         reason = self.host.grant(link.name, Grant(**fields), self.clock())
         if reason is None:
             self.runner.wake.set()
+            held = self.host.ledger.find(message.task_id, message.attempt)
+            if held is not None and held.is_bucket:
+                self.links.beat_now()  # entries route by announcements; the interval is up to 5 s
         else:
             self.counters.increment(f"agent.grants.not_run.{reason}")
         return GrantReply(
@@ -236,7 +264,9 @@
         self.effective = EffectiveSettings(values, revision)
         self.host.grant_seconds = self.effective.grant_seconds
         self.host.requests.set_key_window(self.effective.key_window_seconds)
+        self.shedder.apply(self.effective)
         self.links.fanout = self.effective.entry_fanout
+        apply_level(self.effective.log_level, self.settings.log_level)
         self._apply_draining(self.settings.agent_id in self.effective.draining)
         self.links.beat_now()  # confirms the revision without waiting for the interval
 
--- a/src/acaciastand/agent/link.py
+++ b/src/acaciastand/agent/link.py
@@ -11,7 +11,9 @@
 from gevent.event import Event
 
 from acaciastand.errors import AcaciastandError
+from acaciastand.wire.codec import ProtocolError
 from acaciastand.wire.connection import Connection, dial
+from acaciastand.wire.held import SentHeld
 from acaciastand.wire.messages import (
     Heartbeat,
     HeartbeatReply,
@@ -54,6 +56,10 @@
     def received(self, link: Link, message: Message) -> Message | None:
         """Handle a message of the entry and return the reply, if any."""
 
+    @abstractmethod
+    def protocol_error(self, link: Link, error: ProtocolError) -> None:
+        """Take note of a frame that cannot be read; the connection ends."""
+
     @abstractmethod
     def closed(self, link: Link) -> None:
         """Forget what belonged to the connection."""
@@ -81,7 +87,9 @@
         self.connection: Connection | None = None
         self.owned: dict[int, int] = {}
         self.heartbeat_seconds = 1.0
+        self.surging = False
         self.beat_now = Event()
+        self.sent_held = SentHeld()
         self._unanswered = 0
         self._task: gevent.Greenlet | None = None
 
@@ -120,8 +128,13 @@
 
     def _connect(self) -> None:
         self.name = f"{self.address}#{next(self._numbers)}"
-        connection = dial(self.address, lambda _connection, message: self._handle(message))
+        connection = dial(
+            self.address,
+            lambda _connection, message: self._handle(message),
+            on_protocol_error=lambda _connection, error: self.events.protocol_error(self, error),
+        )
         self.connection = connection
+        self.sent_held = SentHeld()
         welcome = connection.request(self.events.hello(), HELLO_SECONDS)
         if not isinstance(welcome, Welcome):
             raise AcaciastandError(
@@ -149,7 +162,7 @@
         gevent.wait([connection.closed, self.beat_now], self.heartbeat_seconds, count=1)
 
     def _send_heartbeat(self, connection: Connection, sequence: int) -> None:
-        message = self.events.heartbeat(self, sequence)
+        message = self.sent_held.abbreviate(self.events.heartbeat(self, sequence))
         limit = self.heartbeat_seconds * MAX_UNANSWERED_HEARTBEATS
         try:
             reply = connection.request(message, limit)
@@ -158,7 +171,11 @@
         if isinstance(reply, HeartbeatReply) and connection is self.connection:
             self._unanswered = 0
             self.set_owned(reply.owned_shards)
+            self.surging = reply.surging
+            reply.renewed = self.sent_held.renewed(reply)
             self.events.heartbeat_answered(self, reply)
+            if message.digest and not reply.knows_held:
+                self.beat_now.set()  # the entry asks for the list
 
     def _handle(self, message: Message) -> Message | None:
         return self.events.received(self, message)
@@ -167,6 +184,7 @@
         connection, self.connection = self.connection, None
         self.entry_id = ""
         self.owned = {}
+        self.surging = False
         if connection is not None:
             connection.close()
             self.events.closed(self)
--- a/src/acaciastand/entry/daemon.py
+++ b/src/acaciastand/entry/daemon.py
@@ -31,7 +31,8 @@
 from acaciastand.routing import Deadline, LeastLoadedOfTwo, Router
 from acaciastand.settings.confirmation import Confirmations, InForce
 from acaciastand.settings.process import EntrySettings
-from acaciastand.telemetry import Counters
+from acaciastand.telemetry import Counters, apply_level
+from acaciastand.wire.codec import VersionRefused
 from acaciastand.wire.connection import Connection, Listener
 from acaciastand.wire.messages import (
     Directory,
@@ -156,6 +157,7 @@
             settings_service,
             self.peers.directory,
             clock,
+            self.requests.surges.surging,
         )
         self.membership = StoreMembership(store, self.lease, self.own, self.peers.learn, clock)
         self.listener = Listener(
@@ -256,6 +258,10 @@
         self.owner.on_agent_gone(session)
 
     def _protocol_error(self, _connection: Connection, error: AcaciastandError) -> None:
+        if isinstance(error, VersionRefused):
+            self.counters.increment("wire.version_refused")
+            logger.error("protocol version refused", extra={"error": str(error)})
+            return
         self.counters.increment("wire.protocol_errors")
         logger.warning("foreign frame", extra={"error": str(error)})
 
@@ -296,6 +302,7 @@
     def _settings_changed(self, revision: int) -> None:
         effective = self.settings_service.effective(self.settings.path)
         self.router.configure(effective.max_ejected, effective.retry_budget)
+        apply_level(effective.log_level, self.settings.log_level)
         self.desk.push_settings(revision)
 
     def _default_timeout_ms(self, service: str) -> int:
