--- a/src/acaciastand_lab/experiments/placement_cost.py
+++ b/src/acaciastand_lab/experiments/placement_cost.py
@@ -57,7 +57,7 @@
     cases = tuple(f"{workers} workers, {tasks} tasks" for workers in SIZES for tasks in TASKS)
     candidates = tuple(PLACERS)
     plotted = "us per start"
-    seeds = (1,)  # the cost varies little with the fleet, and one run takes minutes
+    seeds = (1,)  # one run of all cases takes about two minutes
     processes = 1
 
     def run(self, case: str, candidate: str, seed: int) -> Figures:
