--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -425,23 +425,25 @@
         if attempt.state is AttemptState.RUNNING and lapsed:
             attempt.state = AttemptState.PAUSED
             return CommandKind.PAUSE
-        extended = attempt.valid_until > attempt.lease_until
         # The worker's clock is estimated low, so a lease ends before its grant by up to the time
         # of a status call; a resume for that rest would end in one more pause.
-        if attempt.state is AttemptState.PAUSED and not lapsed and extended:
+        if attempt.state is AttemptState.PAUSED and not lapsed and attempt.extended:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
-        if attempt.state is AttemptState.RUNNING and attempt.limit_cores != attempt.limit_sent:
+        if attempt.state is not AttemptState.RUNNING:
+            return None
+        due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
+        if due and attempt.extended:
+            return CommandKind.RENEW  # before throttle calls, which may fail again and again
+        return self._pressure_kind(attempt)
+
+    def _pressure_kind(self, attempt: Attempt) -> CommandKind | None:
+        if attempt.limit_cores != attempt.limit_sent:
             return CommandKind.THROTTLE
-        if attempt.state is AttemptState.RUNNING and attempt.checkpoint_wanted:
+        if attempt.checkpoint_wanted:
             attempt.checkpoint_wanted = False
             return CommandKind.CHECKPOINT
-        return CommandKind.RENEW if extended and self._renewal_due(attempt, now) else None
-
-    def _renewal_due(self, attempt: Attempt, now: float) -> bool:
-        left = attempt.lease_until - now
-        running = attempt.state is AttemptState.RUNNING
-        return running and left < attempt.grant.grant_seconds * RENEW_BELOW
+        return None
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
