--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps on callers' requests, with fake agents over loopback sockets."""
 
+import io
 import json
 import logging
 import time
@@ -16,6 +17,7 @@
     wait_for,
 )
 from gevent import socket
+from skew import of_version
 
 import acaciastand.entry.http as http_module
 import acaciastand.entry.http_errors as http_errors
@@ -24,8 +26,9 @@
 import acaciastand.routing.deadline as deadline_module
 import acaciastand.routing.target as target_module
 from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.logs import JsonFormatter
 from acaciastand.wire.codec import MAX_BODY_BYTES, encode
-from acaciastand.wire.connection import REPLY_BIT
+from acaciastand.wire.connection import REPLY_BIT, ConnectionClosed
 from acaciastand.wire.messages import (
     Drain,
     Execute,
@@ -203,6 +206,12 @@
         wait_for(lambda: context.peers.with_target(SERVICE), "the target is announced")
 
 
+@given('an agent "{name}" of the second entry that "{text}"')
+def step_agent_of_second(context, name, text):
+    context.agents[name] = FakeAgent(context.stack, name, behaviour(text))
+    context.agents[name].dial(context.second.address)
+
+
 @given("the first entry owns shard {shard:d}")
 def step_owns(context, shard):
     context.entry.owner.shards = [ShardEpoch(shard, 1)]
@@ -234,6 +243,29 @@
     context.answer = context.second.ask()
 
 
+@when("{count:d} requests are sent to the second entry")
+def step_send_several_second(context, count):
+    context.answers = [context.second.ask() for _ in range(count)]
+
+
+@then('{count:d} of them are answered by "{name}" and the others are refused with "{code}"')
+def step_some_forwarded(context, count, name, code):
+    answered = [answer for answer in context.answers if answer.status == 200]
+    assert len(answered) == count, [answer.status for answer in context.answers]
+    assert len(executions(context.agents[name])) == count
+    refused = [answer.json() for answer in context.answers if answer.status != 200]
+    assert {(item["code"], item["outcome"]) for item in refused} == {(code, "not_run")}, refused
+
+
+@then('agent "{name}" received at most {limit:d} of them')
+def step_received_at_most(context, name, limit):
+    assert 1 <= len(executions(context.agents[name])) <= limit
+
+
+def executions(agent):
+    return [message for message in agent.received if isinstance(message, Execute)]
+
+
 @when("each entry believes that the other has a target and a request is sent to the second")
 def step_circle(context):
     wait_for(lambda: context.entry.daemon.peers.met(), "the entries met both ways")
@@ -354,6 +386,40 @@
     wait_for(lambda: context.entry.daemon.registry.get(name).leaving, "the settings took effect")
 
 
+@given('an agent "{name}" whose frames say version {version:d}')
+def step_agent_of_version(context, name, version):
+    agent = context.agents[name] = FakeAgent(context.stack, name)
+    agent.mangle = lambda data: [of_version(data, version)]
+    agent.dial(context.entry.address)
+
+
+@when('an agent "{name}" whose frames say version {version:d} dials')
+def step_distant_agent(context, name, version):
+    context.lines = io.StringIO()
+    handler = logging.StreamHandler(context.lines)
+    handler.setFormatter(JsonFormatter())
+    logging.getLogger().addHandler(handler)
+    context.stack.callback(logging.getLogger().removeHandler, handler)
+    try:
+        step_agent_of_version(context, name, version)
+    except ConnectionClosed:
+        return
+    raise AssertionError("the agent was welcomed")
+
+
+@then("no agent is a member")
+def step_nobody(context):
+    assert context.entry.daemon.registry.sessions() == []
+
+
+@then('the refused version was counted once and logged with "{remedy}"')
+def step_version_refused(context, remedy):
+    wait_for(lambda: context.entry.count("wire.version_refused") == 1, "the counter")
+    lines = [json.loads(line) for line in context.lines.getvalue().splitlines()]
+    (line,) = [line for line in lines if line["message"] == "protocol version refused"]
+    assert line["level"] == "error" and remedy in line["error"], line
+
+
 @when('agent "{name}" sends a heartbeat')
 def step_heartbeat(context, name):
     context.reply = context.agents[name].heartbeat()
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -13,7 +13,7 @@
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import CorruptJournal, ShardState, TaskState
-from acaciastand.wire.held import KnownHeld, names_digest, renewable
+from acaciastand.wire.held import KnownHeld
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.shard_machine import ShardMachine
@@ -79,15 +79,24 @@
     return TaskState.DONE if end == AttemptEnd.COMPLETED else TaskState.WAITING
 
 
+def end_when_asked(self, task_id):
+    task = self.state.running[task_id]
+    end_when_asked.original(self, task_id)
+    self._end(task, AttemptEnd.STOPPED)
+
+
+end_when_asked.original = Shard.stop_bucket
+
+
 def renew_all_by_digest(self, heartbeat, reply):
     reply.knows_held = True
     if heartbeat.digest:
-        names = renewable(self.held, reply.owned_shards)
-        reply.renewed_digest, reply.renewed = names_digest(names), []
+        reply.renewed_digest, reply.renewed = heartbeat.digest, []
     return reply
 
 
 REMOVED = {
+    "bucket ends before it moves": (Shard, "stop_bucket", end_when_asked),
     "digest only of the same renewals": (KnownHeld, "abbreviate", renew_all_by_digest),
     "wait of a new owner": (Timings, "takeover_seconds", Timings.expiry_seconds),
     "outage hold": (Authority, "__init__", no_hold),
--- a/src/acaciastand_lab/capacity_rows.py
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from functools import partial
 
+from acaciastand.entry.owned_shard import RETRY_SECONDS
+from acaciastand.entry.owner import CLAIM_INTERVAL_SECONDS
 from acaciastand.record import Record
 from acaciastand.shard.limits import MAX_EVENTS_PER_COMMIT, MAX_JOBS, MAX_TASKS
 from acaciastand_lab.measurements import Slope
@@ -119,6 +121,11 @@
 LONG_TASK_SECONDS = 600.0  # run time of the rows for long tasks
 
 
+def beat_rate(scale: Scale) -> float:
+    """Return the heartbeats a second of one connection; each change of settings brings one on."""
+    return 1.0 / scale.heartbeat_seconds + scale.changes
+
+
 def long_tasks(scale: Scale) -> Scale:
     """Return the deployment with as many running tasks that each run for ten minutes."""
     return scale.replace(starts=scale.batch_running / LONG_TASK_SECONDS)
@@ -179,7 +186,7 @@
 def agent_rows(scale: Scale, slopes: Slopes) -> list[Row]:
     """Return the rows of the agent."""
     table = Table()
-    beats = scale.connections_per_agent / scale.heartbeat_seconds
+    beats = scale.connections_per_agent * beat_rate(scale)
     starts = scale.starts / scale.workers
     table.add(
         "batch attempts held",
@@ -211,7 +218,7 @@
             + scale.changes * scale.connections_per_agent * slopes.per_item("bytes.settings_update")
         ),
         "bytes a second",
-        "settings pushed once per connection, only effective values",
+        "all effective values on every connection at each change",
         BYTES_LIMIT,
     )
     table.add(
@@ -248,7 +255,7 @@
 def entry_rows(scale: Scale, slopes: Slopes) -> list[Row]:
     """Return the rows of an entry without its shards."""
     table = Table()
-    beats = scale.agents_per_entry / scale.heartbeat_seconds
+    beats = scale.agents_per_entry * beat_rate(scale)
     peers = scale.entries / scale.regions - 1
     table.add("agents connected", lambda: scale.agents_per_entry, "agents", "fan-out over entries")
     table.add(
@@ -422,7 +429,8 @@
         "pushes of one entry",
         lambda: (scale.changes * scale.agents_per_entry * slopes.per_item("bytes.settings_update")),
         "bytes a second",
-        "only agents whose effective values changed; the others confirm by heartbeat",
+        "each change sends all effective values to every agent; sending them only to agents whose "
+        "values changed would carry it",
         BYTES_LIMIT,
     )
     table.add(
@@ -472,13 +480,28 @@
         "what one write per start and end would take",
         scale.store_writes_limit,
     )
+    looks = regional_entries * (regional_shards - scale.shards_per_entry) / CLAIM_INTERVAL_SECONDS
+    table.add(
+        "reads of owner keys",
+        lambda: looks,
+        "reads a second",
+        "each entry reads the owner of each shard that it does not own, twice a second",
+    )
     table.add(
-        "watches waiting",
-        lambda: regional_entries + regional_shards,
-        "calls",
-        "next settings slot and the owner keys of shards",
+        "reads in all, home region",
+        lambda: looks + scale.entries,
+        "calls a second",
+        "owner keys and one waiting watch of each entry of all regions; reading the owners less "
+        "often, or as one value, would carry growth",
         scale.store_reads_limit,
     )
+    table.add(
+        "appends tried during an outage",
+        lambda: regional_shards / RETRY_SECONDS,
+        "a second",
+        "every shard with changes, each 0.25 s; a wait that doubles up to 2 s would carry it",
+        scale.store_writes_limit,
+    )
     table.add(
         "reads after the loss of an entry",
         lambda: scale.shards_per_entry * 65,
