--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -430,18 +430,20 @@
         if attempt.state is AttemptState.PAUSED and not lapsed and attempt.extended:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
-        if attempt.state is AttemptState.RUNNING and attempt.limit_cores != attempt.limit_sent:
+        if attempt.state is not AttemptState.RUNNING:
+            return None
+        due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
+        if due and attempt.extended:
+            return CommandKind.RENEW  # before throttle calls, which may fail again and again
+        return self._pressure_kind(attempt)
+
+    def _pressure_kind(self, attempt: Attempt) -> CommandKind | None:
+        if attempt.limit_cores != attempt.limit_sent:
             return CommandKind.THROTTLE
-        if attempt.state is AttemptState.RUNNING and attempt.checkpoint_wanted:
+        if attempt.checkpoint_wanted:
             attempt.checkpoint_wanted = False
             return CommandKind.CHECKPOINT
-        return CommandKind.RENEW if self._renewal_due(attempt, now) else None
-
-    def _renewal_due(self, attempt: Attempt, now: float) -> bool:
-        left = attempt.lease_until - now
-        running = attempt.state is AttemptState.RUNNING
-        due = left < attempt.grant.grant_seconds * RENEW_BELOW
-        return running and due and attempt.extended
+        return None
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
