Bring the agent's resident memory within 32 MB

Cause: 34.9 MB resident; geventhttpclient brings ssl, urllib.request and cookies, and hashlib maps OpenSSL, which the agent never uses. Change: platform/http.py uses http.client on gevent sockets and never repeats a call; a kept connection that the server closed is replaced before use. programs/without_openssl.py keeps _hashlib and _ssl out of the agent's process.

--- /dev/null
+++ b/features/http_caller.feature
@@ -0,0 +1,29 @@
+Feature: HTTP calls of the agent to its worker and target
+
+  Scenario: The agent's program loads neither OpenSSL nor the HTTP client of the entry
+    When the agent's program is loaded in a process of its own
+    Then it has loaded none of "_ssl _hashlib geventhttpclient falcon typer"
+
+  Scenario: A kept connection that the server closed is replaced
+    Given a server that closes each connection after one answer without saying so
+    When two calls are made one after the other
+    Then both are answered and each reached the server once
+
+  Scenario Outline: <answer> is an unknown outcome and is not repeated
+    Given a server that sends "<answer>"
+    When a call is made
+    Then the call broke off and reached the server once
+
+    Examples:
+      | answer                |
+      | half a body           |
+      | no length             |
+      | half a chunk          |
+      | garbage               |
+      | nothing               |
+      | more than a megabyte  |
+
+  Scenario: A call that nothing answers ends in time
+    Given a server that sends "silence"
+    When a call is made
+    Then the call timed out
--- /dev/null
+++ b/features/steps/http_caller_steps.py
@@ -0,0 +1,112 @@
+"""Steps for HTTP calls against a server that answers with given bytes."""
+
+import subprocess
+import sys
+
+from behave import given, then, when
+from gevent import socket
+from gevent.server import StreamServer
+
+from acaciastand.errors import AcaciastandError
+from acaciastand.platform.http import MAX_ANSWER_BYTES, CallBrokeOff, CallTimedOut, HttpCaller
+
+OK = b"HTTP/1.1 200 OK\r\n"
+ANSWERS = {
+    "half a body": OK + b"Content-Length: 10\r\n\r\n12345",
+    "no length": OK + b"\r\n12345",
+    "half a chunk": OK + b"Transfer-Encoding: chunked\r\n\r\na\r\n12345",
+    "garbage": b"\x00\x01\x02\r\n\r\n",
+    "nothing": b"",
+    "more than a megabyte": OK
+    + f"Content-Length: {MAX_ANSWER_BYTES + 1}\r\n\r\n".encode()
+    + b"x" * (MAX_ANSWER_BYTES + 1),
+    "whole": OK + b"Content-Length: 2\r\n\r\nok",
+}
+
+
+def serve(context, answer):
+    """Answer each connection once with `answer`; None answers nothing and stays open."""
+    context.requests = 0
+
+    def handle(sock, _address):
+        if not sock.recv(65536):
+            return
+        context.requests += 1
+        if answer is None:
+            sock.recv(1)
+        else:
+            sock.sendall(answer)
+            sock.shutdown(socket.SHUT_WR)
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    context.stack.callback(server.stop, 0.1)
+    context.caller = HttpCaller(f"http://127.0.0.1:{server.server_port}")
+    context.stack.callback(context.caller.close)
+
+
+def call(context):
+    """Make one call and keep its error."""
+    try:
+        context.error = None
+        return context.caller.call("POST", "/v1/tasks", b"{}", timeout_seconds=0.5)
+    except AcaciastandError as error:
+        context.error = error
+        return None
+
+
+@when("the agent's program is loaded in a process of its own")
+def step_load(context):
+    code = (
+        "import sys, acaciastand.programs.agent; print(*[n for n, m in sys.modules.items() if m])"
+    )
+    output = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True)
+    context.modules = set(output.stdout.decode().split())
+
+
+@then('it has loaded none of "{names}"')
+def step_none_of(context, names):
+    loaded = context.modules & set(names.split())
+    assert "acaciastand.agent.daemon" in context.modules
+    assert not loaded, f"loaded: {sorted(loaded)}"
+
+
+@given("a server that closes each connection after one answer without saying so")
+def step_closing(context):
+    serve(context, ANSWERS["whole"])
+
+
+@given('a server that sends "{answer}"')
+def step_server(context, answer):
+    serve(context, None if answer == "silence" else ANSWERS[answer])
+
+
+@when("two calls are made one after the other")
+def step_two(context):
+    context.answers = [call(context)]
+    # The end of the connection arrives before the second call.
+    kept = context.caller._idle[0]
+    socket.wait_read(kept.sock.fileno(), timeout=5.0)
+    context.answers.append(call(context))
+
+
+@when("a call is made")
+def step_one(context):
+    call(context)
+
+
+@then("both are answered and each reached the server once")
+def step_both(context):
+    assert [answer.body for answer in context.answers] == [b"ok", b"ok"]
+    assert context.requests == 2
+
+
+@then("the call broke off and reached the server once")
+def step_broke_off(context):
+    assert isinstance(context.error, CallBrokeOff), repr(context.error)
+    assert context.requests == 1
+
+
+@then("the call timed out")
+def step_timed_out(context):
+    assert isinstance(context.error, CallTimedOut), repr(context.error)
--- a/src/acaciastand/platform/http.py
+++ b/src/acaciastand/platform/http.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import http.client
+import select
+import socket
+from urllib.parse import urlsplit
+
 import gevent
-from geventhttpclient.client import HTTPClient
-from geventhttpclient.response import HTTPParseError
+import gevent.socket
 
 from acaciastand.errors import AcaciastandError, Outcome
 from acaciastand.record import Record
@@ -50,6 +54,24 @@
         self.content_type = content_type
 
 
+class _Connection(http.client.HTTPConnection):
+    # geventhttpclient brings ssl, urllib.request and cookies: 3.7 MiB of the agent's 32 MB.
+
+    def connect(self) -> None:
+        """Connect a gevent socket; the deadline of a call is enforced outside."""
+        self.sock = gevent.socket.create_connection((self.host, self.port), CONNECT_SECONDS)
+        self.sock.settimeout(None)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def is_usable(self) -> bool:
+        """Return whether a kept connection is still open; the server sends nothing unasked."""
+        if self.sock is None:
+            return False
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
 class HttpCaller:
     """Calls one server over kept connections; a connection that failed is never used again.
 
@@ -61,7 +83,7 @@
 
     def __init__(self, url: str) -> None:
         self.url = url
-        self._idle: list[HTTPClient] = []
+        self._idle: list[_Connection] = []
 
     def call(
         self,
@@ -80,7 +102,7 @@
         CallTimedOut, CallBrokeOff
             The call may have had its effect.
         """
-        client = self._idle.pop() if self._idle else self._connect()
+        client = self._take()
         try:
             with gevent.Timeout(timeout_seconds):
                 answer = _exchange(client, method, path, body, headers or {})
@@ -98,11 +120,14 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _connect(self) -> HTTPClient:
-        # The deadline of a call is enforced outside, so the client's own limit is a long one.
-        return HTTPClient.from_url(
-            self.url, concurrency=1, connection_timeout=CONNECT_SECONDS, network_timeout=120.0
-        )
+    def _take(self) -> _Connection:
+        while self._idle:
+            client = self._idle.pop()
+            if client.is_usable():
+                return client
+            client.close()
+        parts = urlsplit(self.url)
+        return _Connection(parts.hostname or "", parts.port)
 
     def _typed(self, error: BaseException, timeout_seconds: float) -> BaseException:
         if isinstance(error, ConnectionRefusedError):
@@ -112,7 +137,7 @@
                 f"no whole answer from {self.url} within {timeout_seconds:.3f} s",
                 "treat the outcome as unknown",
             )
-        if isinstance(error, OSError | HTTPParseError | ValueError):
+        if isinstance(error, OSError | http.client.HTTPException | ValueError):
             return CallBrokeOff(
                 f"the answer of {self.url} broke off: {error}", "treat the outcome as unknown"
             )
@@ -120,9 +145,11 @@
 
 
 def _exchange(
-    client: HTTPClient, method: str, path: str, body: bytes, headers: dict[str, str]
+    client: _Connection, method: str, path: str, body: bytes, headers: dict[str, str]
 ) -> HttpAnswer:
-    response = client.request(method, path, body=body, headers=headers)
+    client.request(method, path, body or None, headers)
+    response = client.getresponse()
+    length = response.length
     parts: list[bytes] = []
     size = 0
     while data := response.read(READ_BYTES):
@@ -130,9 +157,7 @@
         size += len(data)
         if size > MAX_ANSWER_BYTES:
             raise ValueError(f"more than {MAX_ANSWER_BYTES} bytes")
-    length = response.content_length
-    chunked = str(response.get("transfer-encoding", "")).lower() == "chunked"
     # An answer that ends with the connection cannot be told from a truncated one.
-    if not response.message_complete or (length != size and not chunked):
+    if not response.chunked and length != size:
         raise ValueError(f"{size} of {length} bytes arrived")
-    return HttpAnswer(response.status_code, b"".join(parts), str(response.get("content-type", "")))
+    return HttpAnswer(response.status, b"".join(parts), response.getheader("content-type", ""))
--- a/src/acaciastand/programs/agent.py
+++ b/src/acaciastand/programs/agent.py
@@ -13,6 +13,9 @@
 import gevent
 
 from acaciastand import __version__
+from acaciastand.programs import without_openssl  # noqa: F401
+
+# isort: split
 from acaciastand.agent.daemon import Agent
 from acaciastand.errors import AcaciastandError
 from acaciastand.settings.process import AgentSettings
