--- a/src/acaciastand_lab/capacity_rows.py
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -279,7 +279,7 @@
             f"heartbeat bytes out, {case}",
             partial(scaled, beats, partial(bytes_down, at, slopes)),
             "bytes a second",
-            "more entries divide it; 74 of the bytes are headers and owned shards",
+            "more entries divide it; 118 of the bytes are headers and owned shards",
             BYTES_LIMIT,
         )
         table.add(
