--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,11 +1,23 @@
 """Steps on callers' requests, with fake agents over loopback sockets."""
 
+import io
 import json
+import logging
+import time
 
 import gevent
 from behave import given, then, when
-from entry_support import SERVICE, WAIT_SECONDS, Entry, FakeAgent, answer_with_name, wait_for
+from entry_support import (
+    GRANT_SECONDS,
+    SERVICE,
+    WAIT_SECONDS,
+    Entry,
+    FakeAgent,
+    answer_with_name,
+    wait_for,
+)
 from gevent import socket
+from skew import of_version
 
 import acaciastand.entry.http as http_module
 import acaciastand.entry.http_errors as http_errors
@@ -14,8 +26,9 @@
 import acaciastand.routing.deadline as deadline_module
 import acaciastand.routing.target as target_module
 from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.logs import JsonFormatter
 from acaciastand.wire.codec import MAX_BODY_BYTES, encode
-from acaciastand.wire.connection import REPLY_BIT
+from acaciastand.wire.connection import REPLY_BIT, ConnectionClosed
 from acaciastand.wire.messages import (
     Drain,
     Execute,
@@ -49,6 +62,11 @@
     return answer_with_name(agent, message)
 
 
+def refuse_when_released(agent, message):
+    agent.release.wait()
+    return ExecuteReply(message.request_id, outcome="not_run", reason="no_slot")
+
+
 def close(agent, message):
     agent.old = message.request_id
     agent.connection.close()
@@ -102,6 +120,8 @@
 
 
 def behaviour(text):
+    if text == "refuses with no_slot when released":
+        return refuse_when_released
     if text.startswith("refuses with "):
         return reply(outcome="not_run", reason=text.removeprefix("refuses with "))
     if text.startswith("does not know: "):
@@ -186,6 +206,12 @@
         wait_for(lambda: context.peers.with_target(SERVICE), "the target is announced")
 
 
+@given('an agent "{name}" of the second entry that "{text}"')
+def step_agent_of_second(context, name, text):
+    context.agents[name] = FakeAgent(context.stack, name, behaviour(text))
+    context.agents[name].dial(context.second.address)
+
+
 @given("the first entry owns shard {shard:d}")
 def step_owns(context, shard):
     context.entry.owner.shards = [ShardEpoch(shard, 1)]
@@ -217,6 +243,29 @@
     context.answer = context.second.ask()
 
 
+@when("{count:d} requests are sent to the second entry")
+def step_send_several_second(context, count):
+    context.answers = [context.second.ask() for _ in range(count)]
+
+
+@then('{count:d} of them are answered by "{name}" and the others are refused with "{code}"')
+def step_some_forwarded(context, count, name, code):
+    answered = [answer for answer in context.answers if answer.status == 200]
+    assert len(answered) == count, [answer.status for answer in context.answers]
+    assert len(executions(context.agents[name])) == count
+    refused = [answer.json() for answer in context.answers if answer.status != 200]
+    assert {(item["code"], item["outcome"]) for item in refused} == {(code, "not_run")}, refused
+
+
+@then('agent "{name}" received at most {limit:d} of them')
+def step_received_at_most(context, name, limit):
+    assert 1 <= len(executions(context.agents[name])) <= limit
+
+
+def executions(agent):
+    return [message for message in agent.received if isinstance(message, Execute)]
+
+
 @when("each entry believes that the other has a target and a request is sent to the second")
 def step_circle(context):
     wait_for(lambda: context.entry.daemon.peers.met(), "the entries met both ways")
@@ -280,7 +329,7 @@
 def step_each_ends(context):
     found = {(answer.json()["code"], answer.json()["outcome"]) for answer in context.answers}
     assert ("no_connection", "not_run") in found, found
-    assert context.in_time >= len(context.answers) - 1, "only the frame that blocks may wait"
+    assert context.in_time == len(context.answers), "no caller waits longer than its deadline"
     assert found <= {
         ("no_connection", "not_run"),
         ("timed_out", "unknown"),
@@ -337,6 +386,75 @@
     wait_for(lambda: context.entry.daemon.registry.get(name).leaving, "the settings took effect")
 
 
+@given('an agent "{name}" whose frames say version {version:d}')
+def step_agent_of_version(context, name, version):
+    agent = context.agents[name] = FakeAgent(context.stack, name)
+    agent.mangle = lambda data: [of_version(data, version)]
+    agent.dial(context.entry.address)
+
+
+@when('an agent "{name}" whose frames say version {version:d} dials')
+def step_distant_agent(context, name, version):
+    context.lines = io.StringIO()
+    handler = logging.StreamHandler(context.lines)
+    handler.setFormatter(JsonFormatter())
+    logging.getLogger().addHandler(handler)
+    context.stack.callback(logging.getLogger().removeHandler, handler)
+    try:
+        step_agent_of_version(context, name, version)
+    except ConnectionClosed:
+        return
+    raise AssertionError("the agent was welcomed")
+
+
+@then("no agent is a member")
+def step_nobody(context):
+    assert context.entry.daemon.registry.sessions() == []
+
+
+@then('the refused version was counted once and logged with "{remedy}"')
+def step_version_refused(context, remedy):
+    wait_for(lambda: context.entry.count("wire.version_refused") == 1, "the counter")
+    lines = [json.loads(line) for line in context.lines.getvalue().splitlines()]
+    (line,) = [line for line in lines if line["message"] == "protocol version refused"]
+    assert line["level"] == "error" and remedy in line["error"], line
+
+
+@when('agent "{name}" sends a heartbeat')
+def step_heartbeat(context, name):
+    context.reply = context.agents[name].heartbeat()
+
+
+@then("the reply states the owner's grant length")
+def step_grant_length(context):
+    assert context.reply.grant_seconds == GRANT_SECONDS, context.reply
+
+
+@given('the settings of site "{site}" have the grant length {seconds:d}')
+def step_site_settings(context, site, seconds):
+    values = {"grant_seconds": float(seconds)}
+    context.entry.settings.values_by_path[f"{site}/{SERVICE}"] = values
+
+
+@given('an agent "{name}" of site "{site}"')
+def step_agent_of_site(context, name, site):
+    agent = FakeAgent(context.stack, name, path=site)
+    context.agents[name] = agent.dial(context.entry.address)
+
+
+@then('agent "{name}" is welcomed with the grant length {seconds:d}')
+def step_welcomed(context, name, seconds):
+    assert context.agents[name].welcome.settings["grant_seconds"] == seconds
+
+
+@when('the settings tree sets the log level "{level}" with revision {revision:d}')
+@when('the settings tree sets the log level "" with revision {revision:d}')
+def step_tree_log_level(context, revision, level=""):
+    root = logging.getLogger()
+    context.stack.callback(root.setLevel, root.level)
+    context.entry.settings.change({"log_level": level}, revision)
+
+
 @when('agent "{name}" falls silent')
 def step_silent(context, name):
     context.entry.daemon.registry.get(name).heartbeat_seconds = 0.05
@@ -352,13 +470,35 @@
 
 
 @when("a caller sends a request and goes away")
-def step_caller_gone(context):
+def step_caller_gone(context, agents=None):
     head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\nContent-Length: 1\r\n\r\nx"
     caller = open_caller(context, head.encode())
-    agent = context.agents["a"]
-    wait_for(lambda: agent.received, "the request arrived")
+    agents = agents or [context.agents["a"]]
+    wait_for(lambda: any(agent.received for agent in agents), "the request arrived")
     caller.close()
-    agent.release.set()
+    for agent in agents:
+        agent.release.set()
+
+
+@when('a caller sends a request and goes away before agents "{first}" and "{second}" answer')
+def step_gone_before_answer(context, first, second):
+    budget = context.entry.daemon.router.services[SERVICE].budget
+    for _ in range(10):  # a retry would be paid from these
+        budget.record_request(time.monotonic())
+    step_caller_gone(context, [context.agents[first], context.agents[second]])
+
+
+@then("one agent received the request, nothing is left in progress and it is counted")
+def step_not_retried(context):
+    wait_for(lambda: not context.entry.daemon.http.in_progress, "the request ends")
+    received = [len(executed_of(agent)) for agent in context.agents.values()]
+    assert sorted(received) == [0, 1], received
+    assert context.entry.count("requests.caller_gone") == 1
+    assert context.entry.count("refused.no_slot") == 1
+
+
+def executed_of(agent):
+    return [message for message in agent.received if isinstance(message, Execute)]
 
 
 @when("a caller sends half of its body and goes away")
@@ -389,8 +529,18 @@
         context.answer = raw_answer(context, what)
 
 
-def raw_answer(context, what):
-    head = f"POST {PATH} HTTP/1.1\r\nHost: entry\r\n"
+@when('a settings edit that is "{what}" is sent')
+def step_bad_edit(context, what):
+    shorten(context, http_errors, "BODY_SECONDS", 0.2)
+    path = "/v1/settings/maison-reprise/log_level"
+    if what == "too large":
+        context.answer = context.entry.call("PUT", path, b"x" * (MAX_BODY_BYTES + 1))
+    else:
+        context.answer = raw_answer(context, what, f"PUT {path}")
+
+
+def raw_answer(context, what, call=f"POST {PATH}"):
+    head = f"{call} HTTP/1.1\r\nHost: entry\r\n"
     if what == "too slow":
         data = f"{head}Content-Length: 10\r\n\r\nhalf".encode()
     else:
--- a/src/acaciastand/agent/link.py
+++ b/src/acaciastand/agent/link.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from acaciastand.errors import AcaciastandError
+from acaciastand.wire.codec import ProtocolError
 from acaciastand.wire.connection import Connection, dial
 from acaciastand.wire.held import SentHeld
 from acaciastand.wire.messages import (
@@ -55,6 +56,10 @@
     def received(self, link: Link, message: Message) -> Message | None:
         """Handle a message of the entry and return the reply, if any."""
 
+    @abstractmethod
+    def protocol_error(self, link: Link, error: ProtocolError) -> None:
+        """Take note of a frame that cannot be read; the connection ends."""
+
     @abstractmethod
     def closed(self, link: Link) -> None:
         """Forget what belonged to the connection."""
@@ -82,6 +87,7 @@
         self.connection: Connection | None = None
         self.owned: dict[int, int] = {}
         self.heartbeat_seconds = 1.0
+        self.surging = False
         self.beat_now = Event()
         self.sent_held = SentHeld()
         self._unanswered = 0
@@ -122,7 +128,11 @@
 
     def _connect(self) -> None:
         self.name = f"{self.address}#{next(self._numbers)}"
-        connection = dial(self.address, lambda _connection, message: self._handle(message))
+        connection = dial(
+            self.address,
+            lambda _connection, message: self._handle(message),
+            on_protocol_error=lambda _connection, error: self.events.protocol_error(self, error),
+        )
         self.connection = connection
         self.sent_held = SentHeld()
         welcome = connection.request(self.events.hello(), HELLO_SECONDS)
@@ -161,6 +171,7 @@
         if isinstance(reply, HeartbeatReply) and connection is self.connection:
             self._unanswered = 0
             self.set_owned(reply.owned_shards)
+            self.surging = reply.surging
             reply.renewed = self.sent_held.renewed(reply)
             self.events.heartbeat_answered(self, reply)
             if message.digest and not reply.knows_held:
@@ -173,6 +184,7 @@
         connection, self.connection = self.connection, None
         self.entry_id = ""
         self.owned = {}
+        self.surging = False
         if connection is not None:
             connection.close()
             self.events.closed(self)
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -274,8 +274,10 @@
     knows_held
         Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
     renewed_digest
-        Digest of the heartbeat when it stands for `renewed`: everything is renewed that the agent
-        held in shards of `owned_shards` when it sent the heartbeat. 0 when `renewed` is the list.
+        Digest of the heartbeat when it stands for `renewed`: everything is renewed that the
+        agent held in shards of `owned_shards` when it sent the heartbeat; 0 for the list.
+    surging
+        Whether a service of the region surges at this entry.
     """
 
     __slots__ = (
@@ -286,6 +288,7 @@
         "grant_seconds",
         "knows_held",
         "renewed_digest",
+        "surging",
     )
     type_number = 5
     nested_lists = {"owned_shards": ShardEpoch, "renewed": AttemptName}
@@ -299,6 +302,7 @@
         grant_seconds: float = 0.0,
         knows_held: bool = False,
         renewed_digest: int = 0,
+        surging: bool = False,
     ) -> None:
         self.sequence = sequence
         self.settings_revision = settings_revision
@@ -307,6 +311,7 @@
         self.grant_seconds = grant_seconds
         self.knows_held = knows_held
         self.renewed_digest = renewed_digest
+        self.surging = surging
 
 
 class Execute(Message):
@@ -403,6 +408,8 @@
         Length of the grant.
     checkpoint
         Reference from the previous attempt, empty for a first start.
+    urgent
+        Whether the job is urgent; such tasks are evicted last.
     """
 
     __slots__ = (
@@ -416,6 +423,7 @@
         "batch_class",
         "heartbeat_sequence",
         "grant_seconds",
+        "urgent",
     )
     type_number = 8
     nested = {"size": Resources}
@@ -432,6 +440,7 @@
         batch_class: str = "",
         heartbeat_sequence: int = 0,
         grant_seconds: float = 0.0,
+        urgent: bool = False,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -443,6 +452,7 @@
         self.batch_class = batch_class
         self.heartbeat_sequence = heartbeat_sequence
         self.grant_seconds = grant_seconds
+        self.urgent = urgent
 
 
 class GrantReply(Message):
