--- a/src/acaciastand_lab/bench_agent.py
+++ b/src/acaciastand_lab/bench_agent.py
@@ -154,7 +154,7 @@
     shares = [idle_share(process) for process in pair]
     values: list[list[float]] = [[], []]
     for count in REQUEST_COUNTS:
-        work = partial(send_requests, deployment.http["entry-0"], deployment.firm.service, count)
+        work = partial(send_requests, deployment, count)
         for series, seconds in zip(values, work_seconds(pair, shares, work), strict=True):
             series.append(seconds)
     return [
@@ -163,17 +163,18 @@
     ]
 
 
-def send_requests(address: str, service: str, count: int) -> None:
+def send_requests(deployment: Deployment, count: int) -> None:
     """Send idempotent requests on `CALLERS` connections."""
     with ThreadPoolExecutor(CALLERS) as pool:
-        list(pool.map(partial(_send_in_turn, address, service), [count // CALLERS] * CALLERS))
+        list(pool.map(partial(_send_in_turn, deployment), [count // CALLERS] * CALLERS))
 
 
-def _send_in_turn(address: str, service: str, count: int) -> None:
-    connection = http.client.HTTPConnection(address, timeout=10.0)
+def _send_in_turn(deployment: Deployment, count: int) -> None:
+    connection = http.client.HTTPConnection(deployment.http["entry-0"], timeout=10.0)
+    path = f"/v1/services/{deployment.firm.service}/requests"
     headers = {"Idempotent": "true", "Request-Timeout-Ms": "5000"}
     for _ in range(count):
-        connection.request("POST", f"/v1/services/{service}/requests", BODY, headers)
+        connection.request("POST", path, BODY, headers)
         answer = connection.getresponse()
         answer.read()
         assert answer.status == 200, answer.status
