--- a/features/entry_support.py
+++ b/features/entry_support.py
@@ -3,7 +3,6 @@
 import json
 import random
 
-import gevent
 from gevent.event import Event
 from geventhttpclient import HTTPClient
 
@@ -22,16 +21,6 @@
 GRANT_SECONDS = 7.5
 
 
-def wait_for(condition, what):
-    """Wait until `condition` returns something true."""
-    with gevent.Timeout(WAIT_SECONDS, AssertionError(f"not in time: {what}")):
-        while True:
-            value = condition()
-            if value:
-                return value
-            gevent.sleep(0.005)
-
-
 def _down(*_arguments, **_options):
     raise StoreUnavailable("the store is down", "wait")
 
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -7,6 +7,7 @@
 import gevent
 from behave import given, then, when
 from skew import of_version
+from waiting import wait_for
 
 from acaciastand.agent.daemon import Agent
 from acaciastand.host import BUCKETS_PER_SERVICE, Attempt, Grant
@@ -85,12 +86,6 @@
         return self.connection.request(message, WAIT_SECONDS)
 
 
-def wait_until(condition, what):
-    with gevent.Timeout(WAIT_SECONDS, TimeoutError(what)):
-        while not condition():
-            gevent.sleep(0.01)
-
-
 @given("an agent with its worker and target, connected to one entry")
 def step_agent(context):
     context.worker, context.target, context.entry = Worker(CAPACITY), Target(), Entry()
@@ -115,7 +110,7 @@
     context.agent = Agent(settings, Counters(), time.monotonic, random.Random(1))
     context.stack.callback(context.agent.close)
     context.agent.start()
-    wait_until(lambda: context.entry.sequence, "the first heartbeat")
+    wait_for(lambda: context.entry.sequence, "the first heartbeat")
     context.host = context.agent.host
     context.request = Execute("request-1", SERVICE, b"body", 1000)
     context.grant = grant(context, "job/1")
@@ -266,19 +261,19 @@
 @when("the entry grants a task of {seconds:f} s")
 def step_grant_task(context, seconds):
     assert context.entry.ask(grant(context, "job/1", seconds=seconds)).accepted
-    wait_until(lambda: context.worker.runs, "the task starts")
+    wait_for(lambda: context.worker.runs, "the task starts")
 
 
 @then("it receives {count:d} reports that the task completed")
 def step_reports(context, count):
-    wait_until(lambda: len(context.entry.reports) >= count, "the reports")
+    wait_for(lambda: len(context.entry.reports) >= count, "the reports")
     assert {report.result for report in context.entry.reports} == {"completed"}
 
 
 @then("the agent holds no attempt and the worker ran the task once")
 def step_forgotten(context):
-    wait_until(lambda: not context.host.ledger.attempts, "the result is forgotten")
-    wait_until(lambda: not context.worker.tasks, "the worker forgets the task")
+    wait_for(lambda: not context.host.ledger.attempts, "the result is forgotten")
+    wait_for(lambda: not context.worker.tasks, "the worker forgets the task")
     assert len(context.worker.runs) == 1 and len(context.entry.reports) == 3
 
 
@@ -295,7 +290,7 @@
 
 @then("the worker has paused the task")
 def step_paused(context):
-    wait_until(lambda: [run["end"] for run in context.worker.runs] == ["paused"], "the pause")
+    wait_for(lambda: [run["end"] for run in context.worker.runs] == ["paused"], "the pause")
 
 
 @when("the entry renews again")
@@ -306,7 +301,7 @@
 @then("the worker completes the task in {count:d} runs")
 def step_completed(context, count):
     ends = lambda: [run["end"] for run in context.worker.runs]  # noqa: E731
-    wait_until(lambda: "finished" in ends(), "the completion")
+    wait_for(lambda: "finished" in ends(), "the completion")
     assert len(ends()) == count, ends()
 
 
@@ -333,10 +328,10 @@
 def step_entry_version(context, version):
     step_distant_entry(context, version)
     first = context.entry.connection
-    wait_until(lambda: context.entry.connection is not first, "a new connection")
+    wait_for(lambda: context.entry.connection is not first, "a new connection")
     (link,) = context.agent.links.links.values()
-    wait_until(lambda: link.is_open and link.owned, "the entry is known as the owner")
-    wait_until(lambda: context.entry.sequence, "a heartbeat on the new connection")
+    wait_for(lambda: link.is_open and link.owned, "the entry is known as the owner")
+    wait_for(lambda: context.entry.sequence, "a heartbeat on the new connection")
 
 
 @when("the entry's frames say version {version:d}")
@@ -349,7 +344,7 @@
 @then("the agent counts a refused version and is not connected")
 def step_refuses_version(context):
     totals = context.agent.counters.totals
-    wait_until(lambda: totals().get("agent.wire.version_refused"), "the counter")
+    wait_for(lambda: totals().get("agent.wire.version_refused"), "the counter")
     assert not any(link.is_open for link in context.agent.links.links.values())
 
 
@@ -358,7 +353,7 @@
     (link,) = context.agent.links.links.values()
     link.heartbeat_seconds = 5.0
     sequence = context.entry.sequence
-    wait_until(lambda: context.entry.sequence > sequence, "the last heartbeat at the old interval")
+    wait_for(lambda: context.entry.sequence > sequence, "the last heartbeat at the old interval")
 
 
 @when("the entry grants a bucket")
@@ -385,7 +380,7 @@
     root = logging.getLogger()
     context.stack.callback(root.setLevel, root.level)
     context.entry.connection.send(SettingsUpdate(revision, {"log_level": level}))
-    wait_until(lambda: context.agent.effective.revision == revision, "the settings")
+    wait_for(lambda: context.agent.effective.revision == revision, "the settings")
 
 
 @then('the process logs at level "{level}"')
--- a/features/steps/daemon_bounds_steps.py
+++ b/features/steps/daemon_bounds_steps.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from gevent.event import Event
 from store_contract import fails_with
+from waiting import wait_for
 
 from acaciastand.entry import desk, http
 from acaciastand.entry.owned_shard import NotOwner
@@ -29,12 +30,6 @@
 QUIET_SECONDS = 0.1  # something that is wrongly let through would arrive within this time
 
 
-def wait_for(condition):
-    with gevent.Timeout(WAIT_SECONDS, AssertionError("the condition was not met in time")):
-        while not condition():
-            gevent.sleep(0.005)
-
-
 def connected(stack, handler):
     listener = wire.Listener("127.0.0.1:0", handler)
     listener.start()
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -3,7 +3,8 @@
 import time
 
 from behave import given, step, then, when
-from entry_support import Entry, FakeAgent, wait_for
+from entry_support import Entry, FakeAgent
+from waiting import wait_for
 
 from acaciastand.coordination import MemoryStore
 from acaciastand.entry.membership import PREFIX
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from gevent.event import Event
 from gevent.pool import Pool
+from waiting import wait_for
 
 from acaciastand.coordination.faults import CallKind, FaultKind, FaultPlan
 from acaciastand.coordination.lease import LeaseSession
@@ -92,13 +93,6 @@
         return EffectiveSettings({"commit_interval_ms": 1})
 
 
-def wait_for(condition):
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < deadline, "the condition was not met in time"
-        gevent.sleep(0.005)
-
-
 def later(seconds=WAIT_SECONDS):
     return time.monotonic() + seconds
 
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -7,17 +7,10 @@
 
 import gevent
 from behave import given, then, when
-from entry_support import (
-    GRANT_SECONDS,
-    SERVICE,
-    WAIT_SECONDS,
-    Entry,
-    FakeAgent,
-    answer_with_name,
-    wait_for,
-)
+from entry_support import GRANT_SECONDS, SERVICE, WAIT_SECONDS, Entry, FakeAgent, answer_with_name
 from gevent import socket
 from skew import of_version
+from waiting import wait_for
 
 import acaciastand.entry.http as http_module
 import acaciastand.entry.http_errors as http_errors
--- a/features/steps/settings_service_steps.py
+++ b/features/steps/settings_service_steps.py
@@ -6,6 +6,7 @@
 import gevent
 from behave import given, then, when
 from falcon import testing
+from waiting import wait_for
 
 from acaciastand.coordination.faults import FaultPlan
 from acaciastand.coordination.memory import MemoryStore
@@ -73,7 +74,7 @@
 @when('entry {number:d} sets "{key}" to {value:d}')
 def step_set(context, number, key, value):
     service = context.services[number]
-    wait_until(lambda: edit_applied(service, key, value))
+    wait_for(lambda: edit_applied(service, key, value))
 
 
 def edit_applied(service, key, value):
@@ -86,12 +87,6 @@
     return True
 
 
-def wait_until(condition):
-    with gevent.Timeout(WAIT_SECONDS, AssertionError("the condition did not come true")):
-        while not condition():
-            gevent.sleep(0.002)
-
-
 @then("entry {number:d} sees {value:d} at once")
 def step_at_once(context, number, value):
     assert context.services[number].effective(SITE).entry_fanout == value
@@ -100,8 +95,8 @@
 
 @then("entry {number:d} sees {value:d} soon and tells its listener once")
 def step_soon(context, number, value):
-    wait_until(lambda: context.services[number].effective(SITE).entry_fanout == value)
-    wait_until(lambda: context.told[number])
+    wait_for(lambda: context.services[number].effective(SITE).entry_fanout == value)
+    wait_for(lambda: context.told[number])
     assert context.told[number] == sorted(set(context.told[number]))
 
 
@@ -129,7 +124,7 @@
 
 @then("entry {number:d} has failed to read the store")
 def step_failed_read(context, number):
-    wait_until(lambda: context.services[number].counters.totals().get("settings.read_failed"))
+    wait_for(lambda: context.services[number].counters.totals().get("settings.read_failed"))
 
 
 @then('an edit at entry {number:d} is refused as "{code}"')
@@ -190,8 +185,8 @@
 @then("both entries come to revision {revision:d}")
 def step_revision(context, revision):
     services = context.services.values()
-    wait_until(lambda: all(service.revision == revision for service in services))
-    wait_until(lambda: len({json.dumps(service.tree()) for service in services}) == 1)
+    wait_for(lambda: all(service.revision == revision for service in services))
+    wait_for(lambda: len({json.dumps(service.tree()) for service in services}) == 1)
 
 
 @then("reading more paths than the cache holds keeps it at its bound")
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -6,6 +6,7 @@
 import gevent
 from behave import given, then, when
 from gevent.event import Event
+from waiting import wait_for
 
 from acaciastand.resources import Resources
 from acaciastand.wire.codec import MAX_BODY_BYTES, ProtocolError, decode, encode
@@ -190,12 +191,6 @@
     peer._handle_event = handle_later
 
 
-def wait_for(condition):
-    with gevent.Timeout(WAIT_SECONDS, AssertionError("the condition was not met in time")):
-        while not condition():
-            gevent.sleep(0.005)
-
-
 @when("20 large requests are sent one by one with a timeout of 100 ms")
 def step_large(context):
     context.ends = []
