--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -42,8 +42,8 @@
 
 @then('the restarted entry shows {value:d} for "{key}"')
 def step_restarted_shows(context, value, key):
-    path = f"{context.deployment.firm.region_path}/{key}"
-    url = f"{context.deployment.url(context.restarted)}/v1/settings/{path}"
+    path = context.deployment.firm.region_path
+    url = f"{context.deployment.url(context.restarted)}/v1/settings/{path}/{key}"
     assert call("GET", url).json()["value"] == value
 
 
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -80,7 +80,11 @@
     def free(self) -> Resources:
         """What tasks may still use: without the service, attempts and headroom; can be negative."""
         kept = Resources(self.capacity.cores * self.headroom)
-        return self.capacity.minus(self.reserved).minus(self.ledger.counted()).minus(kept)
+        free = self.capacity.minus(self.reserved).minus(self.ledger.counted()).minus(kept)
+        if not self.shedding:
+            return free
+        # Owners would go on offering tasks that are then refused.
+        return Resources(*(min(amount, 0) for amount in free.values()))
 
     @property
     def drained(self) -> bool:
@@ -421,10 +425,9 @@
         if attempt.state is AttemptState.RUNNING and lapsed:
             attempt.state = AttemptState.PAUSED
             return CommandKind.PAUSE
-        extended = attempt.valid_until > attempt.lease_until
         # The worker's clock is estimated low, so a lease ends before its grant by up to the time
         # of a status call; a resume for that rest would end in one more pause.
-        if attempt.state is AttemptState.PAUSED and not lapsed and extended:
+        if attempt.state is AttemptState.PAUSED and not lapsed and attempt.extended:
             attempt.state = AttemptState.RUNNING
             return CommandKind.RESUME
         if attempt.state is AttemptState.RUNNING and attempt.limit_cores != attempt.limit_sent:
@@ -432,13 +435,13 @@
         if attempt.state is AttemptState.RUNNING and attempt.checkpoint_wanted:
             attempt.checkpoint_wanted = False
             return CommandKind.CHECKPOINT
-        return self._renewal_kind(attempt, now)
+        return CommandKind.RENEW if self._renewal_due(attempt, now) else None
 
-    def _renewal_kind(self, attempt: Attempt, now: float) -> CommandKind | None:
-        due = attempt.lease_until - now < attempt.grant.grant_seconds * RENEW_BELOW
-        extended = attempt.valid_until > attempt.lease_until
+    def _renewal_due(self, attempt: Attempt, now: float) -> bool:
+        left = attempt.lease_until - now
         running = attempt.state is AttemptState.RUNNING
-        return CommandKind.RENEW if running and due and extended else None
+        due = left < attempt.grant.grant_seconds * RENEW_BELOW
+        return running and due and attempt.extended
 
     def _start_kind(self, attempt: Attempt, lapsed: bool) -> CommandKind | None:
         if not lapsed:
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -7,7 +7,7 @@
 from hashlib import blake2b
 
 from acaciastand.placement.blame import AvoidLast, Blame, Outcome, Start, Verdict
-from acaciastand.placement.estimates import SizeEstimator
+from acaciastand.placement.estimates import SizeModel
 from acaciastand.placement.placer import PlacementRequest, Placer
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
@@ -74,7 +74,7 @@
         shard: Shard,
         shard_count: int,
         placer: Placer,
-        estimator: SizeEstimator,
+        estimator: SizeModel,
         blame: Blame | None = None,
     ) -> None:
         self.shard = shard
@@ -196,7 +196,7 @@
         running = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         spread = [(v.availability_zone, v.rack, v.agent_id) for v in running if v is not None]
         avoid = self._avoided(job, task, size, pool)
-        request = PlacementRequest(size, job.spec.service, avoid, spread)
+        request = PlacementRequest(size, job.spec.service, avoid, spread, job.spec.batch_class)
         return self.placer.choose(request, pool.views)
 
     def _avoided(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> set[str]:
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -261,21 +261,28 @@
 
     Parameters
     ----------
-    sequence
-        Sequence of the heartbeat.
-    settings_revision
-        Revision the entry holds.
-    owned_shards
-        Shards the entry owns; the agent refuses lower epochs of these shards from then on.
-    renewed
-        Attempts that are current and renewed.
-    grant_seconds
-        Length of the renewed grants; 0 leaves the length of the first grant.
-    knows_held
-        Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
-    renewed_digest
-        Digest that stands for `renewed`: everything is renewed that the agent held in shards of
-        `owned_shards` when it sent the heartbeat; 0 when `renewed` is the list.
+        sequence
+            Sequence of the heartbeat.
+        settings_revision
+            Revision the entry holds.
+        owned_shards
+            Shards the entry owns; the agent refuses lower epochs of these shards from then on.
+        renewed
+            Attempts that are current and renewed.
+        grant_seconds
+            Length of the renewed grants; 0 leaves the length of the first grant.
+        knows_held
+            Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
+        renewed_digest
+    <<<<<<< HEAD
+            Digest that stands for `renewed`: everything is renewed that the agent held in shards of
+            `owned_shards` when it sent the heartbeat; 0 when `renewed` is the list.
+        surging
+            Whether a service of the region surges at this entry.
+    =======
+            Digest of the heartbeat when it stands for `renewed`: everything is renewed that the agent
+            held in shards of `owned_shards` when it sent the heartbeat. 0 when `renewed` is the list.
+    >>>>>>> capacity
     """
 
     __slots__ = (
@@ -286,6 +293,7 @@
         "grant_seconds",
         "knows_held",
         "renewed_digest",
+        "surging",
     )
     type_number = 5
     nested_lists = {"owned_shards": ShardEpoch, "renewed": AttemptName}
@@ -299,6 +307,7 @@
         grant_seconds: float = 0.0,
         knows_held: bool = False,
         renewed_digest: int = 0,
+        surging: bool = False,
     ) -> None:
         self.sequence = sequence
         self.settings_revision = settings_revision
@@ -307,6 +316,7 @@
         self.grant_seconds = grant_seconds
         self.knows_held = knows_held
         self.renewed_digest = renewed_digest
+        self.surging = surging
 
 
 class Execute(Message):
