--- a/features/steps/shedding_steps.py
+++ b/features/steps/shedding_steps.py
@@ -3,8 +3,9 @@
 import time
 
 import gevent
-from agent_steps import CAPACITY, SERVICE, grant, wait_until
+from agent_steps import CAPACITY, SERVICE, grant
 from behave import given, then, when
+from waiting import wait_for
 
 from acaciastand.agent.shedder import MAX_OVER_CORES_SECONDS, MAX_OVER_MEMORY_SECONDS
 from acaciastand.settings.schema import EffectiveSettings
@@ -26,7 +27,7 @@
 def step_tasks(context, count, seconds):
     for number in range(count):
         assert context.entry.ask(grant(context, f"job/{number}", seconds=600)).accepted
-    wait_until(lambda: len(context.worker.runs) == count, "the tasks start")
+    wait_for(lambda: len(context.worker.runs) == count, "the tasks start")
     gevent.sleep(seconds)
 
 
@@ -77,7 +78,7 @@
 
 @then("the entry receives {count:d} reports of evicted tasks with a checkpoint")
 def step_reports(context, count):
-    wait_until(lambda: len(context.entry.reports) >= count, "the reports")
+    wait_for(lambda: len(context.entry.reports) >= count, "the reports")
     reports = {report.task_id: report for report in context.entry.reports}
     assert len(reports) == count and {item.result for item in reports.values()} == {"evicted"}
     assert all(report.checkpoint.startswith("progress:") for report in reports.values())
@@ -138,11 +139,11 @@
 @given("a task that a former agent process limited to {cores:f} cores")
 def step_former(context, cores):
     assert context.entry.ask(grant(context, "job/1", seconds=600)).accepted
-    wait_until(lambda: context.worker.runs, "the task starts")
+    wait_for(lambda: context.worker.runs, "the task starts")
     context.worker.tasks["job/1"].limit_cores = cores
     context.host.ledger.attempts.clear()
     context.host.worker_known = False
-    wait_until(lambda: context.host.ledger.attempts, "the task is adopted")
+    wait_for(lambda: context.host.ledger.attempts, "the task is adopted")
 
 
 @when("the entry reports {what} surge of the region")
@@ -152,7 +153,7 @@
 
 @then("the agent's headroom is above {share:f}")
 def step_raised(context, share):
-    wait_until(lambda: context.host.headroom > share, "the headroom rises")
+    wait_for(lambda: context.host.headroom > share, "the headroom rises")
 
 
 @then("the agent's headroom returns to {share:f}")
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -261,28 +261,23 @@
 
     Parameters
     ----------
-        sequence
-            Sequence of the heartbeat.
-        settings_revision
-            Revision the entry holds.
-        owned_shards
-            Shards the entry owns; the agent refuses lower epochs of these shards from then on.
-        renewed
-            Attempts that are current and renewed.
-        grant_seconds
-            Length of the renewed grants; 0 leaves the length of the first grant.
-        knows_held
-            Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
-        renewed_digest
-    <<<<<<< HEAD
-            Digest that stands for `renewed`: everything is renewed that the agent held in shards of
-            `owned_shards` when it sent the heartbeat; 0 when `renewed` is the list.
-        surging
-            Whether a service of the region surges at this entry.
-    =======
-            Digest of the heartbeat when it stands for `renewed`: everything is renewed that the agent
-            held in shards of `owned_shards` when it sent the heartbeat. 0 when `renewed` is the list.
-    >>>>>>> capacity
+    sequence
+        Sequence of the heartbeat.
+    settings_revision
+        Revision the entry holds.
+    owned_shards
+        Shards the entry owns; the agent refuses lower epochs of these shards from then on.
+    renewed
+        Attempts that are current and renewed.
+    grant_seconds
+        Length of the renewed grants; 0 leaves the length of the first grant.
+    knows_held
+        Whether the entry knows the list of this heartbeat, so that a digest may stand for it.
+    renewed_digest
+        Digest of the heartbeat when it stands for `renewed`: everything is renewed that the agent
+        held in shards of `owned_shards` when it sent the heartbeat. 0 when `renewed` is the list.
+    surging
+        Whether a service of the region surges at this entry.
     """
 
     __slots__ = (
--- a/src/acaciastand_lab/bench_agent.py
+++ b/src/acaciastand_lab/bench_agent.py
@@ -163,18 +163,14 @@
     ]
 
 
-<<<<<<< HEAD
 def send_requests(address: str, service: str, count: int) -> None:
-    """Send idempotent requests one after the other on one connection."""
-=======
-def send_requests(address: str, count: int) -> None:
     """Send idempotent requests on `CALLERS` connections."""
     with ThreadPoolExecutor(CALLERS) as pool:
-        list(pool.map(partial(_send_in_turn, address), [count // CALLERS] * CALLERS))
+        work = partial(_send_in_turn, address, service)
+        list(pool.map(work, [count // CALLERS] * CALLERS))
 
 
-def _send_in_turn(address: str, count: int) -> None:
->>>>>>> capacity
+def _send_in_turn(address: str, service: str, count: int) -> None:
     connection = http.client.HTTPConnection(address, timeout=10.0)
     headers = {"Idempotent": "true", "Request-Timeout-Ms": "5000"}
     for _ in range(count):
