--- a/src/acaciastand/routing/budget.py
+++ b/src/acaciastand/routing/budget.py
@@ -34,14 +34,22 @@
 
     def try_retry(self, now: float) -> bool:
         """Count a retry and return True if the budget allows it."""
-        current = self._current(now)
+        retries = self.retries(now)
         requests = sum(second.requests for second in self._seconds)
-        retries = sum(second.retries for second in self._seconds)
         if retries + 1 > self.share * requests:
             return False
-        current.retries += 1
+        self.record_retry(now)
         return True
 
+    def retries(self, now: float) -> int:
+        """Return the retries in the window."""
+        self._current(now)
+        return sum(second.retries for second in self._seconds)
+
+    def record_retry(self, now: float) -> None:
+        """Count a retry."""
+        self._current(now).retries += 1
+
     def _current(self, now: float) -> _Second:
         start = int(now)
         while self._seconds and self._seconds[0].start <= start - WINDOW_SECONDS:
--- a/src/acaciastand_lab/experiments/retries.py
+++ b/src/acaciastand_lab/experiments/retries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 import greenlet
 
 from acaciastand.entry.call import Answer, CallerRequest, Failure
@@ -72,27 +74,44 @@
         return queue.suspend()
 
 
-class StrictBudget(RetryBudget):
-    """The budget without the saved retry: nothing below five requests per window."""
+class SavingBudget(RetryBudget):
+    """Lets a window with fewer requests than one retry costs hold one that was paid for before."""
+
+    def __init__(self, share: float) -> None:
+        super().__init__(share)
+        self.price = ceil(1 / share)
+        self.unspent = 0
+
+    def record_request(self, now: float) -> None:
+        """Count a first attempt."""
+        super().record_request(now)
+        self.unspent = min(self.unspent + 1, self.price)
 
-    def _price(self) -> int:
-        return 0
+    def try_retry(self, now: float) -> bool:
+        """Count a retry and return True if the budget or the saved retry allows it."""
+        allowed = super().try_retry(now)
+        if not allowed and self.unspent >= self.price and self.retries(now) == 0:
+            self.record_retry(now)
+            allowed = True
+        if allowed:
+            self.unspent = max(self.unspent - self.price, 0)
+        return allowed
 
 
 class Policy(Record):
     """One candidate."""
 
-    __slots__ = ("share", "service_class", "strict")
+    __slots__ = ("share", "service_class", "saving")
 
     def __init__(
         self,
         share: float,
         service_class: type[RequestService] = RequestService,
-        strict: bool = False,
+        saving: bool = False,
     ) -> None:
         self.share = share
         self.service_class = service_class
-        self.strict = strict
+        self.saving = saving
 
 
 class Case(Record):
@@ -118,9 +137,9 @@
 POLICIES = {
     "no retries": Policy(0.0),
     "no budget": Policy(UNLIMITED),
-    "a fifth, nothing saved": Policy(0.2, strict=True),
     "a fifth": Policy(0.2),
-    "a fifth, hedging": Policy(0.2, HedgingService),
+    "a fifth, one saved": Policy(0.2, saving=True),
+    "a fifth, one saved, hedging": Policy(0.2, HedgingService, saving=True),
 }
 CASES = {
     "no faults": Case(),
@@ -161,8 +180,8 @@
         system = ServedSystem(firm, options, seed)
         for agent in system.agents:
             agent.fail_before, agent.fail_after = chosen.before, chosen.after
-        for entry in system.entries if policy.strict else ():
-            entry.router.services[firm.service].budget = StrictBudget(policy.share)
+        for entry in system.entries if policy.saving else ():
+            entry.router.services[firm.service].budget = SavingBudget(policy.share)
         if chosen.wave:
             system.queue.at(WAVE_AT, _set_zone, system, True)
             system.queue.at(WAVE_AT + WAVE_SECONDS, _set_zone, system, False)
