--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -4,7 +4,7 @@
 
 from acaciastand.shard.limits import MAX_EVENTS_PER_COMMIT, MAX_JOBS, MAX_TASKS
 from acaciastand_lab.capacity import pages
-from acaciastand_lab.capacity_rows import Row
+from acaciastand_lab.capacity_table import Row
 from acaciastand_lab.measurements import MIN_SIZES, fit, load
 from acaciastand_lab.scale import TARGET
 
--- a/src/acaciastand_lab/capacity.py
+++ b/src/acaciastand_lab/capacity.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from acaciastand.record import Record
-from acaciastand_lab.capacity_rows import Row, role_tables
+from acaciastand_lab.capacity_rows import role_tables
+from acaciastand_lab.capacity_table import Row
 from acaciastand_lab.measurements import MEASUREMENTS_FILE, Slope, load
 from acaciastand_lab.scale import BLUE_MAHOE, MAISON_REPRISE, TARGET, Scale
 
--- a/src/acaciastand_lab/capacity_rows.py
+++ b/src/acaciastand_lab/capacity_rows.py
@@ -7,8 +7,8 @@
 
 from acaciastand.entry.owned_shard import RETRY_SECONDS
 from acaciastand.entry.owner import CLAIM_INTERVAL_SECONDS
-from acaciastand.record import Record
 from acaciastand.shard.limits import MAX_EVENTS_PER_COMMIT, MAX_JOBS, MAX_TASKS
+from acaciastand_lab.capacity_table import Row, Slopes, Table
 from acaciastand_lab.measurements import Slope
 from acaciastand_lab.scale import SECONDS_PER_DAY, Scale
 
@@ -20,112 +20,14 @@
 LEASE_RENEWAL_SECONDS = 4.0 / 3
 
 
-class Row(Record):
-    """One quantity of a role.
-
-    Parameters
-    ----------
-    value
-        None when a slope is missing; `missing` names it.
-    limit
-        Limit of the value; None when there is none.
-    mechanism
-        What carries the quantity, or which change would.
-    """
-
-    __slots__ = ("quantity", "value", "unit", "limit", "mechanism", "missing")
-
-    def __init__(
-        self,
-        quantity: str,
-        value: float | None,
-        unit: str,
-        limit: float | None,
-        mechanism: str,
-        missing: str = "",
-    ) -> None:
-        self.quantity = quantity
-        self.value = value
-        self.unit = unit
-        self.limit = limit
-        self.mechanism = mechanism
-        self.missing = missing
-
-    @property
-    def verdict(self) -> str:
-        """Whether the limit holds, and by what factor it is exceeded if not."""
-        if self.limit is None or self.value is None:
-            return ""
-        if self.value <= self.limit:
-            return "holds"
-        return f"**exceeded {self.value / self.limit:.1f}x**"
-
-
-class MissingSlope(Exception):
-    """A slope has not been measured."""
-
-
-class Slopes:
-    """Measured slopes by name."""
-
-    __slots__ = ("by_name",)
-
-    def __init__(self, by_name: dict[str, Slope]) -> None:
-        self.by_name = by_name
-
-    def find(self, name: str) -> Slope:
-        """Return the slope `name`.
-
-        Raises
-        ------
-        MissingSlope
-            It has not been measured.
-        """
-        if name not in self.by_name:
-            raise MissingSlope(name)
-        return self.by_name[name]
-
-    def per_item(self, name: str) -> float:
-        """Return the value per item."""
-        return self.find(name).per_item
-
-    def at(self, name: str, items: float) -> float:
-        """Return the value of the line at `items`."""
-        slope = self.find(name)
-        return slope.base + slope.per_item * items
-
-
-class Table:
-    """Collects the rows of one role."""
-
-    __slots__ = ("rows",)
-
-    def __init__(self) -> None:
-        self.rows: list[Row] = []
-
-    def add(
-        self,
-        quantity: str,
-        value: Callable[[], float],
-        unit: str,
-        mechanism: str,
-        limit: float | None = None,
-    ) -> None:
-        """Add a row; a missing slope is shown by name."""
-        try:
-            self.rows.append(Row(quantity, value(), unit, limit, mechanism))
-        except MissingSlope as missing:
-            self.rows.append(Row(quantity, None, unit, limit, mechanism, str(missing)))
-
-
-LONG_TASK_SECONDS = 600.0  # run time of the rows for long tasks
-
-
 def beat_rate(scale: Scale) -> float:
     """Return the heartbeats a second of one connection; each change of settings brings one on."""
     return 1.0 / scale.heartbeat_seconds + scale.changes
 
 
+LONG_TASK_SECONDS = 600.0  # run time of the rows for long tasks
+
+
 def long_tasks(scale: Scale) -> Scale:
     """Return the deployment with as many running tasks that each run for ten minutes."""
     return scale.replace(starts=scale.batch_running / LONG_TASK_SECONDS)
