Report a task that the headroom never leaves room for

Cause: agents keep a tenth of the cores free of batch tasks, so a task between nine tenths and the whole of the largest worker was accepted without a reason and waited for ever. Ruled out: letting such a task take the headroom, which protects the service. Change: never_fits compares with what an empty worker has left.

--- a/features/owner.feature
+++ b/features/owner.feature
@@ -29,13 +29,18 @@
     And the service stops and entry "b" starts
     Then entry "b" owns both shards and knows the job
 
-  Scenario: A job that fits no worker is reported at once and blocks nothing
+  Scenario Outline: A job of <cores> cores that fits no worker is reported at once and blocks nothing
     Given a connected agent "w1" with 8 cores
-    When a job that needs 64 cores is submitted
+    When a job that needs <cores> cores is submitted
     Then its answer has the reason "never_fits"
     When a job of 1 tasks is submitted with key "small"
     Then the agent is granted 1 attempts
 
+    Examples: more than a worker has, and more than its headroom of a tenth leaves
+      | cores |
+      | 64    |
+      | 7.5   |
+
   Scenario: Buckets move one at a time to an agent that joins
     Given a connected agent "w1" with 8 cores
     And a connected agent "w2" with 8 cores
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -228,9 +228,9 @@
     assert context.service.query_job(context.answer["job_id"])["state"] == "waiting"
 
 
-@when("a job that needs 64 cores is submitted")
-def step_submit_large(context):
-    context.answer = context.service.submit_job({**DOCUMENT, "cores": 64.0}, "", later())
+@when("a job that needs {cores:g} cores is submitted")
+def step_submit_large(context, cores):
+    context.answer = context.service.submit_job({**DOCUMENT, "cores": cores}, "", later())
 
 
 @then('its answer has the reason "{reason}"')
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -7,7 +7,7 @@
 import time
 import zlib
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
@@ -24,6 +24,7 @@
 from acaciastand.placement.placer import BestFit, Placer
 from acaciastand.placement.worker import WorkerView
 from acaciastand.reasons import Reason
+from acaciastand.resources import Resources
 from acaciastand.shard.events import OwnerChanged, event_from_plain
 from acaciastand.shard.job import parse_job
 from acaciastand.shard.knowledge import Contact, Held, Report
@@ -260,10 +261,17 @@
     def _describe(self, owned: OwnedShard, job_id: str) -> dict[str, Any]:
         description = owned.shard.describe(job_id)
         job = owned.shard.durable.jobs.get(job_id)
-        if job is not None and owned.scheduler.never_fits(job.spec, self.workers()):
+        if job is not None and owned.scheduler.never_fits(job.spec, self._empty_workers()):
             description["reason"] = str(Reason.NEVER_FITS)
         return description
 
+    def _empty_workers(self) -> Iterator[WorkerView]:
+        # Agents keep the headroom free of tasks, so even an empty worker has no room for more.
+        headroom = self.settings().headroom
+        for worker in self.workers():
+            kept = Resources(worker.capacity.cores * headroom)
+            yield worker.replace(capacity=worker.capacity.minus(kept))
+
     def _owned(self, number: int) -> OwnedShard:
         owned = self.owned.get(number)
         if owned is None or owned.shard.releasing:
