--- a/features/steps/host_machine_steps.py
+++ b/features/steps/host_machine_steps.py
@@ -5,8 +5,6 @@
 from unittest.mock import PropertyMock, patch
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from acaciastand.host import Host
 from acaciastand.host.keyed import KeyTable
@@ -17,6 +15,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.host_machine import GRANT_SECONDS, HostMachine
+from machines.running import violation_of
 
 STEPS = 60
 
@@ -84,22 +83,7 @@
 
 @when("the host machine runs with seed {number:d} and {examples:d} examples")
 def step_run_machine(context, number, examples):
-    chosen = settings(
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate],
-        report_multiple_bugs=False,
-        print_blob=False,
-        suppress_health_check=list(HealthCheck),
-    )
-    machine = seed(number)(type("SeededHostMachine", (HostMachine,), {}))
-    context.violation = None
-    try:
-        run_state_machine_as_test(machine, settings=chosen)
-    except AssertionError as error:
-        context.violation = str(error)
+    context.violation = violation_of(HostMachine, number, examples, STEPS)
 
 
 @then("it finds no violation")
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -3,10 +3,9 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis.stateful import run_state_machine_as_test
 from machines.blame_machine import BlameMachine
 from machines.interference_machine import CreditMachine
+from machines.running import violation_of
 
 from acaciastand.placement import blame as blame_module
 from acaciastand.placement import interference as interference_module
@@ -71,22 +70,7 @@
 
 
 def run_machine(context, machine, number, examples):
-    chosen = settings(
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate],
-        print_blob=False,
-        report_multiple_bugs=False,
-        suppress_health_check=list(HealthCheck),
-    )
-    context.violation = None
-    try:
-        seeded = seed(number)(type("Seeded", (machine,), {}))
-        run_state_machine_as_test(seeded, settings=chosen)
-    except AssertionError as error:
-        context.violation = str(error)
+    context.violation = violation_of(machine, number, examples, STEPS)
 
 
 @when("the blame machine runs with seed {number:d} and {examples:d} examples")
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -5,8 +5,6 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from acaciastand.pressure import HeadroomPolicy, HostView, StagedPressure, SurgeDetector, TaskView
 from acaciastand.pressure import Weights as OutcomeWeights
@@ -18,6 +16,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 from machines.pressure_machine import PressureMachine
+from machines.running import violation_of
 
 SAMPLE_SECONDS = 0.25
 STAGED = "acaciastand.pressure.staged"
@@ -46,22 +45,7 @@
 
 @when("the pressure machine runs with seed {number:d} and {examples:d} examples")
 def step_machine(context, number, examples):
-    chosen = settings(
-        max_examples=examples,
-        stateful_step_count=30,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate],
-        report_multiple_bugs=False,
-        print_blob=False,
-        suppress_health_check=list(HealthCheck),
-    )
-    context.violation = None
-    try:
-        machine = type("SeededPressureMachine", (PressureMachine,), {})
-        run_state_machine_as_test(seed(number)(machine), settings=chosen)
-    except AssertionError as error:
-        context.violation = str(error)
+    context.violation = violation_of(PressureMachine, number, examples, 30)
 
 
 @then("the pressure machine finds no violation")
