--- a/src/acaciastand_lab/recovery.py
+++ b/src/acaciastand_lab/recovery.py
@@ -239,7 +239,8 @@
         f"smallest to largest value. Grants last {GRANT_SECONDS:g} s, `stop_seconds` is "
         f"{STOP_SECONDS:g}, `outage_hold_seconds` {OUTAGE_HOLD_SECONDS:g}; a job of {TASKS} tasks "
         f"of {TASK_SECONDS:g} s runs during the fault. Times are seconds from the end of the "
-        "injection; lost work is task run time beyond what the tasks needed, pauses included.",
+        "injection; lost work is task run time beyond what the tasks needed, pauses included. "
+        "The urgent job carries no key, so it goes to a shard that the surviving entry owns.",
         "",
         "| fault | request answered | urgent job started | running job completed "
         "| run time lost, s | store calls |",
