--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,8 @@
 
 # Formatter, linter, type check, layering check and behave, with the packages already installed.
 check:
-	$(BIN)/black --check --quiet src features tools
-	$(BIN)/ruff check --quiet src features tools
+	$(BIN)/black --check --quiet src features tools deploy
+	$(BIN)/ruff check --quiet src features tools deploy
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/python tools/run_behave.py $(BEHAVE)
--- /dev/null
+++ b/src/acaciastand/cluster/agent.py
@@ -0,0 +1,258 @@
+"""The agent beside a worker: follows the owner with the highest epoch."""
+
+from __future__ import annotations
+
+import logging
+from contextlib import ExitStack
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from acaciastand.cluster.agent_worker import WorkerHold
+from acaciastand.cluster.clock import now, now_unix
+from acaciastand.cluster.keys import AGENTS_PREFIX, encode_fields
+from acaciastand.cluster.settings import JobAgentSettings
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import CommitConflict, TransactionalStore
+from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.platform.tasks import ANNOUNCE_PATH, LEAVE_PATH, decode_announcement
+from acaciastand.resources import Resources
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.wire.connection import Connection, Listener, split_address
+from acaciastand.wire.messages import (
+    EndsStored,
+    Message,
+    OwnerHello,
+    OwnerHelloReply,
+    RunGrant,
+    RunReply,
+    RunReport,
+    StartRun,
+    StopRun,
+)
+from acaciastand.workflow.limits import HEARTBEAT_SECONDS
+from acaciastand.workflow.pacing import RunLimits
+from acaciastand.workflow.reports import StartOrder, StartOutcome, WorkerIdentity
+
+REPORT_SECONDS = 1.0  # an owner that does not answer a report in this time is disconnected
+REGISTER_SECONDS = 5.0  # without an owner for this long, the registration is written again
+REGISTER_PAUSE_SECONDS = 0.3
+MAX_ANNOUNCEMENT_BYTES = 4 << 20
+
+logger = logging.getLogger(__name__)
+
+
+class Agent:
+    """One agent.
+
+    Parameters
+    ----------
+    settings
+        Its settings file.
+    store
+        The platform's store, for the registration only.
+    """
+
+    def __init__(
+        self, settings: JobAgentSettings, store: TransactionalStore, metrics: Metrics
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.metrics = metrics
+        self.epoch = 0
+        self.owner: Connection | None = None
+        self.owner_seen = now()
+        self.wake = Event()
+        self.stopped = Event()
+        token = int(now_unix() * 1000)
+        self.hold = WorkerHold(settings.worker_address, token, self.wake.set, metrics)
+        self.listener = Listener(settings.peer_address, self._handle, self._closed)
+        self.announcements = WSGIServer(
+            split_address(settings.announce_address), self._announcement, log=None
+        )
+
+    def run(self) -> None:
+        """Serve until `request_stop`."""
+        with ExitStack() as stack:
+            self.listener.start()
+            stack.callback(self.listener.close)
+            self.announcements.start()
+            stack.callback(self.announcements.stop, 0.1)
+            for loop in (self.hold.look_forever, self._report_forever, self._register_forever):
+                stack.callback(gevent.spawn(loop).kill)
+            logger.info("agent started", extra={"agent_id": self.settings.agent_id})
+            self.stopped.wait()
+        logger.info("agent stopped", extra={"agent_id": self.settings.agent_id})
+
+    def request_stop(self) -> None:
+        """Ask `run` to return; safe in a signal handler."""
+        self.stopped.set()
+
+    # Owner
+
+    def _handle(self, connection: Connection, message: Message) -> Message | None:
+        if isinstance(message, OwnerHello):
+            return self._hello(connection, message)
+        if connection is not self.owner:
+            return RunReply(StartOutcome.REFUSED.value, self.hold.looks_begun)
+        if isinstance(message, StartRun):
+            return self._start(message)
+        if isinstance(message, StopRun):
+            return self._stop(message)
+        if isinstance(message, EndsStored):
+            self.hold.ends_stored(message.born_ms, message.acknowledged)
+        return None
+
+    def _hello(self, connection: Connection, message: OwnerHello) -> OwnerHelloReply:
+        accepted = message.epoch >= self.epoch
+        if accepted:
+            former, self.owner = self.owner, connection
+            if message.epoch > self.epoch or former is not connection:
+                logger.info(
+                    "owner regained",
+                    extra={"entry_id": message.entry_id, "epoch": message.epoch},
+                )
+            self.epoch = message.epoch
+            self.owner_seen = now()
+            if former is not None and former is not connection:
+                gevent.spawn(former.close)
+            self.wake.set()
+        return OwnerHelloReply(self.settings.agent_id, accepted, self.epoch)
+
+    def _closed(self, connection: Connection) -> None:
+        if connection is self.owner:
+            self.owner = None
+            logger.warning("owner lost", extra={"epoch": self.epoch})
+
+    def _start(self, message: StartRun) -> RunReply:
+        order = StartOrder(*message.order)
+        if self._too_late(message.not_after) or message.born_ms != self.hold.born_ms:
+            outcome = StartOutcome.REFUSED
+        else:
+            outcome = self.hold.start(order, message.not_after)
+        logger.info(
+            "start",
+            extra={
+                "task": order.task,
+                "run": order.run,
+                "epoch": message.epoch,
+                "outcome": outcome.value,
+            },
+        )
+        return RunReply(outcome.value, self.hold.looks_begun)
+
+    def _stop(self, message: StopRun) -> RunReply:
+        if self._too_late(message.not_after):
+            return RunReply(StartOutcome.REFUSED.value, self.hold.looks_begun)
+        stopped = self.hold.stop(message.task, message.run, message.not_after)
+        logger.info("stop", extra={"task": message.task, "run": message.run, "taken": stopped})
+        outcome = StartOutcome.STARTED if stopped else StartOutcome.UNKNOWN
+        return RunReply(outcome.value, self.hold.looks_begun)
+
+    def _too_late(self, not_after: float) -> bool:
+        return now() >= min(not_after, self.hold.grant_until)
+
+    def _report_forever(self) -> None:
+        while True:
+            self.wake.wait(HEARTBEAT_SECONDS)
+            self.wake.clear()
+            connection = self.owner
+            if connection is not None:
+                self._report(connection)
+
+    def _report(self, connection: Connection) -> None:
+        sent_at = now()
+        try:
+            grant = connection.request(self._message(sent_at), REPORT_SECONDS)
+        except AcaciastandError as error:
+            logger.warning("report unanswered", extra={"error": str(error)})
+            connection.close()
+            return
+        if not isinstance(grant, RunGrant) or connection is not self.owner:
+            return
+        self.owner_seen = now()
+        if grant.seconds > 0:
+            self.hold.grant_until = max(self.hold.grant_until, sent_at + grant.seconds)
+        self.hold.ends_stored(grant.born_ms, grant.acknowledged)
+        for task, target_ms, uses_leftover in grant.limits:
+            self.hold.limits[task] = RunLimits(target_ms, uses_leftover)
+
+    def _message(self, sent_at: float) -> RunReport:
+        report = self.hold.report()
+        return RunReport(
+            sent_at,
+            plain_identity(report.identity),
+            report.look,
+            [list(row.values()) for row in report.running],
+            [list(row.values()) for row in report.ended],
+            report.lapsed,
+            report.silent,
+            self.hold.untold(),
+        )
+
+    # Registration
+
+    def _register_forever(self) -> None:
+        while not self._register():
+            gevent.sleep(REGISTER_PAUSE_SECONDS)
+        while True:
+            gevent.sleep(1.0)
+            if now() - self.owner_seen > REGISTER_SECONDS and self._register():
+                self.owner_seen = now()
+
+    def _register(self) -> bool:
+        key = AGENTS_PREFIX + self.settings.agent_id
+        value = encode_fields([self.settings.peer_address, self.settings.availability_zone])
+        try:
+            found = self.store.get(key)
+            if found.value != value:
+                self.store.commit({key: found.revision}, {key: value})
+            return True
+        except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
+            logger.warning("registration failed", extra={"error": str(error)})
+            return False
+
+    # Worker
+
+    def _announcement(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES)
+        if path.startswith(LEAVE_PATH):
+            logger.info("worker left", extra={"worker": path[len(LEAVE_PATH) :]})
+            self.hold.gone()
+            start_response("200 OK", [("Content-Length", "0")])
+            return [b""]
+        if not path.startswith(ANNOUNCE_PATH):
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return [b""]
+        try:
+            identity, sequence = decode_announcement(path[len(ANNOUNCE_PATH) :], body)
+        except InvalidInput as error:
+            self.metrics.count("announcements_ignored", "malformed")
+            logger.warning("announcement ignored", extra={"error": str(error)})
+            start_response("400 Bad Request", [("Content-Length", "0")])
+            return [b""]
+        drained = identity.draining
+        if not self.hold.announced(identity, sequence):
+            self.metrics.count("announcements_ignored", "older")
+        elif drained:
+            self.wake.set()
+        start_response("200 OK", [("Content-Type", "application/json"), ("Content-Length", "2")])
+        return [b"{}"]
+
+
+def plain_identity(identity: WorkerIdentity | None) -> list[Any]:
+    """Return the identity as plain values."""
+    if identity is None:
+        return []
+    return [list(v.values()) if isinstance(v, Resources) else v for v in identity.values()]
+
+
+def identity_from_plain(items: list[Any]) -> WorkerIdentity | None:
+    """Return the identity in its plain form."""
+    if not items:
+        return None
+    values: list[Any] = [Resources(*v) if n == 5 else v for n, v in enumerate(items)]
+    return WorkerIdentity(*values)
--- /dev/null
+++ b/src/acaciastand/cluster/agent_link.py
@@ -0,0 +1,166 @@
+"""The owner's connection to one agent."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import gevent
+
+from acaciastand.cluster.agent import identity_from_plain
+from acaciastand.cluster.clock import now
+from acaciastand.errors import AcaciastandError
+from acaciastand.wire.connection import Connection, NotSent, dial
+from acaciastand.wire.messages import (
+    EndsStored,
+    Message,
+    OwnerHello,
+    OwnerHelloReply,
+    RunGrant,
+    RunReply,
+    RunReport,
+    StartRun,
+    StopRun,
+)
+from acaciastand.workflow.limits import ORDER_SECONDS
+from acaciastand.workflow.reports import AgentReport, Ended, Running, StartOrder, StartOutcome
+
+DIAL_SECONDS = 1.0
+HELLO_SECONDS = 1.0
+REDIAL_SECONDS = 0.25
+SILENT_SECONDS = 1.3  # without a report for this long the connection is replaced
+REPLY_SECONDS = ORDER_SECONDS + 0.7
+
+logger = logging.getLogger(__name__)
+
+ReportHandler = Callable[["AgentLink", RunReport, AgentReport], RunGrant]
+
+
+class AgentLink:
+    """Keeps a connection to an agent and sends it orders.
+
+    Parameters
+    ----------
+    agent_id, address
+        The agent and its ``ip:port``.
+    entry_id, epoch
+        This owner.
+    on_report
+        Called with each report; returns the grant.
+    on_superseded
+        Called with the higher epoch that the agent has seen.
+    """
+
+    def __init__(
+        self,
+        agent_id: str,
+        address: str,
+        entry_id: str,
+        epoch: int,
+        on_report: ReportHandler,
+        on_superseded: Callable[[int], None],
+    ) -> None:
+        self.agent_id = agent_id
+        self.address = address
+        self.entry_id = entry_id
+        self.epoch = epoch
+        self.on_report = on_report
+        self.on_superseded = on_superseded
+        self.connection: Connection | None = None
+        self.reported_at = float("-inf")
+        self.agent_clock = 0.0  # the agent's clock at its last report
+        self.connected = False
+
+    def run(self) -> None:
+        """Keep the connection until killed."""
+        try:
+            while True:
+                self._connect()
+                while self.connection is not None:
+                    self.connection.closed.wait(0.3)
+                    silent = now() - self.reported_at > SILENT_SECONDS
+                    if silent or self.connection.closed.is_set():
+                        self._disconnect("silent" if silent else "closed")
+                gevent.sleep(REDIAL_SECONDS)
+        finally:
+            if self.connection is not None:
+                self.connection.close()
+
+    def start(self, born_ms: int, order: StartOrder) -> tuple[StartOutcome, int]:
+        """Have a run started; returns the outcome and the number of looks begun by then."""
+        message = StartRun(
+            self.epoch, self.agent_clock + ORDER_SECONDS, born_ms, list(order.values())
+        )
+        return self._order(message)
+
+    def stop(self, task: str, run: int) -> tuple[StartOutcome, int]:
+        """Have a run stopped; STARTED stands for an order that the worker has taken."""
+        return self._order(StopRun(self.epoch, self.agent_clock + ORDER_SECONDS, task, run))
+
+    def ends_stored(self, born_ms: int, number: int) -> None:
+        """Tell the agent at once that ends are stored; it learns it again with the next grant."""
+        if self.connection is None:
+            return
+        try:
+            self.connection.send(EndsStored(born_ms, number))
+        except AcaciastandError as error:
+            logger.debug("not told of stored ends", extra={"error": str(error)})
+
+    def _order(self, message: Message) -> tuple[StartOutcome, int]:
+        connection = self.connection
+        if connection is None:
+            return StartOutcome.REFUSED, 0
+        try:
+            reply = connection.request(message, REPLY_SECONDS)
+        except NotSent:
+            return StartOutcome.REFUSED, 0
+        except AcaciastandError as error:
+            logger.warning(
+                "order unanswered", extra={"agent_id": self.agent_id, "error": str(error)}
+            )
+            return StartOutcome.UNKNOWN, 0
+        assert isinstance(reply, RunReply)
+        return StartOutcome(reply.outcome), reply.look
+
+    def _connect(self) -> None:
+        connection = None
+        try:
+            with gevent.Timeout(DIAL_SECONDS, TimeoutError("no connection in time")):
+                connection = dial(self.address, self._handle)
+            self.reported_at = now()
+            reply = connection.request(OwnerHello(self.entry_id, self.epoch), HELLO_SECONDS)
+        except (AcaciastandError, TimeoutError) as error:
+            if connection is not None:
+                connection.close()
+            logger.debug("agent unreachable", extra={"agent": self.agent_id, "error": str(error)})
+            return
+        assert isinstance(reply, OwnerHelloReply)
+        if not reply.accepted:
+            connection.close()
+            self.on_superseded(reply.epoch)
+            return
+        self.connection = connection
+        self.connected = True
+        logger.info("agent regained", extra={"agent_id": self.agent_id, "epoch": self.epoch})
+
+    def _disconnect(self, why: str) -> None:
+        connection, self.connection = self.connection, None
+        self.connected = False
+        logger.warning("agent lost", extra={"agent_id": self.agent_id, "why": why})
+        if connection is not None:
+            connection.close()
+
+    def _handle(self, connection: Connection, message: Message) -> Message | None:
+        if not isinstance(message, RunReport):
+            return None
+        self.reported_at = now()
+        self.agent_clock = message.sent_at
+        report = AgentReport(
+            identity_from_plain(message.identity),
+            message.look,
+            [Running(*row) for row in message.running],
+            [Ended(*row) for row in message.ended],
+            message.lapsed,
+            message.silent,
+        )
+        return self.on_report(self, message, report)
--- /dev/null
+++ b/src/acaciastand/cluster/callers.py
@@ -0,0 +1,128 @@
+"""The HTTP interface to callers: one sink, since the operators choose hosts and paths."""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections.abc import Callable
+from typing import Any
+
+import falcon
+
+from acaciastand.cluster.clock import now
+from acaciastand.cluster.intake import RETRY_AFTER_SECONDS, Intake
+from acaciastand.errors import AcaciastandError, InvalidInput, NotFound, Outcome
+from acaciastand.platform.operator import decode_job
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.workflow.catalog import Catalog, Queue
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+DEFAULT_DEADLINE_SECONDS = 3.0
+ANSWER_SECONDS = 0.25  # kept of a caller's deadline for the answer to arrive
+MAX_DEADLINE_SECONDS = 30.0
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+GONE = "410 Gone"
+
+logger = logging.getLogger(__name__)
+
+
+class CallerSink:
+    """Answers submissions, cancellations and queries.
+
+    Parameters
+    ----------
+    catalog
+        Returns the configuration in use; None before the first.
+    """
+
+    def __init__(
+        self, intake: Intake, catalog: Callable[[], Catalog | None], metrics: Metrics
+    ) -> None:
+        self.intake = intake
+        self.catalog = catalog
+        self.metrics = metrics
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **_parameters: Any) -> None:
+        """Answer one call."""
+        began = now()
+        try:
+            self._answer(req, resp, began + deadline_seconds(req))
+        except AcaciastandError as error:
+            self._refuse(error, resp)
+        status = str(resp.status)[:3]
+        self.metrics.observe("request_seconds", now() - began, req.method)
+        self.metrics.count("requests", f"{req.method}.{status}")
+        catalog = self.catalog()
+        logger.info(
+            "answered",
+            extra={
+                "job": req.path.rpartition("/")[2],
+                "method": req.method,
+                "status": status,
+                "ms": round((now() - began) * 1000, 1),
+                "config": catalog.version if catalog else None,
+            },
+        )
+
+    def _answer(self, request: falcon.Request, response: falcon.Response, deadline: float) -> None:
+        catalog = self.catalog()
+        if catalog is None:
+            response.status = falcon.HTTP_503
+            response.set_header("Retry-After", str(RETRY_AFTER_SECONDS))
+            return
+        queue = catalog.match(request.host, request.path)
+        rest = request.path[len(queue.prefix) :] if queue else ""
+        if queue is None or (rest and not JOB_ID.fullmatch(rest)):
+            raise NotFound(f"no queue at {request.host}{request.path}", "check the address")
+        if request.method == "GET":
+            self._get(queue, rest, response, deadline)
+        elif request.method == "POST" and rest:
+            self._post(queue, rest, request, response, catalog, deadline)
+        elif request.method == "DELETE" and rest:
+            self.intake.cancel(rest, deadline)
+        else:
+            response.status = falcon.HTTP_405
+
+    def _get(self, queue: Queue, job_id: str, response: falcon.Response, deadline: float) -> None:
+        if not job_id:
+            response.media = {"waiting": self.intake.count_waiting(queue.name)}
+            return
+        state = self.intake.state(job_id, deadline)
+        if state is None:
+            response.status = GONE
+        else:
+            response.media = {"state": state.value}
+
+    def _post(
+        self,
+        queue: Queue,
+        job_id: str,
+        request: falcon.Request,
+        response: falcon.Response,
+        catalog: Catalog,
+        deadline: float,
+    ) -> None:
+        body = request.bounded_stream.read(catalog.max_body_bytes + 1)
+        if len(body) > catalog.max_body_bytes:
+            raise InvalidInput("the body is too large", f"use {catalog.max_body_bytes} bytes")
+        self.intake.submit(job_id, queue.name, decode_job(body), deadline)
+        response.media = {}
+
+    def _refuse(self, error: AcaciastandError, response: falcon.Response) -> None:
+        if isinstance(error, NotFound) and "job" in error.message[:12]:
+            response.status = GONE
+            return
+        response.status = falcon.code_to_http_status(error.http_status)
+        response.media = {"error": error.code, "message": error.message, "remedy": error.remedy}
+        if error.outcome is Outcome.NOT_RUN and error.http_status == 503:
+            response.set_header("Retry-After", str(RETRY_AFTER_SECONDS))
+
+
+def deadline_seconds(request: falcon.Request) -> float:
+    """Return how long the caller waits, less the time that the answer takes."""
+    try:
+        seconds = int(request.get_header(DEADLINE_HEADER) or 0) / 1000
+    except ValueError:
+        seconds = 0.0
+    seconds = min(seconds, MAX_DEADLINE_SECONDS) or DEFAULT_DEADLINE_SECONDS
+    return max(0.1, seconds - ANSWER_SECONDS)
--- /dev/null
+++ b/src/acaciastand/cluster/committer.py
@@ -0,0 +1,115 @@
+"""Stores the progress of jobs under the owner's fence, many in one commit."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from acaciastand.cluster.clock import now
+from acaciastand.cluster.keys import OWNER_KEY, PROGRESS_PREFIX, encode_progress
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import CommitConflict, TransactionalStore
+from acaciastand.errors import Conflict
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.workflow.job import Job
+from acaciastand.workflow.scheduler import Scheduler
+
+MAX_JOBS_PER_COMMIT = 14  # two keys each, and the owner key, of the 32 that a commit may name
+GROUP_SECONDS = 0.008  # changes within this time go into one commit
+RETRY_SECONDS = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+class OwnershipLost(Conflict):
+    """Another entry owns the jobs now."""
+
+    code = "ownership_lost"
+
+
+class Committer:
+    """Writes changed jobs until told to stop.
+
+    Parameters
+    ----------
+    fence
+        Revision of the owner key at this owner's claim.
+    on_stored
+        Called after each commit.
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        scheduler: Scheduler,
+        fence: int,
+        metrics: Metrics,
+        on_stored: Callable[[list[Job]], None],
+    ) -> None:
+        self.store = store
+        self.scheduler = scheduler
+        self.fence = fence
+        self.metrics = metrics
+        self.on_stored = on_stored
+        self.wake = Event()
+        self.available = True
+
+    def run(self) -> None:
+        """Commit changes as they come.
+
+        Raises
+        ------
+        OwnershipLost
+            The owner key was rewritten.
+        """
+        while True:
+            self.wake.wait()
+            gevent.sleep(GROUP_SECONDS)
+            self.wake.clear()
+            while self.scheduler.dirty:
+                if not self.commit_some():
+                    gevent.sleep(RETRY_SECONDS)
+
+    def commit_some(self) -> bool:
+        """Commit some changed jobs and return whether that succeeded.
+
+        Raises
+        ------
+        OwnershipLost
+            The owner key was rewritten.
+        """
+        jobs = list(self.scheduler.dirty.values())[:MAX_JOBS_PER_COMMIT]
+        versions = [job.version for job in jobs]
+        puts = {PROGRESS_PREFIX + job.job_id: encode_progress(job.durable()) for job in jobs}
+        expected = {PROGRESS_PREFIX + job.job_id: job.revision for job in jobs}
+        expected[OWNER_KEY] = self.fence
+        began = now()
+        try:
+            revision = self.store.commit(expected, puts)
+        except CommitConflict as conflict:
+            self._reconcile(conflict, jobs)
+            return True
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            if self.available:
+                logger.warning("store lost", extra={"error": str(error)})
+            self.available = False
+            return False
+        self.metrics.observe("commit_seconds", now() - began)
+        if not self.available:
+            logger.info("store regained", extra={"revision": revision})
+        self.available = True
+        for job, version in zip(jobs, versions, strict=True):
+            job.revision = revision
+            self.scheduler.stored(job, version)
+        self.on_stored(jobs)
+        return True
+
+    def _reconcile(self, conflict: CommitConflict, jobs: list[Job]) -> None:
+        """Learn the revisions that an unanswered commit of this owner has left."""
+        if conflict.current[OWNER_KEY].revision != self.fence:
+            raise OwnershipLost("the owner key was rewritten", "stop acting as the owner")
+        for job in jobs:
+            job.revision = conflict.current[PROGRESS_PREFIX + job.job_id].revision
--- /dev/null
+++ b/src/acaciastand/cluster/election.py
@@ -0,0 +1,72 @@
+"""Who owns the jobs: a key in the store that each takeover rewrites, and a beat beside it.
+
+No lease is involved, since the platform may remove the keys of a lease without telling anybody.
+All commits of an owner expect its revision of the owner key, so a former owner can write nothing.
+"""
+
+from __future__ import annotations
+
+from acaciastand.coordination.transactions import Item
+from acaciastand.record import Record
+
+BEAT_SECONDS = 0.5  # between two beats of an owner, and two looks of the others
+SILENT_SECONDS = 1.9  # without a beat for this long, over reads that succeed, others take over
+DEAD_SECONDS = 0.3  # the same once the owner's address refuses connections
+MAX_READ_GAP_SECONDS = 1.2  # a longer gap between reads starts the measurement anew
+
+
+class Observation(Record):
+    """The owner key and the beat as one read showed them."""
+
+    __slots__ = ("owner", "beat")
+
+    def __init__(self, owner: Item, beat: Item) -> None:
+        self.owner = owner
+        self.beat = beat
+
+
+class Candidate:
+    """Decides when an entry claims the ownership.
+
+    Answers the loss of an owner, a pause of the whole entry, and an outage of the store, after
+    which the owner needs time to write its first beat.
+
+    Attributes
+    ----------
+    last
+        Latest observation; None before the first read.
+    """
+
+    __slots__ = ("last", "changed_at", "read_at", "refused")
+
+    def __init__(self) -> None:
+        self.last: Observation | None = None
+        self.changed_at = 0.0
+        self.read_at = float("-inf")
+        self.refused = False
+
+    def observe(self, seen: Observation, now: float) -> None:
+        """Take in a read of the store."""
+        gap = now - self.read_at > MAX_READ_GAP_SECONDS
+        if gap or self.last is None or _revisions(seen) != _revisions(self.last):
+            self.changed_at = now
+            self.refused = False
+        self.last = seen
+        self.read_at = now
+
+    def owner_refuses(self) -> None:
+        """Take note that nothing listens at the owner's address any more."""
+        self.refused = True
+
+    def should_claim(self, now: float) -> bool:
+        """Return whether the owner is certainly or probably gone."""
+        if self.last is None or now - self.read_at > MAX_READ_GAP_SECONDS:
+            return False
+        if not self.last.owner.revision or not self.last.owner.value:
+            return True
+        limit = DEAD_SECONDS if self.refused else SILENT_SECONDS
+        return now - self.changed_at >= limit
+
+
+def _revisions(seen: Observation) -> tuple[int, int]:
+    return (seen.owner.revision, seen.beat.revision)
--- /dev/null
+++ b/src/acaciastand/cluster/entry.py
@@ -0,0 +1,356 @@
+"""An entry: serves callers, takes part in the election and may own the jobs."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+import falcon
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from acaciastand.cluster.callers import CallerSink
+from acaciastand.cluster.clock import now
+from acaciastand.cluster.election import BEAT_SECONDS, Candidate, Observation
+from acaciastand.cluster.intake import CATALOG, NOTICE, PUT, STATE, WAITING, Intake
+from acaciastand.cluster.keys import (
+    BEAT_KEY,
+    CONTROL_PREFIX,
+    ENTRIES_PREFIX,
+    OWNER_KEY,
+    OwnerRecord,
+    decode_fields,
+    encode_fields,
+)
+from acaciastand.cluster.owner import Owner, claim
+from acaciastand.cluster.peers import PING, PeerLink, answer_forward
+from acaciastand.cluster.settings import JobEntrySettings
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import (
+    CommitConflict,
+    HistoryDropped,
+    Item,
+    TransactionalStore,
+)
+from acaciastand.entry.http import CallerServer
+from acaciastand.errors import InvalidInput, Refused
+from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.wire.connection import Connection, Listener, split_address
+from acaciastand.wire.messages import Message
+from acaciastand.workflow.catalog import Catalog
+
+WATCH_SECONDS = 0.6
+RETRY_SECONDS = 0.15
+MEMBERS_SECONDS = 2.0
+READY_SECONDS = 2.2  # the balancer needs two checks, a second apart, to notice
+STOP_SECONDS = 3.0  # longest wait for calls in progress
+LAG_SECONDS = 0.5
+POLL_SECONDS = 0.02
+
+logger = logging.getLogger(__name__)
+
+
+class JobEntry:
+    """One entry.
+
+    Parameters
+    ----------
+    settings
+        Its settings file.
+    store
+        The platform's store.
+    """
+
+    def __init__(
+        self, settings: JobEntrySettings, store: TransactionalStore, metrics: Metrics
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.metrics = metrics
+        self.catalog: Catalog | None = None
+        self.catalog_bytes = b""
+        self.owner: Owner | None = None
+        self.owner_record: OwnerRecord | None = None
+        self.claimed: OwnerRecord | None = None
+        self.candidate = Candidate()
+        self.peers: dict[str, PeerLink] = {}
+        self.peer_greenlets: dict[str, gevent.Greenlet] = {}
+        self.stopping = False
+        self.stopped = Event()
+        self.listener = Listener(settings.peer_address, self._handle)
+        self.intake = Intake(
+            store, lambda: self.owner, self.owner_link, lambda: list(self.peers.values())
+        )
+        app = falcon.App()
+        app.add_sink(CallerSink(self.intake, lambda: self.catalog, metrics), "/")
+        self.http = CallerServer(settings.http_address, app)
+        self.ready_server = WSGIServer(split_address(settings.ready_address), self._ready, log=None)
+
+    def run(self) -> None:
+        """Serve until `request_stop`, then hand over and finish calls in progress."""
+        with ExitStack() as stack:
+            for server in (self.listener, self.http, self.ready_server):
+                server.start()
+            stack.callback(self.listener.close)
+            stack.callback(self.http.stop, 0.0)
+            stack.callback(self.ready_server.stop, 0.0)
+            loops = (
+                self._register_forever,
+                self._follow_catalog,
+                self._elect_forever,
+                self._follow_members,
+                self._measure_lag,
+            )
+            for loop in loops:
+                stack.callback(gevent.spawn(loop).kill)
+            stack.callback(self._close_peers)
+            logger.info("entry started", extra={"entry_id": self.settings.entry_id})
+            self.stopped.wait()
+            self._leave()
+        logger.info("entry stopped", extra={"entry_id": self.settings.entry_id})
+
+    def request_stop(self) -> None:
+        """Ask `run` to return; safe in a signal handler."""
+        self.stopped.set()
+
+    def owner_link(self) -> PeerLink | None:
+        """Return the connection to the owner, or None without one."""
+        if self.owner_record is None or self.owner is not None:
+            return None
+        link = self.peers.get(self.owner_record.entry_id)
+        return link if link is not None and link.connection is not None else None
+
+    # Start and stop
+
+    def _leave(self) -> None:
+        self.stopping = True
+        logger.info("entry stops", extra={"entry_id": self.settings.entry_id})
+        if self.owner is not None:
+            owner, self.owner = self.owner, None
+            owner.release()
+        gevent.sleep(READY_SECONDS)
+        self.http.begin_stop()
+        with gevent.Timeout(STOP_SECONDS, False):
+            while self.http.in_progress:
+                gevent.sleep(POLL_SECONDS)
+
+    def _ready(self, _environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        ready = not self.stopping and self.catalog is not None
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    def _measure_lag(self) -> None:
+        while True:
+            began = now()
+            gevent.sleep(LAG_SECONDS)
+            self.metrics.observe("loop_lag_seconds", max(0.0, now() - began - LAG_SECONDS))
+
+    # Configuration
+
+    def _follow_catalog(self) -> None:
+        revision = 0
+        position = 0
+        while True:
+            try:
+                # A watch hears nothing while the store drops its history, so the key is read too.
+                item = self.store.get(CONFIG_KEY)
+                if item.revision > revision:
+                    revision = item.revision
+                    self._adopt_catalog(item.value, "store")
+                position = max(position, revision)
+                # Other keys may share the prefix; the position moves past their changes.
+                position = self.store.watch(CONFIG_KEY, position, WATCH_SECONDS).revision
+            except HistoryDropped:
+                position = 0
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                logger.debug("configuration not read", extra={"error": str(error)})
+                gevent.sleep(RETRY_SECONDS)
+
+    def _adopt_catalog(self, data: bytes, source: str) -> None:
+        try:
+            catalog = decode_catalog(data)
+        except InvalidInput as error:
+            logger.error("configuration ignored", extra={"error": str(error), "source": source})
+            return
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return
+        former = self.catalog.version if self.catalog else None
+        self.catalog = catalog
+        self.catalog_bytes = data
+        if self.owner is not None:
+            self.owner.scheduler.catalog = catalog
+            self.owner.wake.set()
+        self.metrics.set("configuration_version", catalog.version)
+        logger.info(
+            "configuration changed",
+            extra={"version": catalog.version, "former": former, "source": source},
+        )
+
+    # Election
+
+    def _elect_forever(self) -> None:
+        while True:
+            gevent.sleep(BEAT_SECONDS if self.owner is not None else BEAT_SECONDS / 2)
+            if self.owner is None and not self.stopping and self.catalog is not None:
+                try:
+                    self._elect()
+                except (StoreUnavailable, StoreAnswerLost) as error:
+                    logger.info("election waits for the store", extra={"error": str(error)})
+
+    def _elect(self) -> None:
+        began = now()
+        items = {item.key: item for item in self.store.list(CONTROL_PREFIX).items}
+        current = items.get(OWNER_KEY, Item(OWNER_KEY))
+        self.candidate.observe(Observation(current, items.get(BEAT_KEY, Item(BEAT_KEY))), began)
+        self._note_owner(current)
+        if self.claimed is not None and current.value == self.claimed.encode():
+            return self._begin_term(self.claimed, current.revision, began)
+        link = self.peers.get(self.owner_record.entry_id) if self.owner_record else None
+        if link is not None and link.refused:
+            self.candidate.owner_refuses()
+        if not self.candidate.should_claim(now()):
+            return
+        self._claim(current)
+
+    def _claim(self, current: Item) -> None:
+        began = now()
+        entry_id, address = self.settings.entry_id, self.settings.peer_address
+        logger.info(
+            "claiming ownership",
+            extra={
+                "revision": current.revision,
+                "unchanged_s": round(began - self.candidate.changed_at, 2),
+                "refused": self.candidate.refused,
+            },
+        )
+        won = claim(self.store, current, entry_id, address, self._remember_claim)
+        if won is not None:
+            self._begin_term(won[0], won[1], began)
+
+    def _remember_claim(self, record: OwnerRecord) -> None:
+        self.claimed = record
+
+    def _begin_term(self, record: OwnerRecord, fence: int, began: float) -> None:
+        assert self.catalog is not None
+        self.claimed = None
+        self.owner_record = record
+        self.owner = Owner(
+            self.store,
+            record,
+            fence,
+            began,
+            self.candidate.changed_at,
+            self.catalog,
+            self.metrics,
+            self._owner_lost,
+        )
+        self.owner.start()
+        logger.info("ownership gained", extra={"epoch": record.epoch, "fence": fence})
+
+    def _owner_lost(self, owner: Owner) -> None:
+        if self.owner is owner:
+            self.owner = None
+            self.candidate = Candidate()
+        gevent.spawn(owner.stop)
+
+    def _note_owner(self, current: Item) -> None:
+        record = OwnerRecord.decode(current.value) if current.value else None
+        if record != self.owner_record:
+            self.owner_record = record
+            logger.info(
+                "owner seen",
+                extra={
+                    "owner": record.entry_id if record else None,
+                    "epoch": record.epoch if record else 0,
+                },
+            )
+
+    # Other entries
+
+    def _register_forever(self) -> None:
+        key = ENTRIES_PREFIX + self.settings.entry_id
+        value = encode_fields([self.settings.peer_address, self.settings.availability_zone])
+        while True:
+            try:
+                found = self.store.get(key)
+                if found.value != value:
+                    self.store.commit({key: found.revision}, {key: value})
+                return
+            except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
+                logger.warning("registration failed", extra={"error": str(error)})
+                gevent.sleep(RETRY_SECONDS)
+
+    def _follow_members(self) -> None:
+        while True:
+            try:
+                listing = self.store.list(ENTRIES_PREFIX, stale=True)
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                logger.debug("entries not read", extra={"error": str(error)})
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            for item in listing.items:
+                self._add_peer(item)
+            gevent.sleep(MEMBERS_SECONDS)
+
+    def _add_peer(self, item: Item) -> None:
+        entry_id = item.key[len(ENTRIES_PREFIX) :]
+        address = str(decode_fields(item.value)[0])
+        if entry_id == self.settings.entry_id:
+            return
+        if entry_id in self.peers:
+            self.peers[entry_id].address = address
+            return
+        link = PeerLink(entry_id, address, self._status, self._peer_status)
+        self.peers[entry_id] = link
+        self.peer_greenlets[entry_id] = gevent.spawn(link.run)
+
+    def _close_peers(self) -> None:
+        gevent.killall(list(self.peer_greenlets.values()))
+
+    def _status(self) -> dict[str, Any]:
+        return {"configuration": self.catalog.version if self.catalog else 0}
+
+    def _peer_status(self, link: PeerLink, status: dict[str, Any]) -> None:
+        version = int(status.get("configuration", 0))
+        if version > (self.catalog.version if self.catalog else 0):
+            data = link.call(CATALOG, {}, 1.0).get("data", b"")
+            self._adopt_catalog(bytes(data), link.entry_id)
+
+    def _handle(self, _connection: Connection, message: Message) -> Message | None:
+        return answer_forward(self._call, message)
+
+    def _call(self, name: str, payload: dict[str, Any]) -> dict[str, Any]:
+        calls: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
+            PING: lambda _: self._status(),
+            CATALOG: lambda _: {"data": self.catalog_bytes},
+            PUT: self._put,
+            STATE: self._state,
+            NOTICE: self._notice,
+            WAITING: lambda _: self._owning().scheduler.count_waiting(),
+        }
+        if name not in calls:
+            raise InvalidInput(f"unknown call {name!r}", "upgrade the receiving entry")
+        return calls[name](payload)
+
+    def _owning(self) -> Owner:
+        if self.owner is None or not self.owner.ready:
+            raise Refused("this entry does not own the jobs", "ask the owner")
+        return self.owner
+
+    def _put(self, payload: dict[str, Any]) -> dict[str, Any]:
+        key, value = str(payload["key"]), bytes(payload["value"])
+        return {"revision": self.intake.put_here(key, value, 0.6)}
+
+    def _state(self, payload: dict[str, Any]) -> dict[str, Any]:
+        state = self._owning().state_of(str(payload["job_id"]))
+        return {"state": state.value if state else ""}
+
+    def _notice(self, payload: dict[str, Any]) -> dict[str, Any]:
+        item = Item(str(payload["key"]), bytes(payload["value"]), int(payload["revision"]))
+        self._owning().learn(item)
+        return {}
--- /dev/null
+++ b/src/acaciastand/cluster/intake.py
@@ -0,0 +1,249 @@
+"""Submissions, cancellations and queries of callers, at any entry.
+
+Submissions and cancellations are written to the store by the entry that receives them, so that
+they do not depend on the owner; the owner learns of them by a message or from its watch.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from acaciastand.cluster.clock import now, now_unix
+from acaciastand.cluster.keys import (
+    CANCELS_PREFIX,
+    JOBS_PREFIX,
+    PROGRESS_PREFIX,
+    decode_job,
+    decode_progress,
+    encode_fields,
+    encode_job,
+)
+from acaciastand.cluster.owner import Owner
+from acaciastand.cluster.peers import PeerLink
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import CommitConflict, Item, TransactionalStore
+from acaciastand.errors import AcaciastandError, NotFound, OutcomeUnknown, Refused
+from acaciastand.workflow.job import Job, JobState
+from acaciastand.workflow.spec import WorkflowSpec
+
+RETRY_SECONDS = 0.08
+PEER_SECONDS = 0.8  # for a call that another entry makes in place of this one
+OWNER_SECONDS = 0.5  # for an answer of the owner, before the store is read instead
+RETRY_AFTER_SECONDS = 1.0  # an outage of the store may end at any moment
+
+PUT = "put"
+STATE = "state"
+NOTICE = "notice"
+WAITING = "waiting"
+CATALOG = "catalog"
+
+logger = logging.getLogger(__name__)
+
+
+class Unavailable(Refused):
+    """Nothing was written, and neither this entry nor a peer reaches the store."""
+
+    code = "store_unavailable"
+
+
+class Intake:
+    """Takes in what callers ask.
+
+    Parameters
+    ----------
+    owner
+        Returns the term of ownership of this entry, or None.
+    owner_link
+        Returns the connection to the owner, or None.
+    peers
+        Returns the connections to all other entries.
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        owner: Callable[[], Owner | None],
+        owner_link: Callable[[], PeerLink | None],
+        peers: Callable[[], list[PeerLink]],
+    ) -> None:
+        self.store = store
+        self.owner = owner
+        self.owner_link = owner_link
+        self.peers = peers
+        self.waiting: dict[str, int] = {}
+        self.waiting_at = float("-inf")
+
+    def submit(self, job_id: str, queue: str, spec: WorkflowSpec, deadline: float) -> None:
+        """Store a job; repeating the call with the same id changes nothing.
+
+        Raises
+        ------
+        Unavailable
+            The job was not stored and never will be by this call.
+        OutcomeUnknown
+            It may have been stored.
+        """
+        job = Job(job_id, queue, spec, now_unix())
+        self._put(JOBS_PREFIX + job_id, encode_job(job), deadline)
+
+    def cancel(self, job_id: str, deadline: float) -> None:
+        """Cancel a job.
+
+        Raises
+        ------
+        NotFound
+            No such job was stored.
+        Unavailable, OutcomeUnknown
+            As in `submit`.
+        """
+        if self.state(job_id, deadline) is None:
+            raise NotFound(f"there is no job {job_id}", "check the id")
+        self._put(CANCELS_PREFIX + job_id, encode_fields(now_unix()), deadline)
+
+    def state(self, job_id: str, deadline: float) -> JobState | None:
+        """Return the state of a job, or None if no such job is stored.
+
+        Raises
+        ------
+        Unavailable
+            Neither the owner nor the store can be reached.
+        """
+        known = self._state_at_owner(job_id)
+        if known is not None:
+            return known
+        while True:
+            try:
+                return self._state_in_store(job_id)
+            except StoreUnavailable as error:
+                if now() + RETRY_SECONDS >= deadline:
+                    raise Unavailable(
+                        f"the state of job {job_id} cannot be read", "ask again later"
+                    ) from error
+            gevent.sleep(RETRY_SECONDS)
+            known = self._state_at_owner(job_id)
+            if known is not None:
+                return known
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun, at most a second old if possible."""
+        owner = self.owner()
+        if owner is not None and owner.ready:
+            return owner.scheduler.count_waiting().get(queue, 0)
+        if now() - self.waiting_at > 0.3:
+            self._refresh_waiting()
+        return self.waiting.get(queue, 0)
+
+    def put_here(self, key: str, value: bytes, seconds: float) -> int:
+        """Write for another entry; returns the revision."""
+        return self._put_until(key, value, now() + seconds)
+
+    def _refresh_waiting(self) -> None:
+        link = self.owner_link()
+        if link is None:
+            return
+        try:
+            self.waiting = dict(link.call(WAITING, {}, OWNER_SECONDS))
+            self.waiting_at = now()
+        except AcaciastandError as error:
+            logger.info("waiting jobs not counted", extra={"error": str(error)})
+
+    def _put(self, key: str, value: bytes, deadline: float) -> None:
+        tried = False
+        while True:
+            try:
+                revision = self._put_until(key, value, min(deadline, now() + 1.0))
+                return self._notify(Item(key, value, revision))
+            except OutcomeUnknown:
+                tried = True
+            except StoreUnavailable as error:
+                logger.info("store turned away", extra={"key": key, "error": str(error)})
+            for link in self._helpers():
+                try:
+                    payload = {"key": key, "value": value}
+                    result = link.call(PUT, payload, PEER_SECONDS)
+                    return self._notify(Item(key, value, int(result["revision"])))
+                except OutcomeUnknown:
+                    tried = True
+                except AcaciastandError as error:
+                    logger.info("peer cannot store", extra={"error": str(error)})
+            if not tried:
+                raise Unavailable("the store cannot be reached", "send the job again")
+            if now() + RETRY_SECONDS >= deadline:
+                raise OutcomeUnknown("the outcome of the write is not known", "send it again")
+            gevent.sleep(RETRY_SECONDS)
+
+    def _helpers(self) -> list[PeerLink]:
+        return [link for link in self.peers() if link.connection is not None][:2]
+
+    def _put_until(self, key: str, value: bytes, deadline: float) -> int:
+        """Create a key; an existing one is a success.
+
+        Raises
+        ------
+        StoreUnavailable
+            Nothing was done.
+        OutcomeUnknown
+            It may have been done.
+        """
+        tried = False
+        while True:
+            try:
+                return self.store.commit({key: 0}, {key: value})
+            except CommitConflict as conflict:
+                return conflict.current[key].revision
+            except StoreAnswerLost as error:
+                tried = True
+                logger.info("commit unanswered", extra={"key": key, "error": str(error)})
+            except StoreUnavailable:
+                if not tried:
+                    raise
+            if now() + RETRY_SECONDS >= deadline:
+                raise OutcomeUnknown("the write was not answered", "send it again")
+            gevent.sleep(RETRY_SECONDS)
+
+    def _notify(self, item: Item) -> None:
+        owner = self.owner()
+        if owner is not None and owner.ready:
+            owner.learn(item)
+            return
+        link = self.owner_link()
+        if link is not None:
+            payload = {"key": item.key, "value": item.value, "revision": item.revision}
+            gevent.spawn(_tell, link, payload)
+
+    def _state_at_owner(self, job_id: str) -> JobState | None:
+        owner = self.owner()
+        if owner is not None and owner.ready:
+            return owner.state_of(job_id)
+        link = self.owner_link()
+        if link is None:
+            return None
+        try:
+            state = str(link.call(STATE, {"job_id": job_id}, OWNER_SECONDS).get("state", ""))
+        except AcaciastandError as error:
+            logger.info("owner gives no state", extra={"job": job_id, "error": str(error)})
+            return None
+        return JobState(state) if state else None
+
+    def _state_in_store(self, job_id: str) -> JobState | None:
+        submission = self.store.get(JOBS_PREFIX + job_id)
+        if not submission.revision:
+            return None
+        if self.store.get(CANCELS_PREFIX + job_id).revision:
+            return JobState.CANCELLED
+        job = decode_job(job_id, submission.value)
+        progress = self.store.get(PROGRESS_PREFIX + job_id)
+        if progress.revision:
+            job.restore(decode_progress(progress.value))
+        return job.state
+
+
+def _tell(link: PeerLink, payload: dict[str, Any]) -> None:
+    try:
+        link.call(NOTICE, payload, OWNER_SECONDS)
+    except AcaciastandError as error:
+        logger.info("owner not told", extra={"key": payload["key"], "error": str(error)})
--- /dev/null
+++ b/src/acaciastand/cluster/owner.py
@@ -0,0 +1,449 @@
+"""The owner of all jobs: takes over, schedules, stores and answers."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from acaciastand.cluster.agent_link import AgentLink
+from acaciastand.cluster.clock import now, now_unix
+from acaciastand.cluster.committer import Committer, OwnershipLost
+from acaciastand.cluster.election import BEAT_SECONDS
+from acaciastand.cluster.keys import (
+    AGENTS_PREFIX,
+    BEAT_KEY,
+    CANCELS_PREFIX,
+    INBOX_PREFIX,
+    JOBS_PREFIX,
+    OWNER_KEY,
+    PROGRESS_PREFIX,
+    OwnerRecord,
+    decode_fields,
+    decode_job,
+    decode_progress,
+    encode_fields,
+)
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import (
+    CommitConflict,
+    HistoryDropped,
+    Item,
+    TransactionalStore,
+)
+from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.wire.messages import RunGrant, RunReport
+from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.job import Job, JobState
+from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
+from acaciastand.workflow.reports import AgentReport, StartOutcome, TaskName
+from acaciastand.workflow.scheduler import Scheduler, Start, Stop
+
+PLAN_SECONDS = 0.1  # longest time between two rounds of decisions
+PLAN_PAUSE_SECONDS = 0.004  # events within this time are decided on together
+WATCH_SECONDS = 1.0
+RETRY_SECONDS = 0.1
+KEEP_ENDED_SECONDS = 150.0  # ended jobs can be asked for this long
+FORGET_SECONDS = 10.0  # between two removals of old jobs
+MAX_FORGOTTEN = 8  # jobs removed in one commit; three keys each
+
+logger = logging.getLogger(__name__)
+decision_logger = logging.getLogger("acaciastand.decisions")
+
+
+class Owner:
+    """One term of ownership.
+
+    Parameters
+    ----------
+    record
+        The owner key as this entry wrote it.
+    fence
+        Its revision.
+    claimed_at
+        When the claim was sent.
+    former_beat_at
+        When the last beat of a former owner was seen at the latest.
+    on_lost
+        Called once when the ownership ends.
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        record: OwnerRecord,
+        fence: int,
+        claimed_at: float,
+        former_beat_at: float,
+        catalog: Catalog,
+        metrics: Metrics,
+        on_lost: Callable[[Owner], None],
+    ) -> None:
+        self.store = store
+        self.record = record
+        self.fence = fence
+        self.confirmed_at = claimed_at
+        self.former_beat_at = former_beat_at
+        self.metrics = metrics
+        self.on_lost = on_lost
+        self.scheduler = Scheduler()
+        self.scheduler.catalog = catalog
+        self.committer = Committer(store, self.scheduler, fence, metrics, self._stored)
+        self.links: dict[str, AgentLink] = {}
+        self.wake = Event()
+        self.ready = False
+        self.lost = False
+        self.beats = 0
+        self.greenlets: list[gevent.Greenlet] = []
+
+    @property
+    def authority(self) -> float:
+        """Seconds for which this owner may still grant and order without a stored beat."""
+        return self.confirmed_at + AUTHORITY_SECONDS - now()
+
+    def start(self) -> None:
+        """Begin the term."""
+        self._spawn(self._beat_forever)
+        self._spawn(self._take_over)
+
+    def stop(self) -> None:
+        """End the term: nothing is ordered or written any more."""
+        self.lost = True
+        gevent.killall(self.greenlets, block=False)
+        self.metrics.set("owner_epoch", 0)
+
+    def release(self) -> None:
+        """Hand over in a planned stop: store what changed and clear the owner key."""
+        try:
+            with gevent.Timeout(1.0, False):
+                while self.scheduler.dirty and self.committer.commit_some():
+                    pass
+            self.store.commit({OWNER_KEY: self.fence}, {OWNER_KEY: b""})
+            logger.info("ownership released", extra={"epoch": self.record.epoch})
+        except AcaciastandError as error:
+            logger.warning("ownership not released", extra={"error": str(error)})
+        self.stop()
+
+    # Calls of entries
+
+    def learn(self, item: Item) -> None:
+        """Take in an accepted submission or cancellation."""
+        if item.key.startswith(JOBS_PREFIX):
+            job_id = item.key[len(JOBS_PREFIX) :]
+            if job_id not in self.scheduler.jobs:
+                self.scheduler.accept(decode_job(job_id, item.value))
+                decision_logger.info("job accepted", extra={"job": job_id, "rev": item.revision})
+        elif item.key.startswith(CANCELS_PREFIX):
+            job_id = item.key[len(CANCELS_PREFIX) :]
+            self.scheduler.cancel(job_id, now(), now_unix())
+            self.committer.wake.set()
+        self.wake.set()
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return the stored state of a job; None if it is not known here."""
+        job = self.scheduler.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.shown == JobState.PENDING and job.touched:
+            return JobState.RUNNING
+        return job.shown
+
+    # Taking over
+
+    def _take_over(self) -> None:
+        while not self._load():
+            gevent.sleep(RETRY_SECONDS)
+        self.ready = True
+        self._spawn(self._commit_forever)
+        self._spawn(self._plan_forever)
+        self._spawn(self._watch_inbox)
+        self._spawn(self._watch_agents)
+        self._spawn(self._forget_forever)
+
+    def _load(self) -> bool:
+        began = now()
+        try:
+            agents = self.store.list(AGENTS_PREFIX)
+            inbox = self.store.list(INBOX_PREFIX)
+            progress = self.store.list(PROGRESS_PREFIX)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.warning("takeover waits for the store", extra={"error": str(error)})
+            return False
+        # Grants of a former owner end with its authority, which counts from its last stored beat.
+        until = max(now(), self.former_beat_at + AUTHORITY_SECONDS * CLOCK_DRIFT)
+        for item in agents.items:
+            self._add_agent(item, until)
+        self._load_jobs(inbox.items, progress.items)
+        self.agents_revision = agents.revision
+        self.inbox_revision = inbox.revision
+        logger.info(
+            "took over",
+            extra={
+                "epoch": self.record.epoch,
+                "jobs": len(self.scheduler.jobs),
+                "agents": len(self.links),
+                "seconds": round(now() - began, 3),
+            },
+        )
+        self.metrics.set("owner_epoch", self.record.epoch)
+        return True
+
+    def _load_jobs(self, inbox: list[Item], progress: list[Item]) -> None:
+        stored = {item.key[len(PROGRESS_PREFIX) :]: item for item in progress}
+        for item in inbox:
+            if not item.key.startswith(JOBS_PREFIX):
+                continue
+            job_id = item.key[len(JOBS_PREFIX) :]
+            job = decode_job(job_id, item.value)
+            if job_id in stored:
+                job.revision = stored[job_id].revision
+                job.restore(decode_progress(stored[job_id].value))
+            # Nobody but this owner can have started what was accepted after the claim.
+            self.scheduler.accept(job, certain=item.revision > self.fence)
+        for item in inbox:
+            if item.key.startswith(CANCELS_PREFIX):
+                self.learn(item)
+
+    # Loops
+
+    def _spawn(self, loop: Callable[[], None]) -> None:
+        self.greenlets.append(gevent.spawn(loop))
+
+    def _lose(self, why: str) -> None:
+        if not self.lost:
+            logger.warning("ownership lost", extra={"epoch": self.record.epoch, "why": why})
+            self.on_lost(self)
+
+    def _beat_forever(self) -> None:
+        while True:
+            self.beats += 1
+            sent_at = now()
+            try:
+                self.store.commit({OWNER_KEY: self.fence}, {BEAT_KEY: encode_fields(self.beats)})
+                self.confirmed_at = sent_at
+            except CommitConflict:
+                return self._lose("the owner key was rewritten")
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                logger.debug("beat failed", extra={"error": str(error)})
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            gevent.sleep(BEAT_SECONDS)
+
+    def _commit_forever(self) -> None:
+        try:
+            self.committer.run()
+        except OwnershipLost as error:
+            self._lose(str(error))
+
+    def _plan_forever(self) -> None:
+        while True:
+            self.wake.wait(PLAN_SECONDS)
+            gevent.sleep(PLAN_PAUSE_SECONDS)
+            self.wake.clear()
+            self._plan()
+
+    def _plan(self) -> None:
+        if self.authority <= 0:
+            return
+        for worker in self.scheduler.workers.values():
+            worker.reachable = self.links[worker.agent_id].connection is not None
+        starts, stops = self.scheduler.plan(now(), now_unix())
+        for start in starts:
+            gevent.spawn(self._send_start, start)
+        for stop in stops:
+            gevent.spawn(self._send_stop, stop)
+        if self.scheduler.dirty:
+            self.committer.wake.set()
+        self._log_decisions()
+        self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
+
+    def _log_decisions(self) -> None:
+        decisions, self.scheduler.decisions = self.scheduler.decisions, []
+        for decision in decisions:
+            self.metrics.count("decisions", decision.what)
+            decision_logger.info(
+                decision.what,
+                extra={"subject": decision.subject, **decision.inputs},
+            )
+
+    def _send_start(self, start: Start) -> None:
+        began = now()
+        worker = self.scheduler.workers[start.agent_id]
+        run = start.order.run
+        link = self.links[start.agent_id]
+        if self.lost or self.authority <= 0:
+            outcome, look = StartOutcome.REFUSED, 0
+        else:
+            outcome, look = link.start(worker.born_ms, start.order)
+        self.metrics.observe("start_seconds", now() - began)
+        self.scheduler.start_result(start.task, run, outcome, look, now())
+        self.wake.set()
+
+    def _send_stop(self, stop: Stop) -> None:
+        if self.lost or self.authority <= 0:
+            return
+        outcome, look = self.links[stop.agent_id].stop(stop.task_key, stop.run)
+        if outcome == StartOutcome.STARTED and stop.known:
+            self.scheduler.stop_result(stop.task_key, stop.run, look)
+
+    def _on_report(self, link: AgentLink, message: RunReport, report: AgentReport) -> RunGrant:
+        if self.lost:
+            return RunGrant()
+        self.scheduler.report(link.agent_id, report, now(), now_unix())
+        worker = self.scheduler.workers[link.agent_id]
+        seconds = max(0.0, min(GRANT_SECONDS, self.authority))
+        worker.granted_until = max(worker.granted_until, now() + seconds * CLOCK_DRIFT + 0.1)
+        self.wake.set()
+        return RunGrant(
+            seconds,
+            worker.born_ms,
+            self.scheduler.acknowledgeable(worker),
+            self._limits(message.untold),
+        )
+
+    def _limits(self, tasks: list[str]) -> list[list[Any]]:
+        rows = []
+        for key in tasks:
+            name = TaskName.parse(key)
+            job = self.scheduler.jobs.get(name.job_id) if name else None
+            task = job.tasks.get(key) if job else None
+            if task is not None:
+                rows.append([key, task.step.target_ms, task.step.uses_leftover])
+        return rows
+
+    def _stored(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            if job.shown in (JobState.COMPLETED, JobState.FAILED) and job.ended_unix:
+                self.metrics.observe(
+                    "job_seconds", max(0.0, job.ended_unix - job.accepted_unix), job.queue
+                )
+        for worker in self.scheduler.workers.values():
+            if worker.pending_ends:
+                before = worker.acknowledged
+                number = self.scheduler.acknowledgeable(worker)
+                if number > before:
+                    gevent.spawn(self.links[worker.agent_id].ends_stored, worker.born_ms, number)
+
+    def _watch_inbox(self) -> None:
+        while True:
+            try:
+                changes = self.store.watch(INBOX_PREFIX, self.inbox_revision, WATCH_SECONDS)
+                items, self.inbox_revision = changes.items, changes.revision
+            except HistoryDropped:
+                items = self._list_again(INBOX_PREFIX)
+            except (StoreUnavailable, StoreAnswerLost):
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
+                self.learn(item)
+
+    def _list_again(self, prefix: str) -> list[Item]:
+        while True:
+            try:
+                listing = self.store.list(prefix)
+            except (StoreUnavailable, StoreAnswerLost):
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            if prefix == INBOX_PREFIX:
+                self.inbox_revision = listing.revision
+            else:
+                self.agents_revision = listing.revision
+            logger.warning("history dropped; listed again", extra={"prefix": prefix})
+            return listing.items
+
+    def _watch_agents(self) -> None:
+        while True:
+            try:
+                changes = self.store.watch(AGENTS_PREFIX, self.agents_revision, 2 * WATCH_SECONDS)
+                items, self.agents_revision = changes.items, changes.revision
+            except HistoryDropped:
+                items = self._list_again(AGENTS_PREFIX)
+            except (StoreUnavailable, StoreAnswerLost):
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            for item in items:
+                self._add_agent(item, None)
+
+    def _add_agent(self, item: Item, granted_until: float | None) -> None:
+        agent_id = item.key[len(AGENTS_PREFIX) :]
+        address = str(decode_fields(item.value)[0])
+        known = self.links.get(agent_id)
+        if known is not None and known.address == address:
+            return
+        if known is not None:
+            known.address = address  # used from the next connection on
+            return
+        self.scheduler.add_worker(agent_id, granted_until is None, granted_until or now())
+        link = AgentLink(
+            agent_id,
+            address,
+            self.record.entry_id,
+            self.record.epoch,
+            self._on_report,
+            lambda epoch: self._lose(f"an agent follows epoch {epoch}"),
+        )
+        self.links[agent_id] = link
+        self._spawn(link.run)
+
+    def _forget_forever(self) -> None:
+        while True:
+            gevent.sleep(FORGET_SECONDS)
+            limit = now_unix() - KEEP_ENDED_SECONDS
+            old = [
+                job
+                for job in self.scheduler.jobs.values()
+                if job.ended_unix
+                and job.ended_unix < limit
+                and not job.version - job.durable_version
+            ]
+            self._forget(old[:MAX_FORGOTTEN])
+
+    def _forget(self, jobs: list[Job]) -> None:
+        if not jobs:
+            return
+        keys = [
+            prefix + job.job_id
+            for job in jobs
+            for prefix in (JOBS_PREFIX, CANCELS_PREFIX, PROGRESS_PREFIX)
+        ]
+        try:
+            self.store.commit({OWNER_KEY: self.fence}, {}, keys)
+        except AcaciastandError as error:
+            logger.warning("old jobs not removed", extra={"error": str(error)})
+            return
+        for job in jobs:
+            self.scheduler.forget(job.job_id)
+
+
+def claim(
+    store: TransactionalStore,
+    current: Item,
+    entry_id: str,
+    address: str,
+    remember: Callable[[OwnerRecord], None],
+) -> tuple[OwnerRecord, int] | None:
+    """Claim the ownership after what `current` shows; None if another entry was first.
+
+    `remember` is told the record before it is sent, to recognize a claim without an answer.
+
+    Raises
+    ------
+    StoreUnavailable, StoreAnswerLost
+        Whether the claim took effect is seen at the next look.
+    """
+    epoch = OwnerRecord.decode(current.value).epoch if current.value else 0
+    # A released key holds no epoch; revisions only rise, so they serve as well.
+    record = OwnerRecord(entry_id, address, max(epoch, current.revision) + 1, os.urandom(8))
+    remember(record)
+    try:
+        return record, store.commit({OWNER_KEY: current.revision}, {OWNER_KEY: record.encode()})
+    except CommitConflict as conflict:
+        found = conflict.current[OWNER_KEY]
+        if found.value == record.encode():
+            return record, found.revision
+        return None
--- /dev/null
+++ b/src/acaciastand/cluster/peers.py
@@ -0,0 +1,124 @@
+"""Connections of an entry to the other entries."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
+from acaciastand.wire.connection import Connection, NotSent, dial
+from acaciastand.wire.messages import Forward, ForwardReply, Message
+
+DIAL_SECONDS = 1.0
+PING_SECONDS = 0.5
+PING_TIMEOUT_SECONDS = 1.0
+REDIAL_SECONDS = 0.5
+PING = "ping"
+
+logger = logging.getLogger(__name__)
+
+CallHandler = Callable[[str, dict[str, Any]], dict[str, Any]]
+
+
+class PeerLink:
+    """Keeps a connection to one entry.
+
+    Attributes
+    ----------
+    refused
+        Whether nothing listened at the address at the last attempt.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        address: str,
+        status: Callable[[], dict[str, Any]],
+        on_status: Callable[[PeerLink, dict[str, Any]], None],
+    ) -> None:
+        self.entry_id = entry_id
+        self.address = address
+        self.status = status
+        self.on_status = on_status
+        self.connection: Connection | None = None
+        self.refused = False
+
+    def run(self) -> None:
+        """Keep the connection until killed."""
+        try:
+            while True:
+                self._connect()
+                while self.connection is not None and not self.connection.closed.is_set():
+                    self._ping(self.connection)
+                self.connection = None
+                gevent.sleep(REDIAL_SECONDS if self.refused else REDIAL_SECONDS / 5)
+        finally:
+            if self.connection is not None:
+                self.connection.close()
+
+    def call(self, name: str, payload: dict[str, Any], seconds: float) -> dict[str, Any]:
+        """Make a call at the entry and return its result.
+
+        Raises
+        ------
+        Refused
+            The call was not made.
+        OutcomeUnknown
+            It may have been made.
+        """
+        connection = self.connection
+        if connection is None:
+            raise Refused(f"entry {self.entry_id} is not connected", "try another entry")
+        message = Forward(name, payload, int(seconds * 1000))
+        try:
+            reply = connection.request(message, seconds)
+        except NotSent as error:
+            raise Refused(str(error), "try another entry") from error
+        except AcaciastandError as error:
+            raise OutcomeUnknown(str(error), "repeat the call") from error
+        assert isinstance(reply, ForwardReply)
+        if reply.code:
+            kind = Refused if reply.outcome == "not_run" else OutcomeUnknown
+            raise kind(reply.message, reply.remedy)
+        return reply.result
+
+    def _connect(self) -> None:
+        connection = None
+        try:
+            with gevent.Timeout(DIAL_SECONDS, TimeoutError("no connection in time")):
+                connection = dial(self.address, _no_calls)
+        except (AcaciastandError, TimeoutError) as error:
+            self.refused = "refused" in str(error).lower()
+            return
+        self.refused = False
+        self.connection = connection
+        logger.info("peer regained", extra={"entry_id": self.entry_id})
+
+    def _ping(self, connection: Connection) -> None:
+        try:
+            self.on_status(self, self.call(PING, self.status(), PING_TIMEOUT_SECONDS))
+        except AcaciastandError as error:
+            logger.warning("peer lost", extra={"entry_id": self.entry_id, "error": str(error)})
+            connection.close()
+            return
+        connection.closed.wait(PING_SECONDS)
+
+
+def _no_calls(_connection: Connection, _message: Message) -> None:
+    return None
+
+
+def answer_forward(handler: CallHandler, message: Message) -> ForwardReply:
+    """Return the reply to a forwarded call."""
+    if not isinstance(message, Forward):
+        return ForwardReply(code="invalid_input", outcome="not_run", message="not a call")
+    try:
+        return ForwardReply(handler(message.call, dict(message.payload)))
+    except AcaciastandError as error:
+        outcome = error.outcome.value if error.outcome else "unknown"
+        return ForwardReply(
+            code=error.code, outcome=outcome, message=error.message, remedy=error.remedy
+        )
--- /dev/null
+++ b/src/acaciastand/cluster/settings.py
@@ -0,0 +1,81 @@
+"""Settings files of the daemons that run jobs of steps."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from acaciastand.settings.fields import Address, Choice, Text, Url
+from acaciastand.settings.process import LOG_LEVELS, Field, ProcessSettings
+
+_LEVEL = Field(Choice(*LOG_LEVELS), "Least severe level that is logged.", "info")
+_METRICS = Field(Address(empty=True), "Address that serves the metrics; empty for none.", "")
+_ZONE = Field(Text(), "Availability zone of the host.")
+_STORE = Field(Url(), "Base URL of the platform's key-value service.")
+
+
+class JobEntrySettings(ProcessSettings):
+    """Settings of an entry for jobs of steps."""
+
+    __slots__ = (
+        "entry_id",
+        "availability_zone",
+        "http_address",
+        "ready_address",
+        "peer_address",
+        "store_url",
+        "metrics_address",
+        "log_level",
+    )
+    entry_id: str
+    availability_zone: str
+    http_address: str
+    ready_address: str
+    peer_address: str
+    store_url: str
+    metrics_address: str
+    log_level: str
+
+    known: ClassVar[dict[str, Field]] = {
+        "entry_id": Field(Text(), "Name of this entry, unique in the deployment."),
+        "availability_zone": _ZONE,
+        "http_address": Field(Address(listens=True), "Address for callers."),
+        "ready_address": Field(Address(listens=True), "Address for the balancer's checks."),
+        "peer_address": Field(Address(listens=True), "Address for other entries."),
+        "store_url": _STORE,
+        "metrics_address": _METRICS,
+        "log_level": _LEVEL,
+    }
+
+
+class JobAgentSettings(ProcessSettings):
+    """Settings of an agent that runs tasks of jobs of steps."""
+
+    __slots__ = (
+        "agent_id",
+        "availability_zone",
+        "announce_address",
+        "peer_address",
+        "worker_address",
+        "store_url",
+        "metrics_address",
+        "log_level",
+    )
+    agent_id: str
+    availability_zone: str
+    announce_address: str
+    peer_address: str
+    worker_address: str
+    store_url: str
+    metrics_address: str
+    log_level: str
+
+    known: ClassVar[dict[str, Field]] = {
+        "agent_id": Field(Text(), "Name of this agent, unique in the deployment."),
+        "availability_zone": _ZONE,
+        "announce_address": Field(Address(listens=True), "Address for the worker's heartbeats."),
+        "peer_address": Field(Address(listens=True), "Address for entries."),
+        "worker_address": Field(Address(), "Address of the worker's task interface."),
+        "store_url": _STORE,
+        "metrics_address": _METRICS,
+        "log_level": _LEVEL,
+    }
--- /dev/null
+++ b/src/acaciastand/platform/tasks.py
@@ -0,0 +1,211 @@
+"""Client of the task interface of the worker on this host, and its announcements."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from acaciastand.errors import AcaciastandError, InvalidInput, Outcome
+from acaciastand.platform.http import CallBrokeOff, HttpCaller
+from acaciastand.resources import Resources
+from acaciastand.workflow.reports import (
+    Ended,
+    Look,
+    Running,
+    StartOrder,
+    StartOutcome,
+    WorkerIdentity,
+)
+
+ANNOUNCE_PATH = "/Instances.Heartbeat/"
+LEAVE_PATH = "/Instances.Deregister/"
+STATES = frozenset({"ready", "draining"})
+JSON_HEADERS = {"Content-Type": "application/json"}
+ORDER_SECONDS = 0.4  # for the answer to a start, stop or change of pace
+LOOK_SECONDS = 0.5  # for the answer to a look, beyond the time it waits
+OTHER_LIFE = 421
+LIFE_HEADER = "X-Target-Instance"  # holds the worker's id
+
+
+class TokenRefused(AcaciastandError):
+    """The worker has seen a higher token; the call had no effect."""
+
+    code = "token_refused"
+    outcome = Outcome.NOT_RUN
+
+
+class WorkerChanged(AcaciastandError):
+    """The worker is in another life than the call is meant for; it had no effect."""
+
+    code = "worker_changed"
+    outcome = Outcome.NOT_RUN
+
+
+class TaskClient:
+    """Calls of one worker.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the worker.
+    token
+        Token that orders the lives of the agent; a worker refuses lower ones.
+    """
+
+    def __init__(self, address: str, token: int) -> None:
+        self.caller = HttpCaller(f"http://{address}")
+        self.token = token
+        self.life_header: dict[str, str] = {}
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.caller.close()
+
+    def look(self, lease_until_ms: int | None, acknowledged: int, wait_seconds: float) -> Look:
+        """Extend the lease of all runs, acknowledge ends and return what runs and has ended.
+
+        Parameters
+        ----------
+        lease_until_ms
+            End of the lease on the worker's clock; None to leave it.
+        acknowledged
+            Number of the last end that is stored.
+        wait_seconds
+            How long the worker waits for a new end.
+
+        Raises
+        ------
+        TokenRefused, WorkerChanged, CallNotSent, CallTimedOut, CallBrokeOff
+            The worker gave no such answer.
+        """
+        body: dict[str, Any] = {"fencingToken": self.token, "lastSeen": acknowledged}
+        if lease_until_ms is not None:
+            body["deadlineMs"] = lease_until_ms
+        if wait_seconds > 0:
+            body["waitMs"] = int(wait_seconds * 1000)
+        status, fields = self._call("/hold", body, LOOK_SECONDS + wait_seconds)
+        self._check(status, fields)
+        try:
+            return Look(
+                int(fields.get("born", 0)),
+                float(fields["clockMs"]),
+                [_running(row) for row in fields.get("running") or []],
+                [_ended(row) for row in fields.get("finished") or []],
+            )
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise CallBrokeOff(f"the look cannot be read: {error!r}", "look again") from error
+
+    def start(self, order: StartOrder, lease_until_ms: int) -> StartOutcome:
+        """Start a run; repeating the call for the same run is harmless.
+
+        Raises
+        ------
+        TokenRefused, WorkerChanged, CallNotSent
+            Nothing was started.
+        CallTimedOut, CallBrokeOff
+            It may have started, or may still start before the lease ends.
+        """
+        body: dict[str, Any] = {
+            "task": order.task,
+            "runId": order.run,
+            "spec": order.payload,
+            "deadlineMs": lease_until_ms,
+            "fencingToken": self.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        status, fields = self._call("/run-start", body, ORDER_SECONDS)
+        if status == 200:
+            return StartOutcome.STARTED
+        if status == 409 and fields.get("reason") == "room":
+            return StartOutcome.NO_ROOM
+        if status in (400, 429, 503) or (status == 409 and fields.get("reason") != "fence"):
+            return StartOutcome.REFUSED
+        self._check(status, fields)
+        return StartOutcome.UNKNOWN
+
+    def stop(self, task: str, run: int) -> None:
+        """Stop a run; this and lower runs are refused from then on."""
+        body = {"task": task, "runId": run, "fencingToken": self.token}
+        self._check(*self._call("/run-stop", body, ORDER_SECONDS))
+
+    def pace(self, task: str, run: int, percent: int) -> None:
+        """Let a run work at `percent` of its speed."""
+        body = {"task": task, "runId": run, "percent": percent, "fencingToken": self.token}
+        self._check(*self._call("/pace", body, ORDER_SECONDS))
+
+    def _call(self, path: str, body: dict[str, Any], seconds: float) -> tuple[int, dict[str, Any]]:
+        headers = {**JSON_HEADERS, **self.life_header}
+        answer = self.caller.call("POST", path, json.dumps(body).encode(), headers, seconds)
+        try:
+            fields = json.loads(answer.body) if answer.body else {}
+        except ValueError as error:
+            raise CallBrokeOff(f"the answer is not JSON: {error}", "repeat the call") from error
+        if not isinstance(fields, dict):
+            raise CallBrokeOff("the answer is not an object", "repeat the call")
+        return answer.status, fields
+
+    def _check(self, status: int, fields: dict[str, Any]) -> None:
+        if status == 200:
+            return
+        if status == OTHER_LIFE:
+            raise WorkerChanged("the worker has been restarted", "wait for its announcement")
+        if status == 409 and fields.get("reason") == "fence":
+            raise TokenRefused(f"token {self.token} is too low", "use a higher one")
+        raise CallBrokeOff(f"the worker answered {status}", "repeat the call")
+
+
+def _running(row: list[Any]) -> Running:
+    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return Running(str(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), figure)
+
+
+def _ended(row: list[Any]) -> Ended:
+    return Ended(int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4] or ""))
+
+
+def decode_announcement(worker_id: str, body: bytes) -> tuple[WorkerIdentity, int]:
+    """Return what a worker announces, and the sequence number of the announcement.
+
+    Raises
+    ------
+    InvalidInput
+        It comes from another writer or is malformed and names no worker.
+    """
+    try:
+        fields = json.loads(body)
+        if fields["state"] not in STATES:
+            raise ValueError(f"unknown state {fields['state']!r}")
+        room = fields["capacity"]
+        identity = WorkerIdentity(
+            worker_id,
+            _whole(fields["born"]) if "born" in fields else 0,
+            _text(fields["service"]),
+            _text(fields["addr"]),
+            _text(fields.get("zone", "")),
+            Resources(
+                _whole(room["cpu"]) / 1000,  # thousandths of a core on the wire
+                _whole(room["memMb"]),
+                _whole(room.get("gpu", 0)),
+            ),
+            [_text(label) for label in fields.get("labels", [])],
+            fields["state"] == "draining",
+            float(fields.get("remainingMs", 0)) / 1000,
+        )
+        return identity, _whole(fields["seq"])
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise InvalidInput(f"the announcement names no worker: {error!r}", "ignore it") from error
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a string")
+    return value
--- a/src/acaciastand/wire/messages.py
+++ b/src/acaciastand/wire/messages.py
@@ -25,12 +25,23 @@
 from acaciastand.wire.parts import AttemptName, EntryAddress, HeldAttempt, Message, Part, ShardEpoch
 from acaciastand.wire.peers import Forward, ForwardReply, PeerHeartbeat, PeerHello
 from acaciastand.wire.requests import Execute, ExecuteReply
+from acaciastand.wire.runs import (
+    EndsStored,
+    OwnerHello,
+    OwnerHelloReply,
+    RunGrant,
+    RunReply,
+    RunReport,
+    StartRun,
+    StopRun,
+)
 
 __all__ = [
     "AttemptName",
     "AttemptReport",
     "Directory",
     "Drain",
+    "EndsStored",
     "EntryAddress",
     "Execute",
     "ExecuteReply",
@@ -44,14 +55,21 @@
     "Hello",
     "MESSAGE_TYPES",
     "Message",
+    "OwnerHello",
+    "OwnerHelloReply",
     "PROTOCOL_VERSION",
     "Part",
     "PeerHeartbeat",
     "PeerHello",
     "ReportConfirmed",
+    "RunGrant",
+    "RunReply",
+    "RunReport",
     "SettingsUpdate",
     "ShardEpoch",
+    "StartRun",
     "StopAttempt",
+    "StopRun",
     "Welcome",
 ]
 
@@ -78,5 +96,13 @@
         PeerHeartbeat,
         Forward,
         ForwardReply,
+        OwnerHello,
+        OwnerHelloReply,
+        RunReport,
+        RunGrant,
+        EndsStored,
+        StartRun,
+        StopRun,
+        RunReply,
     )
 }
--- /dev/null
+++ b/src/acaciastand/workflow/catalog.py
@@ -0,0 +1,102 @@
+"""Queues and services as the operators configure them."""
+
+from __future__ import annotations
+
+from acaciastand.record import Record
+
+
+class Queue(Record):
+    """A queue of jobs.
+
+    Parameters
+    ----------
+    name
+        Name of the queue.
+    host, prefix
+        Host name and start of the path of its calls.
+    service
+        Service whose workers run its tasks.
+    priority
+        0 comes first.
+    max_attempts
+        Failed attempts of one task after which its job has failed.
+    stretch
+        Factor on the longest chain of run times within which a job should complete.
+    target_seconds
+        Time added to that.
+    advised
+        Whether the placement service names the workers that may run a step.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "service",
+        "priority",
+        "max_attempts",
+        "stretch",
+        "target_seconds",
+        "advised",
+    )
+
+    def __init__(
+        self,
+        name: str = "",
+        host: str = "",
+        prefix: str = "",
+        service: str = "",
+        priority: int = 0,
+        max_attempts: int = 1,
+        stretch: float = 2.0,
+        target_seconds: float = 1.0,
+        advised: bool = False,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.service = service
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.stretch = stretch
+        self.target_seconds = target_seconds
+        self.advised = advised
+
+
+class Catalog(Record):
+    """One version of the configuration.
+
+    Parameters
+    ----------
+    version
+        Rises with every change, by any step.
+    queues
+        All queues.
+    guarded
+        Names of services whose workers reject what does not fit.
+    max_body_bytes
+        Largest body of a submission.
+    """
+
+    __slots__ = ("version", "queues", "guarded", "max_body_bytes")
+
+    def __init__(
+        self,
+        version: int = 0,
+        queues: list[Queue] | None = None,
+        guarded: list[str] | None = None,
+        max_body_bytes: int = 262_144,
+    ) -> None:
+        self.version = version
+        self.queues = queues or []
+        self.guarded = guarded or []
+        self.max_body_bytes = max_body_bytes
+
+    def match(self, host: str, path: str) -> Queue | None:
+        """Return the queue whose prefix is the longest that `path` begins with."""
+        found = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
+        return max(found, key=lambda queue: len(queue.prefix), default=None)
+
+    def by_name(self, name: str) -> Queue | None:
+        """Return the queue with this name."""
+        return next((queue for queue in self.queues if queue.name == name), None)
--- /dev/null
+++ b/src/acaciastand/workflow/placement.py
@@ -0,0 +1,69 @@
+"""On which worker a task is started."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from acaciastand.workflow.job import Task
+from acaciastand.workflow.worker import WorkerView
+
+LEFTOVER_SHARE = 1.0  # of the unreserved cores that tasks on leftover time may ask for together
+
+
+class Placement(ABC):
+    """Chooses among workers that may take a task."""
+
+    @abstractmethod
+    def choose(self, task: Task, workers: Sequence[WorkerView]) -> WorkerView | None:
+        """Return the worker for `task`, or None if it has to wait."""
+
+
+def fits(task: Task, worker: WorkerView) -> bool:
+    """Return whether the worker has the reserved room, the label and the spread for a task."""
+    step = task.step
+    assert worker.identity is not None
+    if step.required_label and step.required_label not in worker.identity.labels:
+        return False
+    if step.max_per_worker and _same_step(task, worker) >= step.max_per_worker:
+        return False
+    return step.reserved.fits_in(worker.free())
+
+
+def _same_step(task: Task, worker: WorkerView) -> int:
+    place = (task.name.occurrence, task.name.step)
+    return sum(
+        1
+        for other in worker.tasks.values()
+        if other.job is task.job and (other.name.occurrence, other.name.step) == place
+    )
+
+
+class SpreadPlacement(Placement):
+    """Places each task where most processor time is left.
+
+    Answers the steady mix of services and large batch tasks: tasks on leftover time wait while
+    every worker's leftover is spoken for, since more of them side by side finish no sooner and
+    slow the services beside them. A rack that holds the data goes first.
+    """
+
+    def choose(self, task: Task, workers: Sequence[WorkerView]) -> WorkerView | None:
+        """Return the worker with most leftover cores among those that fit."""
+        candidates = [w for w in workers if fits(task, w) and w.identity]
+        if task.step.uses_leftover:
+            candidates = [w for w in candidates if has_leftover(task, w)]
+        return max(candidates, key=lambda w: self._score(task, w), default=None)
+
+    def _score(self, task: Task, worker: WorkerView) -> tuple[float, ...]:
+        near = bool(task.step.data_rack) and worker.rack == task.step.data_rack
+        avoided = worker.agent_id == task.avoid
+        return (not avoided, near, worker.leftover_cores())
+
+
+def has_leftover(task: Task, worker: WorkerView) -> bool:
+    """Return whether a task on leftover time finds enough of it, or is alone in wanting it."""
+    left = worker.leftover_cores()
+    assert worker.identity is not None
+    slack = (1.0 - LEFTOVER_SHARE) * worker.identity.capacity.cores
+    alone = not any(t.step.uses_leftover for t in worker.tasks.values())
+    return left - slack >= task.step.size.cores or (alone and left > 0)
--- /dev/null
+++ b/src/acaciastand/workflow/scheduler.py
@@ -0,0 +1,563 @@
+"""The owner's aggregate: jobs, workers and the decisions that follow from each event.
+
+Nothing here waits or reads a clock. Times are seconds of a clock that counts suspensions; `unix`
+times are of the time of day. Ends of runs count in memory at once, so that the next step starts
+without waiting for the store; callers are shown, and workers are acknowledged, only what is stored.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from acaciastand.record import Record
+from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
+from acaciastand.workflow.limits import FRESH_SECONDS
+from acaciastand.workflow.order import LeastSlackFirst, StartOrderPolicy
+from acaciastand.workflow.placement import Placement, SpreadPlacement
+from acaciastand.workflow.reports import (
+    AgentReport,
+    Ended,
+    RunEnd,
+    Running,
+    StartOrder,
+    StartOutcome,
+    TaskName,
+)
+from acaciastand.workflow.worker import WorkerView
+
+STOP_RETRY_SECONDS = 0.4  # between two orders to stop the same attempt
+MISSING_LOOKS = 2  # looks in a row without an attempt after which it is asked to stop
+FULL_SECONDS = 0.5  # a worker that rejected a start for room gets no new one for this long
+RETRY_SECONDS = 0.15  # before a task is started again after a refused start
+FAILURES_TO_SET_ASIDE = 2  # tasks of different jobs that failed on a worker since a success
+SET_ASIDE_SECONDS = 3.0  # first pause of a worker that fails what it starts; doubles each time
+MAX_SET_ASIDE_SECONDS = 24.0
+MAX_SET_ASIDE_SHARE = 0.34  # of all workers
+HUNG_FACTOR = 3.0  # a run that takes this many times its estimate is restarted elsewhere
+HUNG_SECONDS = 3.0  # and at least this much longer than its estimate
+DRAIN_MARGIN_SECONDS = 0.7  # kept to stop a run and save its progress before its worker leaves
+
+
+class Start(Record):
+    """Order for an agent to start a run."""
+
+    __slots__ = ("agent_id", "task", "order")
+
+    def __init__(self, agent_id: str, task: Task, order: StartOrder) -> None:
+        self.agent_id = agent_id
+        self.task = task
+        self.order = order
+
+
+class Stop(Record):
+    """Order for an agent to stop a run; `known` tells whether the owner tracks the attempt."""
+
+    __slots__ = ("agent_id", "task_key", "run", "known")
+
+    def __init__(self, agent_id: str, task_key: str, run: int, known: bool = True) -> None:
+        self.agent_id = agent_id
+        self.task_key = task_key
+        self.run = run
+        self.known = known
+
+
+class Decision(Record):
+    """A decision with the inputs that led to it, for the log."""
+
+    __slots__ = ("what", "subject", "inputs")
+
+    def __init__(self, what: str, subject: str, inputs: dict[str, Any]) -> None:
+        self.what = what
+        self.subject = subject
+        self.inputs = inputs
+
+
+class Scheduler:
+    """Jobs of one deployment in the hands of its owner.
+
+    Parameters
+    ----------
+    order, placement
+        Policies on which task goes first, and where.
+    """
+
+    def __init__(
+        self, order: StartOrderPolicy | None = None, placement: Placement | None = None
+    ) -> None:
+        self.order = order or LeastSlackFirst()
+        self.placement = placement or SpreadPlacement()
+        self.catalog = Catalog()
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, WorkerView] = {}
+        self.waiting: dict[str, Task] = {}
+        self.timed: dict[str, Task] = {}
+        self.uncertain: dict[str, Task] = {}
+        self.dirty: dict[str, Job] = {}
+        self.stops: list[Stop] = []
+        self.decisions: list[Decision] = []
+
+    # Jobs
+
+    def accept(self, job: Job, certain: bool = True) -> None:
+        """Take in a stored job; not `certain` if a former owner may have started its tasks."""
+        if job.job_id in self.jobs:
+            return
+        self.jobs[job.job_id] = job
+        if job.over:
+            return
+        for task in job.tasks.values():
+            if task.state == TaskState.DONE:
+                continue
+            if certain:
+                self._make_waiting(task)
+            else:
+                task.state = TaskState.UNCERTAIN
+                self.uncertain[task.key] = task
+
+    def cancel(self, job_id: str, now: float, now_unix: float) -> Job | None:
+        """Cancel a job and stop what runs of it; None if there is no such job."""
+        job = self.jobs.get(job_id)
+        if job is None or job.over:
+            return job
+        job.cancelled = True
+        self._job_over(job, now, now_unix)
+        return job
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job that ended long ago."""
+        self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
+
+    def stored(self, job: Job, version: int) -> None:
+        """Take note that the job's state up to `version` is stored."""
+        job.durable_version = max(job.durable_version, version)
+        if job.durable_version == job.version:
+            job.shown = job.state
+            self.dirty.pop(job.job_id, None)
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return for each queue the accepted jobs of which no task has started."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if not job.touched and not job.over:
+                counts[job.queue] = counts.get(job.queue, 0) + 1
+        return counts
+
+    # Workers
+
+    def add_worker(self, agent_id: str, heard: bool, granted_until: float) -> WorkerView:
+        """Take note of an agent; not `heard` if a former owner may have given it work."""
+        worker = self.workers.get(agent_id)
+        if worker is None:
+            worker = self.workers[agent_id] = WorkerView(agent_id)
+            worker.heard = heard
+            worker.granted_until = granted_until
+        return worker
+
+    def report(self, agent_id: str, report: AgentReport, now: float, now_unix: float) -> None:
+        """Take in what an agent reports."""
+        worker = self.workers[agent_id]
+        worker.last_report = now
+        worker.worker_silent = report.silent
+        if report.lapsed:
+            self._all_lost(worker, now, "lease of the runs expired")
+            worker.heard = True
+        if report.identity is None:
+            return
+        if worker.born_ms and worker.born_ms != report.identity.born_ms:
+            self._new_life(worker, report, now)
+        began_draining = report.identity.draining and not (
+            worker.identity and worker.identity.draining
+        )
+        worker.identity = report.identity
+        if began_draining:
+            self._note("worker draining", agent_id, remaining_s=report.identity.remaining_seconds)
+        if not report.look:
+            return
+        worker.heard = True
+        known = {number for number, _, _ in worker.pending_ends}
+        for end in report.ended:
+            if end.number > worker.acknowledged and end.number not in known:
+                self._ended(worker, end, now, now_unix)
+        self._compare(worker, report, now)
+        if report.identity.draining:
+            self._leave(worker, now)
+
+    def acknowledgeable(self, worker: WorkerView) -> int:
+        """Return the number up to which the worker's ends are stored."""
+        worker.pending_ends.sort()
+        while worker.pending_ends:
+            number, job_id, version = worker.pending_ends[0]
+            job = self.jobs.get(job_id)
+            if job is not None and job.durable_version < version:
+                break
+            worker.pending_ends.pop(0)
+            worker.acknowledged = number
+        return worker.acknowledged
+
+    def start_result(
+        self, task: Task, run: int, outcome: StartOutcome, look: int, now: float
+    ) -> None:
+        """Take in what became of an order to start."""
+        if task.run != run or task.state not in (TaskState.STARTING, TaskState.STOPPING):
+            return
+        worker = self.workers[task.agent_id]
+        if outcome == StartOutcome.UNKNOWN:
+            self._note("start unknown", task.key, run=run, agent=task.agent_id)
+            self._stop(task, now)
+        elif outcome == StartOutcome.STARTED:
+            task.after_look = look
+            if task.state == TaskState.STARTING:
+                task.state = TaskState.RUNNING
+                task.started = now
+        else:
+            self._note("start refused", task.key, run=run, agent=task.agent_id, why=outcome.value)
+            if outcome == StartOutcome.NO_ROOM:
+                worker.full_until = now + FULL_SECONDS
+            self._release(task)
+            task.not_before = now + RETRY_SECONDS
+            self._make_waiting(task)
+
+    def stop_result(self, task_key: str, run: int, look: int) -> None:
+        """Take note that a worker has taken an order to stop."""
+        task = self._task(task_key)
+        if task is not None and task.run == run and task.state == TaskState.STOPPING:
+            task.stop_confirmed = True
+            task.after_look = look
+
+    # Decisions
+
+    def plan(self, now: float, now_unix: float) -> tuple[list[Start], list[Stop]]:
+        """Return the orders that are due."""
+        self._check_lost(now)
+        self._check_uncertain(now)
+        self._check_due(now_unix)
+        self._check_hung(now)
+        self._repeat_stops(now)
+        starts = self._starts(now, now_unix)
+        stops, self.stops = self.stops, []
+        return starts, stops
+
+    def _starts(self, now: float, now_unix: float) -> list[Start]:
+        if not self.waiting:
+            return []
+        workers = [
+            worker
+            for worker in self.workers.values()
+            if worker.can_take(now, FRESH_SECONDS) and now >= worker.full_until
+        ]
+        if not workers:
+            return []
+        ranked = []
+        for task in self.waiting.values():
+            queue = self.catalog.by_name(task.job.queue)
+            if queue is not None and now >= task.not_before and not task.step.gang:
+                ranked.append((self.order.rank(task, queue, now_unix), task, queue))
+        ranked.sort(key=lambda row: row[0])
+        starts = []
+        full: set[tuple[str, int, str]] = set()  # steps of which no further task fits now
+        for _, task, queue in ranked:
+            place = (task.job.job_id, task.name.step, task.avoid)
+            if place in full:
+                continue
+            fitting = [w for w in workers if w.identity and w.identity.service == queue.service]
+            worker = self.placement.choose(task, fitting)
+            if worker is None:
+                full.add(place)
+                continue
+            starts.append(self._start(task, worker, now))
+        return starts
+
+    def _start(self, task: Task, worker: WorkerView, now: float) -> Start:
+        del self.waiting[task.key]
+        task.run += 1
+        task.state = TaskState.STARTING
+        task.agent_id = worker.agent_id
+        task.born_ms = worker.born_ms
+        task.since = now
+        task.missing = 0
+        task.stop_confirmed = False
+        task.percent = 0.0 if task.step.continuous else 100.0
+        worker.tasks[task.key] = task
+        task.job.touched = True
+        self._changed(task.job)
+        step = task.step
+        order = StartOrder(
+            task.key,
+            task.run,
+            task.job.spec.payload,
+            task.checkpoint,
+            step.target_ms,
+            step.uses_leftover,
+        )
+        self._note(
+            "start",
+            task.key,
+            run=task.run,
+            agent=worker.agent_id,
+            report_age_s=round(now - worker.last_report, 3),
+            leftover_cores=round(worker.leftover_cores(), 2),
+            config=self.catalog.version,
+        )
+        return Start(worker.agent_id, task, order)
+
+    # Ends of runs
+
+    def _ended(self, worker: WorkerView, end: Ended, now: float, now_unix: float) -> None:
+        task = self._task(end.task)
+        if task is None or task.job.over or end.run <= task.ended_run:
+            job_id = task.job.job_id if task else ""
+            version = task.job.version if task else 0
+            worker.pending_ends.append((end.number, job_id, version))
+            if task is not None and task.run == end.run and task.state in ON_WORKER:
+                self._release(task)
+            return
+        here = task.agent_id == worker.agent_id and task.run == end.run
+        task.ended_run = end.run
+        task.run = max(task.run, end.run)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        self._note(
+            "run ended",
+            task.key,
+            run=end.run,
+            agent=worker.agent_id,
+            how=end.how,
+            ran_s=round(now - task.started, 2) if here else None,
+        )
+        if here and task.state in ON_WORKER:
+            self._release(task)
+        if end.how == RunEnd.DONE and not task.step.continuous:
+            self._done(worker, task, now, now_unix)
+        else:
+            self._not_done(worker, task, end, now, now_unix)
+        self._changed(task.job)
+        worker.pending_ends.append((end.number, task.job.job_id, task.job.version))
+
+    def _done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
+        worker.recent_failures.clear()
+        worker.set_asides = 0
+        if task.state in ON_WORKER:  # an earlier attempt was done after all
+            self._stop(task, now)
+            self.stops.append(Stop(task.agent_id, task.key, task.run))
+            self._release(task)
+        self.waiting.pop(task.key, None)
+        self.uncertain.pop(task.key, None)
+        job = task.job
+        job.mark_done(task)
+        if job.complete:
+            self._job_over(job, now, now_unix)
+        elif not job.open_tasks[(task.name.occurrence, task.name.step)]:
+            for other in job.tasks.values():
+                if other.state == TaskState.WAITING:
+                    self._make_waiting(other)
+
+    def _not_done(
+        self, worker: WorkerView, task: Task, end: Ended, now: float, now_unix: float
+    ) -> None:
+        if end.how == RunEnd.FAILED:
+            task.failures += 1
+            task.avoid = worker.agent_id
+            self._blame(worker, task, now)
+        queue = self.catalog.by_name(task.job.queue)
+        limit = queue.max_attempts if queue else 1
+        if end.how == RunEnd.FAILED and not task.step.continuous and task.failures >= limit:
+            task.job.failed = True
+            self._note("job failed", task.job.job_id, task=task.key, failures=task.failures)
+            self._job_over(task.job, now, now_unix)
+        elif task.state not in ON_WORKER:
+            self.uncertain.pop(task.key, None)
+            self._make_waiting(task)
+
+    def _blame(self, worker: WorkerView, task: Task, now: float) -> None:
+        if task.job.job_id not in worker.recent_failures:
+            worker.recent_failures.append(task.job.job_id)
+        aside = sum(1 for w in self.workers.values() if now < w.set_aside_until)
+        if len(worker.recent_failures) < FAILURES_TO_SET_ASIDE:
+            return
+        if aside + 1 > MAX_SET_ASIDE_SHARE * len(self.workers):
+            return
+        pause = min(SET_ASIDE_SECONDS * 2**worker.set_asides, MAX_SET_ASIDE_SECONDS)
+        worker.set_aside_until = now + pause
+        worker.set_asides += 1
+        self._note(
+            "worker set aside", worker.agent_id, failed_jobs=worker.recent_failures[:], for_s=pause
+        )
+
+    def _job_over(self, job: Job, now: float, now_unix: float) -> None:
+        job.ended_unix = now_unix
+        job.cancelled_at = now
+        for task in job.tasks.values():
+            self.waiting.pop(task.key, None)
+            self.timed.pop(task.key, None)
+            self.uncertain.pop(task.key, None)
+            if task.state in (TaskState.STARTING, TaskState.RUNNING):
+                self._stop(task, now)
+        self._changed(job)
+        self._note("job over", job.job_id, state=job.state.value)
+
+    # Comparison of what should run with what does
+
+    def _compare(self, worker: WorkerView, report: AgentReport, now: float) -> None:
+        listed = {running.task: running for running in report.running}
+        for running in report.running:
+            self._see(worker, running, now)
+        ended = {(end.task, end.run) for end in report.ended}
+        for task in list(worker.tasks.values()):
+            found = listed.get(task.key)
+            if found is not None and found.run == task.run:
+                task.missing = 0
+            elif report.look > task.after_look and (task.key, task.run) not in ended:
+                self._missing(task, now)
+
+    def _see(self, worker: WorkerView, running: Running, now: float) -> None:
+        task = self._task(running.task)
+        if task is None or task.job.over:
+            if task is None or task.key not in worker.tasks:
+                self.stops.append(Stop(worker.agent_id, running.task, running.run, known=False))
+            return
+        if task.state == TaskState.UNCERTAIN and running.run > task.ended_run:
+            self._adopt(worker, task, running, now)
+        mine = task.agent_id == worker.agent_id and task.run == running.run
+        if not mine:
+            self.stops.append(Stop(worker.agent_id, running.task, running.run, known=False))
+            return
+        if running.checkpoint:
+            task.checkpoint = running.checkpoint
+        task.percent = running.percent
+        task.figure = running.figure
+
+    def _adopt(self, worker: WorkerView, task: Task, running: Running, now: float) -> None:
+        self.uncertain.pop(task.key, None)
+        task.run = running.run
+        task.state = TaskState.RUNNING
+        task.agent_id = worker.agent_id
+        task.born_ms = worker.born_ms
+        task.since = task.started = now
+        task.missing = 0
+        task.job.touched = True
+        worker.tasks[task.key] = task
+        self._changed(task.job)
+        self._note("run adopted", task.key, run=task.run, agent=worker.agent_id)
+
+    def _missing(self, task: Task, now: float) -> None:
+        if task.state == TaskState.STOPPING and task.stop_confirmed:
+            self._lost(task, now, "stopped before it began")
+        elif task.state == TaskState.RUNNING:
+            task.missing += 1
+            if task.missing >= MISSING_LOOKS:
+                self._note("run missing", task.key, run=task.run, agent=task.agent_id)
+                self._stop(task, now)
+
+    def _new_life(self, worker: WorkerView, report: AgentReport, now: float) -> None:
+        worker.pending_ends.clear()
+        worker.acknowledged = 0
+        worker.recent_failures.clear()
+        worker.set_aside_until = 0.0
+        assert report.identity is not None
+        listed = {(running.task, running.run) for running in report.running}
+        for task in list(worker.tasks.values()):
+            # An order that was on its way may have reached the new life; its reply settles it.
+            settled = task.state != TaskState.STARTING and report.look > task.after_look
+            if settled and (task.key, task.run) not in listed:
+                self._lost(task, now, "worker restarted")
+            else:
+                task.born_ms = report.identity.born_ms
+
+    def _check_lost(self, now: float) -> None:
+        for worker in self.workers.values():
+            if now > worker.granted_until and (worker.tasks or not worker.heard):
+                self._all_lost(worker, now, "grant expired")
+                worker.heard = True
+
+    def _all_lost(self, worker: WorkerView, now: float, why: str) -> None:
+        for task in list(worker.tasks.values()):
+            self._lost(task, now, why)
+
+    def _lost(self, task: Task, now: float, why: str) -> None:
+        self._note("run lost", task.key, run=task.run, agent=task.agent_id, why=why)
+        self._release(task)
+        self._make_waiting(task)
+
+    def _check_uncertain(self, now: float) -> None:
+        if not self.uncertain or not all(worker.heard for worker in self.workers.values()):
+            return
+        tasks, self.uncertain = self.uncertain, {}
+        for task in tasks.values():
+            self._make_waiting(task)
+
+    def _check_due(self, now_unix: float) -> None:
+        for task in list(self.timed.values()):
+            if now_unix >= task.job.spec.due_unix(task.name.occurrence):
+                del self.timed[task.key]
+                self._make_waiting(task, due=True)
+
+    def _check_hung(self, now: float) -> None:
+        for worker in self.workers.values():
+            for task in list(worker.tasks.values()):
+                if task.state != TaskState.RUNNING or task.step.continuous:
+                    continue
+                estimate = task.step.estimate_seconds
+                limit = max(estimate * HUNG_FACTOR, estimate + HUNG_SECONDS)
+                if not task.step.uses_leftover and now - task.started > limit:
+                    self._note("run overdue", task.key, run=task.run, agent=task.agent_id)
+                    task.avoid = worker.agent_id
+                    self._stop(task, now)
+
+    def _leave(self, worker: WorkerView, now: float) -> None:
+        """Move what cannot end before its worker leaves."""
+        assert worker.identity is not None
+        left = worker.identity.remaining_seconds - DRAIN_MARGIN_SECONDS
+        for task in list(worker.tasks.values()):
+            if task.state != TaskState.RUNNING:
+                continue
+            needed = task.step.estimate_seconds - (now - task.started)
+            if task.step.continuous or needed > left:
+                self._stop(task, now)
+
+    def _stop(self, task: Task, now: float) -> None:
+        if task.state != TaskState.STOPPING:
+            task.state = TaskState.STOPPING
+            task.since = now
+            task.stop_sent = float("-inf")
+            task.stop_confirmed = False
+
+    def _repeat_stops(self, now: float) -> None:
+        for worker in self.workers.values():
+            for task in worker.tasks.values():
+                due = now - task.stop_sent >= STOP_RETRY_SECONDS
+                if task.state == TaskState.STOPPING and due and worker.reachable:
+                    task.stop_sent = now
+                    self.stops.append(Stop(worker.agent_id, task.key, task.run))
+
+    # Helpers
+
+    def _make_waiting(self, task: Task, due: bool = False) -> None:
+        task.state = TaskState.WAITING
+        job = task.job
+        if job.over or not job.step_eligible(task.name.occurrence, task.step):
+            return
+        if job.spec.repeats and not due:
+            self.timed[task.key] = task
+        else:
+            self.waiting[task.key] = task
+
+    def _release(self, task: Task) -> None:
+        worker = self.workers.get(task.agent_id)
+        if worker is not None:
+            worker.tasks.pop(task.key, None)
+        task.state = TaskState.WAITING
+        task.agent_id = ""
+
+    def _changed(self, job: Job) -> None:
+        job.version += 1
+        self.dirty[job.job_id] = job
+
+    def _task(self, key: str) -> Task | None:
+        name = TaskName.parse(key)
+        job = self.jobs.get(name.job_id) if name else None
+        return job.tasks.get(key) if job else None
+
+    def _note(self, what: str, subject: str, **inputs: Any) -> None:
+        self.decisions.append(Decision(what, subject, inputs))
--- /dev/null
+++ b/src/acaciastand/workflow/spec.py
@@ -0,0 +1,191 @@
+"""What a caller asks for: steps of equal tasks with dependencies between them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from acaciastand.record import Record
+from acaciastand.resources import Resources
+
+
+class StepSpec(Record):
+    """Equal tasks that become eligible together.
+
+    Parameters
+    ----------
+    count
+        Number of tasks.
+    size
+        Resources of one task.
+    estimate_seconds
+        Rough run time of one task, as declared.
+    after
+        Indices of earlier steps that must be complete first.
+    saves_progress
+        Whether tasks produce checkpoints that a later attempt can resume from.
+    gang
+        Whether the tasks run only all together.
+    same_rack
+        Whether the members of a gang are slowed down by running on several racks.
+    required_label
+        Label that the worker must have; empty for none.
+    data_rack
+        Rack that holds the data; the task is slower elsewhere. Empty for none.
+    max_per_worker
+        Most tasks of the step on one worker; 0 for no limit.
+    speculative
+        Whether copies of a task may run at the same time.
+    continuous
+        Whether the tasks serve until the job is cancelled and are restarted however they end.
+    image
+        Name of what the tasks run; tasks of one image behave alike.
+    target_ms
+        Limit on the tail latency of a continuous task in milliseconds; 0 for none.
+    uses_leftover
+        Whether the tasks run on processor time that other tasks leave unused, so that only
+        their memory and accelerators are reserved.
+    max_absent
+        Most tasks that planned actions may make unavailable at the same time; 0 for no limit.
+    """
+
+    __slots__ = (
+        "count",
+        "size",
+        "estimate_seconds",
+        "after",
+        "saves_progress",
+        "gang",
+        "same_rack",
+        "required_label",
+        "data_rack",
+        "max_per_worker",
+        "speculative",
+        "continuous",
+        "image",
+        "target_ms",
+        "uses_leftover",
+        "max_absent",
+    )
+
+    def __init__(
+        self,
+        count: int = 1,
+        size: Resources | None = None,
+        estimate_seconds: float = 0.0,
+        after: list[int] | None = None,
+        saves_progress: bool = False,
+        gang: bool = False,
+        same_rack: bool = False,
+        required_label: str = "",
+        data_rack: str = "",
+        max_per_worker: int = 0,
+        speculative: bool = False,
+        continuous: bool = False,
+        image: str = "",
+        target_ms: float = 0.0,
+        uses_leftover: bool = False,
+        max_absent: int = 0,
+    ) -> None:
+        self.count = count
+        self.size = size or Resources()
+        self.estimate_seconds = estimate_seconds
+        self.after = after or []
+        self.saves_progress = saves_progress
+        self.gang = gang
+        self.same_rack = same_rack
+        self.required_label = required_label
+        self.data_rack = data_rack
+        self.max_per_worker = max_per_worker
+        self.speculative = speculative
+        self.continuous = continuous
+        self.image = image
+        self.target_ms = target_ms
+        self.uses_leftover = uses_leftover
+        self.max_absent = max_absent
+
+    @property
+    def reserved(self) -> Resources:
+        """Resources that are reserved on the worker."""
+        if self.uses_leftover:
+            return Resources(0.0, self.size.memory_mb, self.size.accelerators)
+        return self.size
+
+
+class WorkflowSpec(Record):
+    """A job as submitted.
+
+    Parameters
+    ----------
+    payload
+        Text that every task is started with.
+    steps
+        Steps in the order of the submission.
+    repeats
+        Number of occurrences; 0 for a job that runs once at once.
+    first_due_unix
+        Unix seconds at which occurrence 0 is due.
+    interval_seconds
+        Time between two occurrences.
+    """
+
+    __slots__ = ("payload", "steps", "repeats", "first_due_unix", "interval_seconds")
+
+    def __init__(
+        self,
+        payload: str = "",
+        steps: list[StepSpec] | None = None,
+        repeats: int = 0,
+        first_due_unix: float = 0.0,
+        interval_seconds: float = 0.0,
+    ) -> None:
+        self.payload = payload
+        self.steps = steps or []
+        self.repeats = repeats
+        self.first_due_unix = first_due_unix
+        self.interval_seconds = interval_seconds
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repeats)
+
+    def due_unix(self, occurrence: int) -> float:
+        """Return when an occurrence may start; 0 for at once."""
+        if not self.repeats:
+            return 0.0
+        return self.first_due_unix + occurrence * self.interval_seconds
+
+
+def plain(spec: WorkflowSpec) -> list[Any]:
+    """Return the CBOR form."""
+    steps = [
+        [list(v.values()) if isinstance(v, Resources) else v for v in step.values()]
+        for step in spec.steps
+    ]
+    return [spec.payload, steps, spec.repeats, spec.first_due_unix, spec.interval_seconds]
+
+
+def from_plain(items: list[Any]) -> WorkflowSpec:
+    """Return the job in its CBOR form."""
+    payload, steps, repeats, first_due, interval = items
+    specs = [StepSpec(s[0], Resources(*s[1]), *s[2:]) for s in steps]
+    return WorkflowSpec(payload, specs, repeats, first_due, interval)
+
+
+def critical_seconds(spec: WorkflowSpec, seconds_of: Any = None) -> list[float]:
+    """Return for each step the longest chain of run times from its start to the end of the job.
+
+    Parameters
+    ----------
+    spec
+        The job.
+    seconds_of
+        Function from a step to its run time in seconds; the declared estimate by default.
+    """
+    remaining = [0.0] * len(spec.steps)
+    for index in range(len(spec.steps) - 1, -1, -1):
+        later = [remaining[i] for i, s in enumerate(spec.steps) if index in s.after]
+        step = spec.steps[index]
+        own = step.estimate_seconds if seconds_of is None else seconds_of(step)
+        remaining[index] = own + max(later, default=0.0)
+    return remaining
