--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -127,7 +127,7 @@
 
 @given("a job that the former owner may have started")
 def given_uncertain(context):
-    context.job = context.world.submit(JOB, "checks", step(), certain=False)
+    context.job = context.world.submit(JOB, "checks", step(seconds=5.0), certain=False)
 
 
 @when("a job is accepted after the takeover")
@@ -383,3 +383,11 @@
 @then("it has started on both workers")
 def then_both(context):
     assert {row[2] for row in context.world.started} == {"1", "2"}, context.world.started
+
+
+@when("the heard agent lists a failed attempt of it")
+def when_lists_failed(context):
+    worker = context.world.workers["1"]
+    worker.running[TASK] = 1
+    worker.end(TASK, "failed")
+    context.world.advance(0.3)
--- a/features/workflow.feature
+++ b/features/workflow.feature
@@ -45,6 +45,14 @@
     Then nothing has started
     And the task runs with attempt 4
 
+  # The end of attempt 1 was still listed when the owner changed; the new owner then started the task
+  # while attempt 2 ran on another worker (trouble-1 on both sites: two runs at the same time).
+  Scenario: An old end does not show that a later attempt is not running
+    Given a new owner that has not heard 1 of 2 agents
+    And a job that the former owner may have started
+    When the heard agent lists a failed attempt of it
+    Then nothing has started
+
   Scenario: A job accepted after the takeover starts at once
     Given a new owner that has not heard 1 of 2 agents
     When a job is accepted after the takeover
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -314,7 +314,8 @@
 
     def _ended(self, worker: WorkerView, end: Ended, now: float, now_unix: float) -> None:
         task = self._task(end.task)
-        if task is None or task.job.over or end.run <= task.ended_run:
+        known = task is not None and end.run <= task.ended_run and end.how != RunEnd.DONE
+        if task is None or task.job.over or known or task.state == TaskState.DONE:
             job_id = task.job.job_id if task else ""
             version = task.job.version if task else 0
             worker.pending_ends.append((end.number, job_id, version))
@@ -375,8 +376,7 @@
             task.job.failed = True
             self._note("job failed", task.job.job_id, task=task.key, failures=task.failures)
             self._job_over(task.job, now, now_unix)
-        elif task.state not in ON_WORKER:
-            self.uncertain.pop(task.key, None)
+        elif task.state not in ON_WORKER and task.state != TaskState.UNCERTAIN:
             self._make_waiting(task)
 
     def _blame(self, worker: WorkerView, task: Task, now: float) -> None:
