--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -28,7 +28,7 @@
 DIAL_SECONDS = 1.0
 HELLO_SECONDS = 1.0
 REDIAL_SECONDS = 0.25
-SILENT_SECONDS = 1.3  # without a report for this long the connection is replaced
+SILENT_SECONDS = 1.6  # without a report for this long the connection is replaced
 REPLY_SECONDS = ORDER_SECONDS + 0.7
 
 logger = logging.getLogger(__name__)
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -297,11 +297,13 @@
     def _on_report(self, link: AgentLink, message: RunReport, report: AgentReport) -> RunGrant:
         if self.lost:
             return RunGrant()
+        events = self.scheduler.events
         self.scheduler.report(link.agent_id, report, now(), now_unix())
+        if self.scheduler.events != events:
+            self.wake.set()
         worker = self.scheduler.workers[link.agent_id]
         seconds = max(0.0, min(GRANT_SECONDS, self.authority))
         worker.granted_until = max(worker.granted_until, now() + seconds * CLOCK_DRIFT + 0.1)
-        self.wake.set()
         return RunGrant(
             seconds,
             worker.born_ms,
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -32,7 +32,7 @@
         return False
     if step.max_per_worker and _same_step(task, worker) >= step.max_per_worker:
         return False
-    return step.reserved.fits_in(worker.free())
+    return worker.has_room(step.reserved)
 
 
 def _same_step(task: Task, worker: WorkerView) -> int:
@@ -72,7 +72,7 @@
     left = worker.leftover_cores()
     assert worker.identity is not None
     slack = (1.0 - LEFTOVER_SHARE) * worker.identity.capacity.cores
-    alone = not any(t.step.uses_leftover for t in worker.tasks.values())
+    alone = not worker.leftover_tasks
     return left - slack >= task.step.size.cores or (alone and left > 0)
 
 
@@ -96,14 +96,9 @@
     def _score(self, task: Task, worker: WorkerView) -> tuple[float, ...]:
         near = bool(task.step.data_rack) and worker.rack == task.step.data_rack
         avoided = worker.agent_id == task.avoid
-        serving = serving_cores(worker)
+        serving = worker.serving_cores
         if task.step.uses_leftover:
             return (not avoided, near, -serving, worker.leftover_cores())
         if task.step.continuous:
             return (not avoided, near, serving, worker.leftover_cores())
         return (not avoided, near, bool(serving), worker.leftover_cores())
-
-
-def serving_cores(worker: WorkerView) -> float:
-    """Return the cores that continuous tasks reserve on a worker."""
-    return sum(task.step.size.cores for task in worker.tasks.values() if task.step.continuous)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -23,12 +23,12 @@
     Running,
     StartOrder,
     StartOutcome,
-    TaskName,
 )
 from acaciastand.workflow.worker import WorkerView
 
 STOP_SECONDS = 1.0  # longest stop of a run, unless the settings say otherwise
 LOOK_DELAY_SECONDS = 0.6  # a look that is reported now was taken at most this long ago
+CHECK_SECONDS = 0.09  # between two looks at the times of all runs and workers
 STOP_RETRY_SECONDS = 0.4  # between two orders to stop the same attempt
 MISSING_LOOKS = 2  # looks in a row without an attempt after which it is asked to stop
 FULL_SECONDS = 0.5  # a worker that rejected a start for room gets no new one for this long
@@ -105,6 +105,8 @@
         self.dirty: dict[str, Job] = {}
         self.stops: list[Stop] = []
         self.decisions: list[Decision] = []
+        self.checked_at = float("-inf")
+        self.events = 0  # changes that call for a new plan
 
     # Jobs
 
@@ -239,10 +241,12 @@
 
     def plan(self, now: float, now_unix: float) -> tuple[list[Start], list[Stop]]:
         """Return the orders that are due."""
-        self._check_lost(now)
         self._check_uncertain(now)
-        self._check_due(now_unix)
-        self._check_overdue(now)
+        if now - self.checked_at >= CHECK_SECONDS:
+            self.checked_at = now
+            self._check_lost(now)
+            self._check_due(now_unix)
+            self._check_overdue(now)
         self._repeat_stops(now)
         starts = self._starts(now, now_unix)
         stops, self.stops = self.stops, []
@@ -298,7 +302,7 @@
         task.missing = 0
         task.stop_confirmed_at = 0.0
         task.percent = 0.0 if task.step.continuous else 100.0
-        worker.tasks[task.key] = task
+        worker.assign(task)
         task.job.touched = True
         self._changed(task.job)
         step = task.step
@@ -457,7 +461,7 @@
         task.since = task.started = now
         task.missing = 0
         task.job.touched = True
-        worker.tasks[task.key] = task
+        worker.assign(task)
         self._changed(task.job)
         self._note("run adopted", task.key, run=task.run, agent=worker.agent_id)
 
@@ -547,6 +551,7 @@
 
     def _stop(self, task: Task, now: float) -> None:
         if task.state != TaskState.STOPPING:
+            self.events += 1
             task.state = TaskState.STOPPING
             task.since = now
             task.stop_sent = float("-inf")
@@ -564,6 +569,7 @@
 
     def _make_waiting(self, task: Task, due: bool = False) -> None:
         task.state = TaskState.WAITING
+        self.events += 1
         job = task.job
         if job.over or not job.step_eligible(task.name.occurrence, task.step):
             return
@@ -575,17 +581,18 @@
     def _release(self, task: Task) -> None:
         worker = self.workers.get(task.agent_id)
         if worker is not None:
-            worker.tasks.pop(task.key, None)
+            worker.remove(task)
+            self.events += 1
         task.state = TaskState.WAITING
         task.agent_id = ""
 
     def _changed(self, job: Job) -> None:
         job.version += 1
+        self.events += 1
         self.dirty[job.job_id] = job
 
     def _task(self, key: str) -> Task | None:
-        name = TaskName.parse(key)
-        job = self.jobs.get(name.job_id) if name else None
+        job = self.jobs.get(key.partition(".")[0])
         return job.tasks.get(key) if job else None
 
     def _note(self, what: str, subject: str, **inputs: Any) -> None:
--- a/src/acaciastand/workflow/spec.py
+++ b/src/acaciastand/workflow/spec.py
@@ -46,6 +46,11 @@
         their memory and accelerators are reserved.
     max_absent
         Most tasks that planned actions may make unavailable at the same time; 0 for no limit.
+
+    Attributes
+    ----------
+    reserved
+        Resources that one task reserves on its worker.
     """
 
     __slots__ = (
@@ -65,6 +70,7 @@
         "target_ms",
         "uses_leftover",
         "max_absent",
+        "reserved",
     )
 
     def __init__(
@@ -102,13 +108,8 @@
         self.target_ms = target_ms
         self.uses_leftover = uses_leftover
         self.max_absent = max_absent
-
-    @property
-    def reserved(self) -> Resources:
-        """Resources that are reserved on the worker."""
-        if self.uses_leftover:
-            return Resources(0.0, self.size.memory_mb, self.size.accelerators)
-        return self.size
+        leftover = Resources(0.0, self.size.memory_mb, self.size.accelerators)
+        self.reserved = leftover if uses_leftover else self.size
 
 
 class WorkflowSpec(Record):
@@ -159,7 +160,7 @@
 def plain(spec: WorkflowSpec) -> list[Any]:
     """Return the CBOR form."""
     steps = [
-        [list(v.values()) if isinstance(v, Resources) else v for v in step.values()]
+        [list(v.values()) if isinstance(v, Resources) else v for v in step.values()[:-1]]
         for step in spec.steps
     ]
     return [spec.payload, steps, spec.repeats, spec.first_due_unix, spec.interval_seconds]
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -6,6 +6,8 @@
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.reports import WorkerIdentity
 
+ROUNDING_CORES = 1e-6  # sums of fractions are inexact
+
 
 class WorkerView:
     """One worker, as far as the owner knows.
@@ -20,6 +22,12 @@
         Until when the agent may at the latest keep its runs alive without another grant.
     tasks
         Attempts assigned to the worker, by task.
+    reserved_cores, reserved_memory_mb, reserved_accelerators
+        What the assigned attempts reserve.
+    asked_cores, serving_cores
+        Cores that all of them, and that the continuous ones, ask for.
+    leftover_tasks
+        How many of them run on leftover processor time.
     pending_ends
         Ends that are not acknowledged, with the job and the version that must be stored first.
     """
@@ -33,6 +41,12 @@
         "reachable",
         "worker_silent",
         "tasks",
+        "reserved_cores",
+        "reserved_memory_mb",
+        "reserved_accelerators",
+        "asked_cores",
+        "serving_cores",
+        "leftover_tasks",
         "pending_ends",
         "acknowledged",
         "failing_since",
@@ -52,6 +66,12 @@
         self.reachable = False
         self.worker_silent = False
         self.tasks: dict[str, Task] = {}
+        self.reserved_cores = 0.0
+        self.reserved_memory_mb = 0
+        self.reserved_accelerators = 0
+        self.asked_cores = 0.0
+        self.serving_cores = 0.0
+        self.leftover_tasks = 0
         self.pending_ends: list[tuple[int, str, int]] = []
         self.acknowledged = 0
         self.failing_since = 0.0
@@ -72,19 +92,43 @@
         labels = self.identity.labels if self.identity else []
         return labels[-1] if labels else ""
 
-    def free(self) -> Resources:
-        """Return the room that no assigned attempt reserves."""
+    def assign(self, task: Task) -> None:
+        """Count an attempt as on this worker."""
+        if task.key not in self.tasks:
+            self.tasks[task.key] = task
+            self._count(task, 1)
+
+    def remove(self, task: Task) -> None:
+        """Count an attempt as gone from this worker."""
+        if self.tasks.pop(task.key, None) is not None:
+            self._count(task, -1)
+
+    def has_room(self, size: Resources) -> bool:
+        """Return whether the reservations leave room for `size`."""
         assert self.identity is not None
         room = self.identity.capacity
-        for task in self.tasks.values():
-            room = room.minus(task.step.reserved)
-        return room
+        return (
+            self.reserved_cores + size.cores <= room.cores + ROUNDING_CORES
+            and self.reserved_memory_mb + size.memory_mb <= room.memory_mb
+            and self.reserved_accelerators + size.accelerators <= room.accelerators
+        )
 
     def leftover_cores(self) -> float:
-        """Return the cores that neither reservations nor tasks on leftover time ask for."""
+        """Return the cores that no assigned attempt asks for."""
         assert self.identity is not None
-        asked = sum(task.step.size.cores for task in self.tasks.values())
-        return self.identity.capacity.cores - asked
+        return self.identity.capacity.cores - self.asked_cores
+
+    def _count(self, task: Task, sign: int) -> None:
+        step = task.step
+        self.asked_cores += sign * step.size.cores
+        self.reserved_memory_mb += sign * step.size.memory_mb
+        self.reserved_accelerators += sign * step.size.accelerators
+        if step.uses_leftover:
+            self.leftover_tasks += sign
+        else:
+            self.reserved_cores += sign * step.size.cores
+        if step.continuous:
+            self.serving_cores += sign * step.size.cores
 
     def can_take(self, now: float, fresh_seconds: float) -> bool:
         """Return whether the worker may be given new work."""
