Start batch tasks beside calm services only and move them away from slowed ones

Change: reports carry pace and tail latency; a new batch task needs a calm worker, one at a time; a slowed run that saves its progress is stopped and resumed where no service is beside it.

--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -193,6 +193,8 @@
             report.silent,
             self.hold.untold(),
             report.settled,
+            report.pace_percent,
+            report.tail_share,
         )
 
     # Registration
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -163,5 +163,7 @@
             message.lapsed,
             message.silent,
             message.settled,
+            message.pace_percent,
+            message.tail_share,
         )
         return self.on_report(self, message, report)
--- a/src/acaciastand/cluster/agent_worker.py
+++ b/src/acaciastand/cluster/agent_worker.py
@@ -85,6 +85,7 @@
         self.limits: dict[str, RunLimits] = {}
         self.paces: dict[tuple[str, int], int] = {}
         self.known_ends = 0
+        self.pace_percent = 100
         self.unsettled: dict[tuple[str, int], tuple[int, float]] = {}
         self.epoch = 0
         self.settled_look = 0
@@ -133,7 +134,15 @@
             return AgentReport(self.identity, lapsed=lapsed, silent=True)
         settled = self.settled_look > self.settle_after
         return AgentReport(
-            self.identity, self.look_number, look.running, look.ended, lapsed, silent, settled
+            self.identity,
+            self.look_number,
+            look.running,
+            look.ended,
+            lapsed,
+            silent,
+            settled,
+            self.pace_percent,
+            self.pacer.tail_share,
         )
 
     def untold(self) -> list[str]:
@@ -287,6 +296,7 @@
 
     def _pace(self, look: Look) -> None:
         percent = self.pacer.update(look.running, self.limits, now())
+        self.pace_percent = percent
         running = {(run.task, run.run) for run in look.running}
         self.paces = {key: value for key, value in self.paces.items() if key in running}
         self.limits = {
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -39,7 +39,7 @@
         The agent's clock in seconds; grants count from it.
     identity
         Fields of the worker's identity; empty if it is not known.
-    look, running, ended, lapsed, silent, settled
+    look, running, ended, lapsed, silent, settled, pace_percent, tail_share
         As in `acaciastand.workflow.reports.AgentReport`; rows hold the fields in order.
     untold
         Runs whose limits on latency the agent does not know, since it was restarted.
@@ -55,6 +55,8 @@
         "silent",
         "untold",
         "settled",
+        "pace_percent",
+        "tail_share",
     )
     type_number = 21
 
@@ -69,6 +71,8 @@
         silent: bool = False,
         untold: list[str] | None = None,
         settled: bool = False,
+        pace_percent: int = 100,
+        tail_share: float = 0.0,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -79,6 +83,8 @@
         self.silent = silent
         self.untold = untold or []
         self.settled = settled
+        self.pace_percent = pace_percent
+        self.tail_share = tail_share
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/pacing.py
+++ b/src/acaciastand/workflow/pacing.py
@@ -29,7 +29,18 @@
 
 
 class Pacer(ABC):
-    """Decides on the share at which tasks on leftover time work on one worker."""
+    """Decides on the share at which tasks on leftover time work on one worker.
+
+    Attributes
+    ----------
+    tail_share
+        Largest tail latency of a continuous task at the last look, as a share of its limit.
+    """
+
+    __slots__ = ("tail_share",)
+
+    def __init__(self) -> None:
+        self.tail_share = 0.0
 
     @abstractmethod
     def update(
@@ -55,24 +66,24 @@
     beside it. The fall is fast enough to reach zero within three measurements.
     """
 
-    __slots__ = ("percent", "changed_at", "pressure")
+    __slots__ = ("percent", "changed_at")
 
     def __init__(self) -> None:
+        super().__init__()
         self.percent = FULL_PERCENT
         self.changed_at = float("-inf")
-        self.pressure = 0.0
 
     def update(
         self, running: Sequence[Running], limits: Mapping[str, RunLimits], now: float
     ) -> int:
         """Return the percentage for all tasks on leftover time."""
-        self.pressure = max(
+        self.tail_share = max(
             (run.figure / limits[run.task].target_ms for run in running if _serves(run, limits)),
             default=0.0,
         )
-        if self.pressure > SLOW_AT:
+        if self.tail_share > SLOW_AT:
             self._slow_down(now)
-        elif self.pressure < RELEASE_BELOW:
+        elif self.tail_share < RELEASE_BELOW:
             self._let_go(now)
         return self.percent
 
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -9,6 +9,8 @@
 from acaciastand.workflow.worker import WorkerView
 
 LEFTOVER_SHARE = 1.0  # of the unreserved cores that tasks on leftover time may ask for together
+CALM_SHARE = 0.65  # of the latency limit, up to which another batch task may come beside a service
+SETTLE_SECONDS = 0.8  # a measurement covers half a second and is reported within 0.5 s
 
 
 class Placement(ABC):
@@ -16,7 +18,7 @@
 
     @abstractmethod
     def choose(
-        self, task: Task, workers: Sequence[WorkerView], starving: bool = False
+        self, task: Task, workers: Sequence[WorkerView], now: float, starving: bool = False
     ) -> WorkerView | None:
         """Return the worker for `task`, or None if it has to wait.
 
@@ -53,7 +55,7 @@
     """
 
     def choose(
-        self, task: Task, workers: Sequence[WorkerView], starving: bool = False
+        self, task: Task, workers: Sequence[WorkerView], now: float, starving: bool = False
     ) -> WorkerView | None:
         """Return the worker with most leftover cores among those that fit."""
         candidates = [w for w in workers if fits(task, w) and w.identity]
@@ -76,6 +78,17 @@
     return left - slack >= task.step.size.cores or (alone and left > 0)
 
 
+def calm(worker: WorkerView, now: float) -> bool:
+    """Return whether the services on a worker bear one more batch task beside them.
+
+    The effect of a new task shows in the measurements only after a while, so one starts at a time.
+    """
+    if not worker.serving_cores:
+        return True
+    settled = now - worker.leftover_started_at >= SETTLE_SECONDS
+    return settled and worker.pace_percent >= 100 and worker.tail_share <= CALM_SHARE
+
+
 class SeparatingPlacement(Placement):
     """Keeps services together on few workers, and batch tasks on leftover time on the others.
 
@@ -85,12 +98,12 @@
     """
 
     def choose(
-        self, task: Task, workers: Sequence[WorkerView], starving: bool = False
+        self, task: Task, workers: Sequence[WorkerView], now: float, starving: bool = False
     ) -> WorkerView | None:
         """Return the worker where the task meets the fewest of the other kind."""
         candidates = [w for w in workers if fits(task, w)]
         if task.step.uses_leftover and not starving:
-            candidates = [w for w in candidates if has_leftover(task, w)]
+            candidates = [w for w in candidates if has_leftover(task, w) and calm(w, now)]
         return max(candidates, key=lambda w: self._score(task, w), default=None)
 
     def _score(self, task: Task, worker: WorkerView) -> tuple[float, ...]:
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -227,11 +227,25 @@
         Whether every run on the worker has certainly ended, since its lease was not extended.
     silent
         Whether the worker does not answer at present.
+    pace_percent
+        Share at which tasks on leftover processor time may work at present.
+    tail_share
+        Largest tail latency of a continuous task, as a share of its limit.
     settled
         Whether the look began after all orders of former owners had taken effect or never will.
     """
 
-    __slots__ = ("identity", "look", "running", "ended", "lapsed", "silent", "settled")
+    __slots__ = (
+        "identity",
+        "look",
+        "running",
+        "ended",
+        "lapsed",
+        "silent",
+        "settled",
+        "pace_percent",
+        "tail_share",
+    )
 
     def __init__(
         self,
@@ -242,6 +256,8 @@
         lapsed: bool = False,
         silent: bool = False,
         settled: bool = True,
+        pace_percent: int = 100,
+        tail_share: float = 0.0,
     ) -> None:
         self.identity = identity
         self.look = look
@@ -250,3 +266,5 @@
         self.lapsed = lapsed
         self.silent = silent
         self.settled = settled
+        self.pace_percent = pace_percent
+        self.tail_share = tail_share
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -37,6 +37,8 @@
 SET_ASIDE_SECONDS = 3.0  # first pause of a worker that fails what it starts; doubles each time
 MAX_SET_ASIDE_SECONDS = 24.0
 MAX_SET_ASIDE_SHARE = 0.34  # of all workers
+SLOWED_PERCENT = 50  # a run at this share or less is moved if there is room elsewhere
+SLOWED_SECONDS = 0.7  # and if it has run for at least this long
 STARVING_SECONDS = 4.0  # a job of which nothing runs waits for leftover time this long at most
 DRAIN_MARGIN_SECONDS = 0.7  # kept to stop a run and save its progress before its worker leaves
 
@@ -106,6 +108,7 @@
         self.stops: list[Stop] = []
         self.decisions: list[Decision] = []
         self.checked_at = float("-inf")
+        self.moving: dict[str, Task] = {}  # stopped to go on where no service is beside them
         self.events = 0  # changes that call for a new plan
 
     # Jobs
@@ -171,6 +174,8 @@
         worker = self.workers[agent_id]
         worker.last_report = now
         worker.worker_silent = report.silent
+        worker.pace_percent = report.pace_percent
+        worker.tail_share = report.tail_share
         if report.lapsed:
             self._all_lost(worker, now, "lease of the runs expired")
             worker.heard = True
@@ -247,6 +252,7 @@
             self._check_lost(now)
             self._check_due(now_unix)
             self._check_overdue(now)
+            self._move_slowed(now)
         self._repeat_stops(now)
         starts = self._starts(now, now_unix)
         stops, self.stops = self.stops, []
@@ -275,7 +281,7 @@
             if place in full:
                 continue
             fitting = [w for w in workers if w.identity and w.identity.service == queue.service]
-            worker = self.placement.choose(task, fitting, self._starving(task, now))
+            worker = self.placement.choose(task, fitting, now, self._starving(task, now))
             if worker is None:
                 full.add(place)
                 continue
@@ -303,6 +309,8 @@
         task.stop_confirmed_at = 0.0
         task.percent = 0.0 if task.step.continuous else 100.0
         worker.assign(task)
+        if task.step.uses_leftover:
+            worker.leftover_started_at = now
         task.job.touched = True
         self._changed(task.job)
         step = task.step
@@ -538,6 +546,41 @@
                     task.restarts += 1
                     self._stop(task, now)
 
+    def _move_slowed(self, now: float) -> None:
+        """Stop one run that is slowed down beside a service, if it finds room elsewhere."""
+        workers = [w for w in self.workers.values() if w.can_take(now, FRESH_SECONDS)]
+        free = sum(max(0.0, w.leftover_cores()) for w in workers if not w.serving_cores)
+        slowed = [
+            task
+            for worker in workers
+            if worker.serving_cores and worker.pace_percent <= SLOWED_PERCENT
+            for task in worker.tasks.values()
+            if task.state == TaskState.RUNNING
+            and task.step.uses_leftover
+            and task.step.saves_progress
+            and now - task.started >= SLOWED_SECONDS
+        ]
+        waiting = sum(t.step.size.cores for t in self.waiting.values() if t.step.uses_leftover)
+        moving = sum(t.step.size.cores for t in self.moving.values())
+        self.moving = {
+            key: task for key, task in self.moving.items() if task.state == TaskState.STOPPING
+        }
+        for task in slowed:
+            if task.step.size.cores > free - waiting - moving:
+                return
+            moving += task.step.size.cores
+            self.moving[task.key] = task
+            task.avoid = task.agent_id
+            self._note(
+                "run moved",
+                task.key,
+                run=task.run,
+                agent=task.agent_id,
+                pace=self.workers[task.agent_id].pace_percent,
+                free_cores=round(free, 1),
+            )
+            self._stop(task, now)
+
     def _leave(self, worker: WorkerView, now: float) -> None:
         """Move what cannot end before its worker leaves."""
         assert worker.identity is not None
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -28,6 +28,11 @@
         Cores that all of them, and that the continuous ones, ask for.
     leftover_tasks
         How many of them run on leftover processor time.
+    pace_percent, tail_share
+        Share at which tasks on leftover time may work, and the largest tail latency of a
+        continuous task as a share of its limit.
+    leftover_started_at
+        When the latest task on leftover time was assigned.
     pending_ends
         Ends that are not acknowledged, with the job and the version that must be stored first.
     """
@@ -47,6 +52,9 @@
         "asked_cores",
         "serving_cores",
         "leftover_tasks",
+        "pace_percent",
+        "tail_share",
+        "leftover_started_at",
         "pending_ends",
         "acknowledged",
         "failing_since",
@@ -72,6 +80,9 @@
         self.asked_cores = 0.0
         self.serving_cores = 0.0
         self.leftover_tasks = 0
+        self.pace_percent = 100
+        self.tail_share = 0.0
+        self.leftover_started_at = float("-inf")
         self.pending_ends: list[tuple[int, str, int]] = []
         self.acknowledged = 0
         self.failing_since = 0.0
