--- /dev/null
+++ b/features/platform_processes.feature
@@ -0,0 +1,61 @@
+Feature: Entries and agents on the platform's interfaces, as processes
+
+  Scenario: A job of two steps is served, also when it is submitted twice
+    Given a site of 2 entries and 2 agents
+    When a job of 3 tasks and then 2 tasks is submitted at both entries
+    Then the job is "completed" within 10 seconds at every entry
+    And each of its 5 tasks ran once
+
+  Scenario: The death of the owner loses nothing
+    Given a site of 2 entries and 2 agents
+    When 6 jobs of 2 tasks of 1.5 seconds are submitted
+    And the owner is killed
+    Then the jobs are "completed" within 20 seconds at the other entry
+    And no promise is broken
+
+  Scenario: All processes are killed right after an acknowledgement
+    Given a site of 2 entries and 2 agents
+    When 4 jobs of 2 tasks of 0.5 seconds are submitted
+    And every process is killed and started again
+    Then the jobs are "completed" within 25 seconds at every entry
+    And no promise is broken
+
+  Scenario: An outage of the store refuses at once and loses nothing
+    Given a site of 2 entries and 2 agents
+    When 4 jobs of 2 tasks of 1.0 seconds are submitted
+    And the store is down for 3 seconds
+    Then a submission during the outage is refused with 503 within 1 second
+    And the jobs are "completed" within 20 seconds at every entry
+    And the refused job never runs
+
+  Scenario: Answers of store and workers are lost
+    Given a site of 2 entries and 2 agents
+    And 30 percent of the commits and 20 percent of the starts are not answered
+    When 10 jobs of 2 tasks of 0.3 seconds are submitted
+    Then the jobs are "completed" within 30 seconds at every entry
+    And no promise is broken
+
+  Scenario: A cancelled job stops and stays cancelled
+    Given a site of 2 entries and 2 agents
+    When 1 jobs of 2 tasks of 60.0 seconds are submitted
+    And the jobs are cancelled
+    Then the jobs are "cancelled" within 5 seconds at every entry
+    And nothing runs within 5 seconds
+
+  Scenario: A worker that restarts runs its tasks again
+    Given a site of 1 entries and 1 agents
+    When 1 jobs of 1 tasks of 1.0 seconds are submitted
+    And the worker restarts during the run
+    Then the jobs are "completed" within 15 seconds at every entry
+    And no promise is broken
+
+  Scenario: Unknown ids, malformed bodies and foreign paths are refused
+    Given a site of 1 entries and 1 agents
+    Then a query for an unknown id is answered with 410
+    And a malformed job is answered with 400
+    And a call outside all queues is answered with 404
+
+  Scenario: A planned stop of the owner hands over within a second
+    Given a site of 2 entries and 2 agents
+    When the owner is asked to stop
+    Then the other entry owns the jobs within 1.5 seconds
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,169 @@
+"""Steps for entries and agents that run as processes beside stand-ins of the platform."""
+
+import signal
+import time
+
+import gevent
+from behave import given, then, when
+
+from acaciastand_lab.platform_site import Site, broken_promises
+
+LOST_ID = "00000000000000ff"
+
+
+def job_id(number):
+    return f"{number:016x}"
+
+
+@given("a site of {entries:d} entries and {agents:d} agents")
+def given_site(context, entries, agents):
+    context.site = Site(entries, agents)
+    context.stack.callback(context.site.close)
+    context.site.start_all()
+    context.site.wait_ready()
+    context.jobs = []
+
+
+@given("{commits:d} percent of the commits and {starts:d} percent of the starts are not answered")
+def given_lost(context, commits, starts):
+    context.site.store.lost_share = commits / 100
+    for worker in context.site.workers:
+        worker.unanswered_share = starts / 100
+
+
+@when("a job of {first:d} tasks and then {second:d} tasks is submitted at both entries")
+def when_twice(context, first, second):
+    steps = ({"count": first, "cpu": 500}, {"count": second, "cpu": 500, "after": [0]})
+    for entry in context.site.names("entry"):
+        assert context.site.submit(entry, job_id(1), *steps) == 200
+    context.jobs = [job_id(1)]
+
+
+@when("{jobs:d} jobs of {tasks:d} tasks of {seconds:f} seconds are submitted")
+def when_submitted(context, jobs, tasks, seconds):
+    entries = context.site.names("entry")
+    for number in range(jobs):
+        step = {"count": tasks, "cpu": 500, "estimateMs": int(seconds * 1000)}
+        entry = entries[number % len(entries)]
+        submitted = lambda e=entry, n=number, s=step: (  # noqa: E731
+            context.site.submit(e, job_id(n + 1), s, seconds=seconds) == 200
+        )
+        context.site.wait(submitted)
+        context.jobs.append(job_id(number + 1))
+
+
+@when("the owner is killed")
+def when_owner_killed(context):
+    context.site.wait(context.site.owner)
+    context.killed = context.site.owner()
+    context.site.signal(context.killed, signal.SIGKILL)
+
+
+@when("every process is killed and started again")
+def when_all_killed(context):
+    for name in list(context.site.processes):
+        context.site.signal(name, signal.SIGKILL)
+    for name in list(context.site.processes):
+        context.site.processes[name].wait()
+        context.site.start(name)
+
+
+@when("the store is down for {seconds:d} seconds")
+def when_down(context, seconds):
+    context.site.store.down = True
+    gevent.sleep(0.3)
+    began = time.monotonic()
+    context.refused = context.site.submit(
+        context.site.names("entry")[0], LOST_ID, {"count": 1, "cpu": 100}
+    )
+    context.refused_after = time.monotonic() - began
+    gevent.sleep(seconds)
+    context.site.store.down = False
+
+
+@then("a submission during the outage is refused with 503 within 1 second")
+def then_refused(context):
+    assert context.refused == 503, context.refused
+    assert context.refused_after < 1.0, context.refused_after
+
+
+@then("the refused job never runs")
+def then_never_runs(context):
+    assert not any(run.task.startswith(LOST_ID) for run in context.site.history())
+    assert context.site.state(LOST_ID) == "unknown"
+
+
+@when("the jobs are cancelled")
+def when_cancelled(context):
+    context.site.wait(lambda: len(context.site.history()) == 2)
+    for job in context.jobs:
+        assert context.site.call(context.site.names("entry")[0], "DELETE", job)[0] == 200
+
+
+@when("the worker restarts during the run")
+def when_restarts(context):
+    context.site.wait(context.site.history)
+    context.site.workers[0].crash()
+
+
+@when("the owner is asked to stop")
+def when_asked(context):
+    context.site.wait(context.site.owner)
+    context.killed = context.site.owner()
+    context.site.signal(context.killed, signal.SIGTERM)
+    context.asked_at = time.monotonic()
+
+
+@then("the other entry owns the jobs within {seconds:f} seconds")
+def then_owns(context, seconds):
+    context.site.wait(lambda: context.site.owner() not in ("", context.killed), seconds)
+
+
+def all_in(context, state, entries):
+    return all(
+        context.site.state(job, [entry]) == state for job in context.jobs for entry in entries
+    )
+
+
+@then('the job is "{state}" within {seconds:d} seconds at every entry')
+@then('the jobs are "{state}" within {seconds:d} seconds at every entry')
+def then_every(context, state, seconds):
+    context.site.wait(lambda: all_in(context, state, context.site.names("entry")), float(seconds))
+
+
+@then('the jobs are "{state}" within {seconds:d} seconds at the other entry')
+def then_other(context, state, seconds):
+    others = [entry for entry in context.site.names("entry") if entry != context.killed]
+    context.site.wait(lambda: all_in(context, state, others), float(seconds))
+
+
+@then("each of its {count:d} tasks ran once")
+def then_once(context, count):
+    history = context.site.history()
+    assert len(history) == count == len({run.task for run in history}), history
+
+
+@then("no promise is broken")
+def then_no_promise(context):
+    problems = broken_promises(context.site.history(), time.monotonic())
+    assert not problems, problems
+
+
+@then("nothing runs within {seconds:d} seconds")
+def then_nothing_runs(context, seconds):
+    context.site.wait(lambda: not any(w.running for w in context.site.workers), float(seconds))
+
+
+@then("a query for an unknown id is answered with 410")
+def then_gone(context):
+    assert context.site.call("entry-1", "GET", job_id(99))[0] == 410
+
+
+@then("a malformed job is answered with 400")
+def then_malformed(context):
+    assert context.site.call("entry-1", "POST", job_id(1), {"steps": [{"count": 0}]})[0] == 400
+
+
+@then("a call outside all queues is answered with 404")
+def then_foreign(context):
+    assert context.site.call("entry-1", "GET", "not-an-id")[0] == 404
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -239,8 +239,9 @@
         """Take note that a worker has taken an order to stop."""
         task = self._task(task_key)
         if task is not None and task.run == run and task.state == TaskState.STOPPING:
-            task.stop_confirmed_at = task.stop_confirmed_at or now
-            task.after_look = look
+            if not task.stop_confirmed_at:  # a repeated order must not move the time and the look
+                task.stop_confirmed_at = now
+                task.after_look = look
 
     # Decisions
 
--- /dev/null
+++ b/src/acaciastand_lab/platform_site.py
@@ -0,0 +1,241 @@
+"""A small deployment on loopback: stand-ins in this process, real entries and agents beside it."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from acaciastand.errors import AcaciastandError
+from acaciastand.platform.http import HttpCaller
+from acaciastand_standin.platform_store import PlatformStoreStandIn
+from acaciastand_standin.platform_worker import PlatformWorkerStandIn, Run
+
+HOST = "desk.example"
+PREFIX = "/jobs/"
+STOP_TIMEOUT_MS = 400
+POLL_SECONDS = 0.05
+CALL_SECONDS = 3.0
+PROGRAMS = {"entry": "job_entry", "agent": "job_agent"}
+
+
+class Site:
+    """Entries, agents, workers and a store.
+
+    Parameters
+    ----------
+    entries, agents
+        Number of processes of each kind.
+    seed
+        Seed of the stand-ins' faults.
+    """
+
+    def __init__(self, entries: int, agents: int, seed: int = 1) -> None:
+        self.stack = ExitStack()
+        self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        self.store = PlatformStoreStandIn(seed=seed)
+        self.store.start()
+        self.stack.callback(self.store.stop)
+        self.store.write("op/config", configuration(1))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.settings: dict[str, Path] = {}
+        self.callers: dict[str, str] = {}
+        self.workers: list[PlatformWorkerStandIn] = []
+        self.stack.callback(self._end_processes)
+        for number in range(entries):
+            self._add_entry(f"entry-{number + 1}")
+        for number in range(agents):
+            self._add_agent(f"agent-{number + 1}", seed + number)
+
+    def close(self) -> None:
+        """End all processes that this site started, and its stand-ins."""
+        self.stack.close()
+
+    def start(self, name: str) -> None:
+        """Start a process."""
+        program = PROGRAMS[name.partition("-")[0]]
+        log = (self.folder / f"{name}.log").open("ab")
+        self.stack.callback(log.close)
+        self.processes[name] = subprocess.Popen(
+            [
+                *(sys.executable, "-m", f"acaciastand.programs.{program}"),
+                *("--settings", str(self.settings[name])),
+            ],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, "PYTHONPATH": "src"},
+        )
+
+    def start_all(self) -> None:
+        """Start every process."""
+        for name in self.settings:
+            self.start(name)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this site started."""
+        process = self.processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def restart(self, name: str) -> None:
+        """Kill a process and start it again."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+        self.start(name)
+
+    def names(self, kind: str) -> list[str]:
+        """Return the processes of a kind."""
+        return [name for name in self.settings if name.startswith(kind)]
+
+    def call(self, entry: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Make a caller's call; status 0 means that no answer came."""
+        caller = HttpCaller(f"http://{self.callers[entry]}")
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            answer = caller.call(method, PREFIX + path, data, {"Host": HOST}, CALL_SECONDS)
+            return answer.status, json.loads(answer.body) if answer.body else None
+        except (AcaciastandError, ValueError):
+            return 0, None
+        finally:
+            caller.close()
+
+    def submit(self, entry: str, job_id: str, *steps: dict[str, Any], **payload: Any) -> int:
+        """Submit a job whose tasks run as `payload` says."""
+        text = json.dumps({"seconds": 0.1, **payload})
+        return self.call(entry, "POST", job_id, {"spec": text, "steps": list(steps)})[0]
+
+    def state(self, job_id: str, entries: list[str] | None = None) -> str:
+        """Return the state of a job from the first entry that answers."""
+        for entry in entries or self.names("entry"):
+            status, fields = self.call(entry, "GET", job_id)
+            if status == 200:
+                return str(fields["state"])
+            if status == 410:
+                return "unknown"
+        return ""
+
+    def wait_ready(self, seconds: float = 20.0) -> None:
+        """Wait until every entry answers callers.
+
+        Raises
+        ------
+        TimeoutError
+            They do not within `seconds`.
+        """
+        self.wait(
+            lambda: all(self.call(e, "GET", "")[0] == 200 for e in self.names("entry")), seconds
+        )
+
+    def wait(self, condition: Any, seconds: float = 20.0) -> None:
+        """Wait for a condition.
+
+        Raises
+        ------
+        TimeoutError
+            It does not hold within `seconds`.
+        """
+        end = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"not within {seconds} s; logs in {self.folder}")
+            gevent.sleep(POLL_SECONDS)
+
+    def history(self) -> list[Run]:
+        """Return every run that a worker has begun."""
+        return [run for worker in self.workers for run in worker.history]
+
+    def owner(self) -> str:
+        """Return the entry that owns the jobs according to the store, or an empty text."""
+        item = self.store.store.items.get("control/owner")
+        return next((n for n in self.names("entry") if item and n.encode() in item.value), "")
+
+    def _add_entry(self, name: str) -> None:
+        self.callers[name] = free_address()
+        self._write_settings(
+            name,
+            entry_id=name,
+            availability_zone="zone-a",
+            http_address=self.callers[name],
+            ready_address=free_address(),
+            peer_address=free_address(),
+            store_url=f"http://{self.store.address}",
+            stop_timeout_ms=STOP_TIMEOUT_MS,
+        )
+
+    def _add_agent(self, name: str, seed: int) -> None:
+        announce = free_address()
+        worker = PlatformWorkerStandIn(f"w-{name}", announce, seed=seed)
+        worker.start()
+        self.stack.callback(worker.stop)
+        self.workers.append(worker)
+        self._write_settings(
+            name,
+            agent_id=name,
+            availability_zone="zone-a",
+            announce_address=announce,
+            peer_address=free_address(),
+            worker_address=worker.address,
+            store_url=f"http://{self.store.address}",
+        )
+
+    def _write_settings(self, name: str, **values: Any) -> None:
+        path = self.folder / f"{name}.toml"
+        lines = [f"{key} = {json.dumps(value)}" for key, value in values.items()]
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        self.settings[name] = path
+
+    def _end_processes(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+def configuration(version: int) -> bytes:
+    """Return a configuration in the operators' form."""
+    route = {
+        "name": "jobs",
+        "host": HOST,
+        "prefix": PREFIX,
+        "service": "desk",
+        "priority": 0,
+        "maxAttempts": 3,
+        "stretch": 2.0,
+        "targetLatencyMs": 500,
+    }
+    service = {"name": "desk", "rejectsOverload": True}
+    fields = {"version": version, "routes": [route], "services": [service], "limits": {}}
+    return json.dumps(fields).encode()
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def broken_promises(history: list[Run], now: float) -> list[str]:
+    """Return where tasks ran twice at the same time, or again after they were done."""
+    problems = []
+    by_task: dict[str, list[Run]] = {}
+    for run in sorted(history, key=lambda run: run.began):
+        by_task.setdefault(run.task, []).append(run)
+    for task, runs in by_task.items():
+        for earlier, later in pairwise(runs):
+            if (earlier.ended or now) > later.began:
+                problems.append(f"{task}: run {later.run} began while run {earlier.run} ran")
+            if earlier.how == "done":
+                problems.append(f"{task}: run {later.run} began after run {earlier.run} was done")
+    return problems
--- /dev/null
+++ b/src/acaciastand_standin/platform_worker.py
@@ -0,0 +1,232 @@
+"""Stand-in for a worker with the platform's task interface.
+
+The payload of a task is a JSON object: ``seconds`` it runs and ``failures``, the number of its
+first attempts that fail.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from contextlib import suppress
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from acaciastand.errors import AcaciastandError
+from acaciastand.platform.http import HttpCaller
+from acaciastand.record import Record
+from acaciastand.wire.connection import split_address
+
+HEARTBEAT_SECONDS = 0.3
+TICK_SECONDS = 0.01
+STOP_SECONDS = 0.05  # a stop takes this long, as checkpoints are written
+
+
+class Run(Record):
+    """A run with its times, for the check of the promises."""
+
+    __slots__ = ("task", "run", "worker", "began", "ends", "ended", "how", "percent")
+
+    def __init__(self, task: str, run: int, worker: str, began: float, ends: float) -> None:
+        self.task = task
+        self.run = run
+        self.worker = worker
+        self.began = began
+        self.ends = ends
+        self.ended = 0.0
+        self.how = ""
+        self.percent = 100
+
+
+class PlatformWorkerStandIn:
+    """One worker: runs tasks under a lease, refuses lower tokens and older runs.
+
+    Attributes
+    ----------
+    history
+        All runs of all its lives.
+    unanswered_share
+        Share of the starts that are carried out and not answered.
+    """
+
+    def __init__(
+        self,
+        worker_id: str,
+        announce_address: str,
+        service: str = "desk",
+        address: str = "127.0.0.1:0",
+        cores: float = 16.0,
+        seed: int = 1,
+    ) -> None:
+        self.worker_id = worker_id
+        self.caller = HttpCaller(f"http://{announce_address}")
+        self.service = service
+        self.cores = cores
+        self.random = random.Random(seed)
+        self.unanswered_share = 0.0
+        self.history: list[Run] = []
+        self.failures: dict[str, int] = {}
+        self.draining = False
+        self.silent = False
+        self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
+        self._begin_life()
+
+    @property
+    def address(self) -> str:
+        """Address that the server is bound to."""
+        return f"{self.server.server_host}:{self.server.server_port}"
+
+    def start(self) -> None:
+        """Bind, announce and run."""
+        self.server.start()
+        self.greenlets = [gevent.spawn(self._announce_forever), gevent.spawn(self._tick_forever)]
+
+    def stop(self) -> None:
+        """Stop everything."""
+        gevent.killall(self.greenlets)
+        self.caller.close()
+        self.server.stop(0.1)
+
+    def crash(self) -> None:
+        """Lose everything that runs and begin another life under the same id."""
+        for run in self.running.values():
+            run.ended = time.monotonic()
+            run.how = "crashed"
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        self.born_ms = int(time.time() * 1000)
+        self.began = time.monotonic()
+        self.token = 0
+        self.lease_ms = 0
+        self.sequence = 0
+        self.ends: list[list[Any]] = []
+        self.ends_count = 0
+        self.running: dict[str, Run] = {}
+        self.highest: dict[str, int] = {}
+
+    def _clock_ms(self) -> int:
+        return int((time.monotonic() - self.began) * 1000) + 1_000
+
+    def _announce_forever(self) -> None:
+        while True:
+            if not self.silent:
+                self._announce()
+            gevent.sleep(HEARTBEAT_SECONDS)
+
+    def _announce(self) -> None:
+        self.sequence += 1
+        fields = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "coldLeftMs": 0,
+            "capacity": {"cpu": int(self.cores * 1000), "memMb": 64_000, "gpu": 0},
+            "labels": ["a", "rack-1"],
+            "clockMs": self._clock_ms(),
+            "seq": self.sequence,
+            "born": self.born_ms,
+        }
+        path = f"/Instances.Heartbeat/{self.worker_id}"
+        with suppress(AcaciastandError):  # an agent that is down finds the next announcement
+            self.caller.call("POST", path, json.dumps(fields).encode(), {}, 1.0)
+
+    def _tick_forever(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            lapsed = self.lease_ms <= self._clock_ms()
+            for run in list(self.running.values()):
+                if run.how == "stopping":
+                    if now >= run.ends:
+                        self._end(run, "stopped")
+                elif lapsed:
+                    self._end(run, "lapsed")
+                elif now >= run.ends:
+                    self._end(run, self._result(run))
+
+    def _result(self, run: Run) -> str:
+        return "failed" if run.run <= self.failures.get(run.task, 0) else "done"
+
+    def _end(self, run: Run, how: str) -> None:
+        run.how = how
+        run.ended = time.monotonic()
+        del self.running[run.task]
+        self.ends_count += 1
+        self.ends.append([self.ends_count, run.task, run.run, how, ""])
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        fields = json.loads(environ["wsgi.input"].read())
+        answer: dict[str, Any] = {}
+        intended = environ.get("HTTP_X_TARGET_INSTANCE", self.worker_id)
+        if intended != self.worker_id:
+            status = 421
+        elif fields.get("fencingToken", 0) < self.token:
+            status, answer = 409, {"reason": "fence"}
+        else:
+            self.token = fields.get("fencingToken", 0)
+            self.lease_ms = max(self.lease_ms, fields.get("deadlineMs", 0))
+            status, answer = self._call(environ["PATH_INFO"], fields)
+        answer = {"clockMs": self._clock_ms(), "born": self.born_ms, **answer}
+        if environ["PATH_INFO"] == "/run-start" and self.random.random() < self.unanswered_share:
+            raise ConnectionError("the answer is lost")
+        data = json.dumps(answer).encode()
+        start_response(f"{status} Answer", [("Content-Length", str(len(data)))])
+        return [data]
+
+    def _call(self, path: str, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if path == "/run-start":
+            return self._start(fields)
+        if path == "/run-stop":
+            return self._stop(fields)
+        if path == "/pace":
+            return 200, {}
+        if path == "/hold":
+            return self._hold(fields)
+        return 404, {}
+
+    def _start(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        task, run = fields["task"], fields["runId"]
+        present = self.running.get(task)
+        if present is not None and present.run == run:
+            return 200, {}
+        if run <= self.highest.get(task, 0):
+            return 409, {"reason": "old"}
+        if fields["deadlineMs"] <= self._clock_ms():
+            return 409, {"reason": "late"}
+        payload = json.loads(fields["spec"])
+        self.failures = {**self.failures, task: payload.get("failures", 0)}
+        now = time.monotonic()
+        begun = Run(task, run, self.worker_id, now, now + payload["seconds"])
+        self.highest[task] = run
+        self.running[task] = begun
+        self.history.append(begun)
+        return 200, {}
+
+    def _stop(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        task, run = fields["task"], fields["runId"]
+        self.highest[task] = max(self.highest.get(task, 0), run)
+        present = self.running.get(task)
+        if present is not None and present.run <= run and present.how != "stopping":
+            present.how = "stopping"
+            present.ends = time.monotonic() + STOP_SECONDS
+        return 200, {}
+
+    def _hold(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        self.ends = [row for row in self.ends if row[0] > fields["lastSeen"]]
+        with gevent.Timeout(fields.get("waitMs", 0) / 1000, False):
+            while not self.ends and fields.get("waitMs"):
+                gevent.sleep(TICK_SECONDS)
+        # A run that is being stopped is listed neither as running nor as ended.
+        running = [
+            [run.task, run.run, "", run.percent, 0]
+            for run in self.running.values()
+            if run.how != "stopping"
+        ]
+        return 200, {"running": running, "finished": self.ends}
