--- a/src/acaciastand/cluster/election.py
+++ b/src/acaciastand/cluster/election.py
@@ -11,7 +11,8 @@
 
 BEAT_SECONDS = 0.5  # between two beats of an owner, and two looks of the others
 SILENT_SECONDS = 1.9  # without a beat for this long, over reads that succeed, others take over
-DEAD_SECONDS = 0.3  # the same once the owner's address refuses connections
+DEAD_SECONDS = 0.8  # the same once the owner's address refuses connections; over one beat
+SURE_SECONDS = 1.4  # an owner takes in new jobs for this long after a stored beat
 MAX_READ_GAP_SECONDS = 1.2  # a longer gap between reads starts the measurement anew
 
 
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -239,7 +239,7 @@
         assert self.catalog is not None
         self.claimed = None
         self.owner_record = record
-        self.owner = Owner(
+        owner = Owner(
             self.store,
             record,
             fence,
@@ -250,7 +250,11 @@
             self.metrics,
             self._owner_lost,
         )
-        self.owner.start()
+        if self.stopping:  # the claim was on its way when the stop was asked for
+            owner.release()
+            return
+        self.owner = owner
+        owner.start()
         logger.info("ownership gained", extra={"epoch": record.epoch, "fence": fence})
 
     def _owner_lost(self, owner: Owner) -> None:
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -13,7 +13,7 @@
 from acaciastand.cluster.agent_link import AgentLink
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import Committer, OwnershipLost
-from acaciastand.cluster.election import BEAT_SECONDS
+from acaciastand.cluster.election import BEAT_SECONDS, SURE_SECONDS
 from acaciastand.cluster.keys import (
     AGENTS_PREFIX,
     BEAT_KEY,
@@ -102,6 +102,7 @@
         self.ready = False
         self.lost = False
         self.beats = 0
+        self.unsure: dict[str, Item] = {}  # learned without a recent beat
         self.greenlets: list[gevent.Greenlet] = []
 
     @property
@@ -135,7 +136,14 @@
     # Calls of entries
 
     def learn(self, item: Item) -> None:
-        """Take in an accepted submission or cancellation."""
+        """Take in an accepted submission or cancellation.
+
+        Without a recent beat another owner may have been elected before the job was accepted, and
+        it starts such jobs at once; they are kept until the next beat shows that there is none.
+        """
+        if now() - self.confirmed_at > SURE_SECONDS:
+            self.unsure[item.key] = item
+            return
         if item.key.startswith(JOBS_PREFIX):
             job_id = item.key[len(JOBS_PREFIX) :]
             if job_id not in self.scheduler.jobs:
@@ -228,7 +236,7 @@
             sent_at = now()
             try:
                 self.store.commit({OWNER_KEY: self.fence}, {BEAT_KEY: encode_fields(self.beats)})
-                self.confirmed_at = sent_at
+                self._confirmed(sent_at)
             except CommitConflict:
                 return self._lose("the owner key was rewritten")
             except (StoreUnavailable, StoreAnswerLost) as error:
@@ -237,6 +245,13 @@
                 continue
             gevent.sleep(BEAT_SECONDS)
 
+    def _confirmed(self, sent_at: float) -> None:
+        self.confirmed_at = sent_at
+        if self.unsure:
+            unsure, self.unsure = self.unsure, {}
+            for item in unsure.values():
+                self.learn(item)
+
     def _commit_forever(self) -> None:
         try:
             self.committer.run()
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -238,10 +238,11 @@
     def stop_result(self, task_key: str, run: int, look: int, now: float) -> None:
         """Take note that a worker has taken an order to stop."""
         task = self._task(task_key)
-        if task is not None and task.run == run and task.state == TaskState.STOPPING:
-            if not task.stop_confirmed_at:  # a repeated order must not move the time and the look
-                task.stop_confirmed_at = now
-                task.after_look = look
+        if task is None or task.run != run or task.state != TaskState.STOPPING:
+            return
+        if not task.stop_confirmed_at:  # a repeated order must not move the time and the look
+            task.stop_confirmed_at = now
+            task.after_look = look
 
     # Decisions
 
