--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,20 @@
+Feature: Log lines of several processes explain one job
+
+  Scenario Outline: The end of <job> is told
+    Given log lines of two processes
+    When "<job>" is explained
+    Then <lines> lines are shown
+    And the cause contains "<cause>"
+
+    Examples:
+      | job              | lines | cause                                    |
+      | aaaaaaaaaaaaaaaa | 4     | completed; on the way: 1 x run failed    |
+      | bbbbbbbbbbbbbbbb | 2     | store turned away: the store answered 503 |
+      | cccccccccccccccc | 1     | no task has started                      |
+      | dddddddddddddddd | 0     | no line names                            |
+
+  Scenario: A pipe that nobody reads stops neither the process nor grows its memory
+    Given a pipe that nobody reads
+    When 5000 lines of 500 bytes are logged
+    Then logging takes less than 2 seconds
+    And at most 1200000 bytes are kept and the rest is counted
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,82 @@
+"""Steps for the explanation of jobs from log lines, and for logging to a full pipe."""
+
+import json
+import logging
+import os
+import time
+
+from behave import given, then, when
+
+from acaciastand.programs.explain import cause, lines_of
+from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
+
+A, B, C = "a" * 16, "b" * 16, "c" * 16
+LINES = (
+    {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
+    {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
+    {"time": "2", "message": "start", "task": f"{A}.0.0.0", "run": 1, "outcome": "started"},
+    {"time": "4", "message": "job over", "subject": A, "state": "completed"},
+    {
+        "time": "5",
+        "message": "store turned away",
+        "key": f"inbox/jobs/{B}",
+        "error": "the store answered 503 to commit",
+    },
+    {"time": "6", "message": "answered", "job": B, "method": "POST", "status": "503"},
+    {"time": "7", "message": "answered", "job": C, "method": "POST", "status": "200"},
+)
+
+
+@given("log lines of two processes")
+def given_lines(context):
+    context.lines = [f"entry-{n % 2} {json.dumps(line)}" for n, line in enumerate(LINES)]
+    context.lines += ["not a line", '{"broken": ']
+
+
+@when('"{job}" is explained')
+def when_explained(context, job):
+    context.found = lines_of(job, context.lines)
+    context.cause = cause(job, context.found)
+
+
+@then("{count:d} lines are shown")
+def then_shown(context, count):
+    times = [line.content["time"] for line in context.found]
+    assert len(times) == count and times == sorted(times), times
+
+
+@then('the cause contains "{text}"')
+def then_cause(context, text):
+    assert text in context.cause, context.cause
+
+
+@given("a pipe that nobody reads")
+def given_pipe(context):
+    reader, writer = os.pipe()
+    context.stack.callback(os.close, reader)
+    context.stack.callback(os.close, writer)
+    context.handler = BoundedStreamHandler(writer, time.monotonic)
+    context.stack.callback(context.handler.close)
+
+
+@when("{count:d} lines of {size:d} bytes are logged")
+def when_logged(context, count, size):
+    context.count = count
+    record = logging.makeLogRecord({"msg": "x" * size, "levelname": "INFO", "name": "test"})
+    began = time.monotonic()
+    for _ in range(count):
+        context.handler.emit(record)
+    context.took = time.monotonic() - began
+
+
+@then("logging takes less than {seconds:d} seconds")
+def then_fast(context, seconds):
+    assert context.took < seconds
+
+
+@then("at most {size:d} bytes are kept and the rest is counted")
+def then_counted(context, size):
+    kept = sum(len(line) for line in context.handler._lines)
+    assert kept <= min(size, MAX_BUFFERED_BYTES)
+    assert context.handler.dropped == context.count - len(context.handler._lines)
+    assert context.handler.dropped > 0
--- a/src/acaciastand/cluster/intake.py
+++ b/src/acaciastand/cluster/intake.py
@@ -47,7 +47,7 @@
 class Unavailable(Refused):
     """Nothing was written, and neither this entry nor a peer reaches the store."""
 
-    code = "store_unavailable"
+    code = "intake_unavailable"
 
 
 class Intake:
--- a/src/acaciastand/programs/cli.py
+++ b/src/acaciastand/programs/cli.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from importlib.metadata import PackageNotFoundError, version
+from itertools import chain
 from typing import Annotated
 from urllib.parse import quote
 
@@ -14,6 +15,7 @@
 from acaciastand.programs import cli_jobs, cli_settings
 from acaciastand.programs.cli_common import EntryOption, JsonOption, client_of, show
 from acaciastand.programs.client import EntryClient
+from acaciastand.programs.explain import cause, lines_of
 
 ANSWER_GRACE_SECONDS = 5.0  # the entry itself answers a timed-out request
 
@@ -81,6 +83,23 @@
     sys.stdout.buffer.flush()
 
 
+@app.command("explain")
+def explain(
+    job_id: Annotated[str, typer.Argument(help="Id of the job or request.")],
+    files: Annotated[
+        list[typer.FileText] | None, typer.Argument(help="Log files; standard input if absent.")
+    ] = None,
+    as_json: JsonOption = False,
+):
+    """Print the life of a job or request from log lines, and how it ended."""
+    found = lines_of(job_id, chain.from_iterable(files or [sys.stdin]))
+    show(
+        {"lines": [line.content for line in found], "cause": cause(job_id, found)},
+        as_json,
+        lambda value: [*(line.text() for line in found), value["cause"]],
+    )
+
+
 def main() -> None:
     """Run the command line; errors go to standard error and set the exit code."""
     try:
--- /dev/null
+++ b/src/acaciastand/programs/explain.py
@@ -0,0 +1,109 @@
+"""Finds the life of a job or request in the log lines of any number of processes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from acaciastand.record import Record
+
+ID_FIELDS = ("job", "subject", "task", "key")  # fields that hold an id, or begin or end with it
+HIDDEN = frozenset({"time", "level", "logger", "message"})
+
+
+class LogLine(Record):
+    """One line that names the job, with the text that came before it (such as a host name)."""
+
+    __slots__ = ("origin", "content")
+
+    def __init__(self, origin: str, content: dict[str, Any]) -> None:
+        self.origin = origin
+        self.content = content
+
+    def text(self) -> str:
+        """Return the line for a reader."""
+        details = " ".join(
+            f"{name}={value}" for name, value in self.content.items() if name not in HIDDEN
+        )
+        message = self.content.get("message", "")
+        return f"{self.content.get('time', '')} {self.origin} {message}: {details}"
+
+
+def lines_of(job_id: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines that name `job_id`, by time; text that is not a JSON object is skipped."""
+    found = [line for line in _parsed(lines) if _names(job_id, line.content)]
+    return sorted(found, key=lambda line: str(line.content.get("time", "")))
+
+
+def cause(job_id: str, found: list[LogLine]) -> str:
+    """Return in one sentence how the job or request ended, as far as the lines tell."""
+    if not found:
+        return f"no line names {job_id}: it reached none of these processes, or lines were dropped"
+    over = _last(found, "job over")
+    if over is not None:
+        return _cause_of_end(over, found)
+    answer = _last(found, "answered")
+    if answer is not None and answer.content.get("method") == "POST":
+        status = str(answer.content.get("status"))
+        if status != "200":
+            return _cause_of_refusal(status, found)
+    if _last(found, "start") is None:
+        return "accepted, and no task has started: look at waiting_tasks and the workers' room"
+    return "not over: its tasks have started; the last line tells what it waits for"
+
+
+def _cause_of_end(over: LogLine, found: list[LogLine]) -> str:
+    state = str(over.content.get("state"))
+    trouble: dict[str, int] = {}
+    for line in found:
+        message = str(line.content.get("message"))
+        if message == "run ended" and line.content.get("how") != "done":
+            message = f"run {line.content.get('how')}"
+        if message in TROUBLE:
+            trouble[message] = trouble.get(message, 0) + 1
+    listed = ", ".join(f"{count} x {what}" for what, count in sorted(trouble.items()))
+    return f"the job is {state}; on the way: {listed or 'nothing unusual'}"
+
+
+TROUBLE = frozenset(
+    {
+        *("run failed", "run stopped", "run lapsed", "run lost", "run moved", "run overdue"),
+        *("run missing", "start refused", "start unknown", "start unanswered", "run adopted"),
+    }
+)
+
+
+def _cause_of_refusal(status: str, found: list[LogLine]) -> str:
+    for message in ("store turned away", "commit unanswered", "peer cannot store"):
+        line = _last(found, message)
+        if line is not None:
+            return f"answered with {status}: {message}: {line.content.get('error', '')}"
+    if status == "503":
+        return "answered with 503: the entry had no configuration yet"
+    return f"answered with {status}: see the fields of its line"
+
+
+def _last(found: list[LogLine], message: str) -> LogLine | None:
+    return next((line for line in reversed(found) if line.content.get("message") == message), None)
+
+
+def _parsed(lines: Iterable[str]) -> Iterator[LogLine]:
+    for text in lines:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict):
+            yield LogLine(text[:start].strip(), fields)
+
+
+def _names(job_id: str, fields: dict[str, Any]) -> bool:
+    values = [str(fields.get(name, "")) for name in ID_FIELDS]
+    return any(
+        value == job_id or value.startswith(f"{job_id}.") or value.endswith(f"/{job_id}")
+        for value in values
+    )
--- a/src/acaciastand_lab/reference.py
+++ b/src/acaciastand_lab/reference.py
@@ -10,12 +10,14 @@
 from pathlib import Path
 from typing import Any
 
+from acaciastand.cluster.settings import JobAgentSettings, JobEntrySettings
 from acaciastand.errors import AcaciastandError
 from acaciastand.programs.error_codes import all_errors
 from acaciastand.reasons import Reason
 from acaciastand.settings.process import AgentSettings, EntrySettings, ProcessSettings
 from acaciastand.settings.schema import SPECS, SettingSpec
 from acaciastand.settings.validation import allowed
+from acaciastand.telemetry.metrics import COUNTERS, GAUGES, HISTOGRAMS, MAX_LABEL_VALUES
 from acaciastand_lab.capacity import Page
 from acaciastand_lab.reference_metrics import describe, metrics
 
@@ -71,9 +73,22 @@
         " [ERRORS.md](ERRORS.md). Timings are in milliseconds; their totals are `<name>.count` and"
         " `<name>.sum_ms`.",
         _table(("name", "kind", "meaning", "module", "recorded in"), rows),
+        "## Metrics of the job daemons\n\n`acaciastand-job-entry` and `acaciastand-job-agent` serve"
+        " these as text on `metrics_address`, with the prefix `acaciastand_`. A metric has at most"
+        f" {MAX_LABEL_VALUES} label values; further ones are counted as `other`.",
+        _table(("name", "kind", "label", "meaning"), _served_rows()),
     )
 
 
+def _served_rows() -> list[tuple[str, ...]]:
+    tables = (("counter", COUNTERS), ("histogram", HISTOGRAMS), ("gauge", GAUGES))
+    return [
+        (f"`{name}`", kind, label, text)
+        for kind, table in tables
+        for name, (label, text) in table.items()
+    ]
+
+
 def _settings_page() -> str:
     return _page(
         "Settings",
@@ -84,6 +99,10 @@
         _fields_table(EntrySettings),
         "## Settings file of an agent",
         _fields_table(AgentSettings),
+        "## Settings file of an entry for jobs of steps",
+        _fields_table(JobEntrySettings),
+        "## Settings file of an agent for jobs of steps",
+        _fields_table(JobAgentSettings),
     )
 
 
