--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -209,7 +209,7 @@
 
     def _register(self) -> bool:
         key = AGENTS_PREFIX + self.settings.agent_id
-        value = encode_fields([self.settings.peer_address, self.settings.availability_zone])
+        value = encode_fields([self.settings.dialled_address, self.settings.availability_zone])
         try:
             found = self.store.get(key)
             if found.value != value:
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -219,7 +219,7 @@
 
     def _claim(self, current: Item) -> None:
         began = now()
-        entry_id, address = self.settings.entry_id, self.settings.peer_address
+        entry_id, address = self.settings.entry_id, self.settings.dialled_address
         logger.info(
             "claiming ownership",
             extra={
@@ -279,7 +279,7 @@
 
     def _register_forever(self) -> None:
         key = ENTRIES_PREFIX + self.settings.entry_id
-        value = encode_fields([self.settings.peer_address, self.settings.availability_zone])
+        value = encode_fields([self.settings.dialled_address, self.settings.availability_zone])
         while True:
             try:
                 found = self.store.get(key)
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -11,11 +11,25 @@
 
 _LEVEL = Field(Choice(*LOG_LEVELS), "Least severe level that is logged.", "info")
 _METRICS = Field(Address(empty=True), "Address that serves the metrics; empty for none.", "")
+_ADVERTISED = Field(Address(empty=True), "Address that others dial; the peer address if empty.", "")
 _ZONE = Field(Text(), "Availability zone of the host.")
 _STORE = Field(Url(), "Base URL of the platform's key-value service.")
 
 
-class JobEntrySettings(ProcessSettings):
+class DialledSettings(ProcessSettings):
+    """Base of processes that other processes of the system connect to."""
+
+    __slots__ = ()
+    peer_address: str
+    advertised_address: str
+
+    @property
+    def dialled_address(self) -> str:
+        """Address that others connect to."""
+        return self.advertised_address or self.peer_address
+
+
+class JobEntrySettings(DialledSettings):
     """Settings of an entry for jobs of steps."""
 
     __slots__ = (
@@ -24,6 +38,7 @@
         "http_address",
         "ready_address",
         "peer_address",
+        "advertised_address",
         "store_url",
         "stop_timeout_ms",
         "metrics_address",
@@ -34,6 +49,7 @@
     http_address: str
     ready_address: str
     peer_address: str
+    advertised_address: str
     store_url: str
     stop_timeout_ms: int
     metrics_address: str
@@ -45,6 +61,7 @@
         "http_address": Field(Address(listens=True), "Address for callers."),
         "ready_address": Field(Address(listens=True), "Address for the balancer's checks."),
         "peer_address": Field(Address(listens=True), "Address for other entries."),
+        "advertised_address": _ADVERTISED,
         "store_url": _STORE,
         "stop_timeout_ms": Field(
             Whole(1, MAX_STOP_TIMEOUT_MS), "Longest time that a worker takes to stop a run.", 1000
@@ -54,7 +71,7 @@
     }
 
 
-class JobAgentSettings(ProcessSettings):
+class JobAgentSettings(DialledSettings):
     """Settings of an agent that runs tasks of jobs of steps."""
 
     __slots__ = (
@@ -62,6 +79,7 @@
         "availability_zone",
         "announce_address",
         "peer_address",
+        "advertised_address",
         "worker_address",
         "store_url",
         "metrics_address",
@@ -71,6 +89,7 @@
     availability_zone: str
     announce_address: str
     peer_address: str
+    advertised_address: str
     worker_address: str
     store_url: str
     metrics_address: str
@@ -81,6 +100,7 @@
         "availability_zone": _ZONE,
         "announce_address": Field(Address(listens=True), "Address for the worker's heartbeats."),
         "peer_address": Field(Address(listens=True), "Address for entries."),
+        "advertised_address": _ADVERTISED,
         "worker_address": Field(Address(), "Address of the worker's task interface."),
         "store_url": _STORE,
         "metrics_address": _METRICS,
--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qs
 
 import gevent
+from gevent import GreenletExit
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
@@ -78,9 +79,9 @@
         except StoreUnavailable:
             status, fields = 503, {}
         except StoreAnswerLost:
-            raise ConnectionError("the answer is lost") from None
+            raise GreenletExit from None
         if environ["PATH_INFO"] == "/kv-txn" and self.random.random() < self.lost_share:
-            raise ConnectionError("the answer is lost")
+            raise GreenletExit  # no traceback is printed
         return _answer(start_response, status, fields)
 
     def _call(self, path: str, query: dict[str, str], body: bytes) -> tuple[int, dict[str, Any]]:
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import gevent
+from gevent import GreenletExit
 from gevent.pywsgi import WSGIServer
 
 from acaciastand.errors import AcaciastandError
@@ -28,7 +29,7 @@
 class Run(Record):
     """A run with its times, for the check of the promises."""
 
-    __slots__ = ("task", "run", "worker", "began", "ends", "ended", "how", "percent")
+    __slots__ = ("task", "run", "worker", "began", "ends", "ended", "how", "percent", "noted")
 
     def __init__(self, task: str, run: int, worker: str, began: float, ends: float) -> None:
         self.task = task
@@ -39,6 +40,7 @@
         self.ended = 0.0
         self.how = ""
         self.percent = 100
+        self.noted = False  # whether the system has taken note of its end
 
 
 class PlatformWorkerStandIn:
@@ -105,6 +107,7 @@
         self.sequence = 0
         self.ends: list[list[Any]] = []
         self.ends_count = 0
+        self.unnoted: dict[int, Run] = {}
         self.running: dict[str, Run] = {}
         self.highest: dict[str, int] = {}
 
@@ -159,6 +162,7 @@
         run.ended = time.monotonic()
         del self.running[run.task]
         self.ends_count += 1
+        self.unnoted[self.ends_count] = run
         self.ends.append([self.ends_count, run.task, run.run, how, ""])
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
@@ -175,7 +179,7 @@
             status, answer = self._call(environ["PATH_INFO"], fields)
         answer = {"clockMs": self._clock_ms(), "born": self.born_ms, **answer}
         if environ["PATH_INFO"] == "/run-start" and self.random.random() < self.unanswered_share:
-            raise ConnectionError("the answer is lost")
+            raise GreenletExit  # no traceback is printed
         data = json.dumps(answer).encode()
         start_response(f"{status} Answer", [("Content-Length", str(len(data)))])
         return [data]
@@ -219,6 +223,10 @@
         return 200, {}
 
     def _hold(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for number, run in list(self.unnoted.items()):
+            if number <= fields["lastSeen"]:
+                run.noted = True
+                del self.unnoted[number]
         self.ends = [row for row in self.ends if row[0] > fields["lastSeen"]]
         with gevent.Timeout(fields.get("waitMs", 0) / 1000, False):
             while not self.ends and fields.get("waitMs"):
