--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -402,3 +402,12 @@
 @then("1 of its tasks has started")
 def then_one_of_job(context):
     assert len(starts_of(context, JOB)) == 1
+
+
+@when("the ends of failed attempts 3, 1 and 2 arrive in this order")
+def when_out_of_order(context):
+    worker = context.world.workers["1"]
+    for attempt in (3, 1, 2):
+        worker.running[TASK] = attempt
+        worker.end(TASK, "failed")
+        context.world.report("1")
--- a/features/workflow.feature
+++ b/features/workflow.feature
@@ -53,6 +53,14 @@
     When the heard agent lists a failed attempt of it
     Then nothing has started
 
+  # After a takeover the end of attempt 4 arrived before those of 2 and 3, which were then not counted
+  # (hunt of bmfw-stand, trouble-1 --seed 790448071877: a start after four failed attempts).
+  Scenario: Ends that arrive out of order all count
+    Given a new owner that has not heard 1 of 2 agents
+    And a job that the former owner may have started
+    When the ends of failed attempts 3, 1 and 2 arrive in this order
+    Then the job has failed
+
   Scenario: A job accepted after the takeover starts at once
     Given a new owner that has not heard 1 of 2 agents
     When a job is accepted after the takeover
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -76,7 +76,7 @@
         "not_before",
         "avoid",
         "started",
-        "ended_run",
+        "ended_runs",
         "after_look",
         "stop_confirmed_at",
         "stop_sent",
@@ -102,7 +102,7 @@
         self.not_before = 0.0
         self.avoid = ""  # worker that the last attempt failed on
         self.started = 0.0  # when the attempt was confirmed
-        self.ended_run = 0  # latest attempt whose end was taken into account
+        self.ended_runs: set[int] = set()  # attempts whose end was taken into account
         self.after_look = 0  # looks up to this one may not show the attempt yet
         self.stop_confirmed_at = 0.0  # 0 until the worker has taken the order to stop
         self.stop_sent = 0.0
@@ -120,7 +120,7 @@
     ended_unix
         Unix seconds at which the job ended; 0 before.
     tasks
-        Rows of task position, run, failures, done, checkpoint and latest ended run; tasks that
+        Rows of task position, run, failures, done, checkpoint and ended runs; tasks that
         never started have none.
     """
 
@@ -254,7 +254,7 @@
     def durable(self) -> Durable:
         """Return what has to be stored of the progress."""
         rows = [
-            [n, t.run, t.failures, t.state == TaskState.DONE, t.checkpoint, t.ended_run]
+            [n, t.run, t.failures, t.state == TaskState.DONE, t.checkpoint, sorted(t.ended_runs)]
             for n, t in enumerate(self.tasks.values())
             if t.run
         ]
@@ -266,12 +266,12 @@
         self.failed = durable.failed
         self.ended_unix = durable.ended_unix
         tasks = list(self.tasks.values())
-        for number, run, failures, done, checkpoint, ended_run in durable.tasks:
+        for number, run, failures, done, checkpoint, ended_runs in durable.tasks:
             task = tasks[number]
             task.run = run
             task.failures = failures
             task.checkpoint = checkpoint
-            task.ended_run = ended_run
+            task.ended_runs = set(ended_runs)
             self.touched = True
             if done:
                 self.mark_done(task)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -339,7 +339,7 @@
 
     def _ended(self, worker: WorkerView, end: Ended, now: float, now_unix: float) -> None:
         task = self._task(end.task)
-        known = task is not None and end.run <= task.ended_run and end.how != RunEnd.DONE
+        known = task is not None and end.run in task.ended_runs and end.how != RunEnd.DONE
         if task is None or task.job.over or known or task.state == TaskState.DONE:
             job_id = task.job.job_id if task else ""
             version = task.job.version if task else 0
@@ -348,7 +348,7 @@
                 self._release(task)
             return
         here = task.agent_id == worker.agent_id and task.run == end.run
-        task.ended_run = end.run
+        task.ended_runs.add(end.run)
         task.run = max(task.run, end.run)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
@@ -451,7 +451,7 @@
             if task is None or task.key not in worker.tasks:
                 self.stops.append(Stop(worker.agent_id, running.task, running.run, known=False))
             return
-        if task.state == TaskState.UNCERTAIN and running.run > task.ended_run:
+        if task.state == TaskState.UNCERTAIN and running.run not in task.ended_runs:
             self._adopt(worker, task, running, now)
         mine = task.agent_id == worker.agent_id and task.run == running.run
         if not mine:
