--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -43,7 +43,8 @@
 from acaciastand.wire.messages import Message
 from acaciastand.workflow.catalog import Catalog
 
-WATCH_SECONDS = 0.6
+WATCH_SECONDS = 1.0
+CONFIG_SECONDS = 3.0  # a configuration of a megabyte passes a link of 5 Mbit/s in two
 RETRY_SECONDS = 0.15
 MEMBERS_SECONDS = 2.0
 READY_SECONDS = 2.2  # the balancer needs two checks, a second apart, to notice
@@ -153,24 +154,32 @@
     # Configuration
 
     def _follow_catalog(self) -> None:
-        revision = 0
-        position = 0
+        position = 0  # 0 until the key was read after the last interruption
         while True:
             try:
-                # A watch hears nothing while the store drops its history, so the key is read too.
-                item = self.store.get(CONFIG_KEY)
-                if item.revision > revision:
-                    revision = item.revision
-                    self._adopt_catalog(item.value, "store")
-                position = max(position, revision)
-                # Other keys may share the prefix; the position moves past their changes.
-                position = self.store.watch(CONFIG_KEY, position, WATCH_SECONDS).revision
+                if not position:
+                    position = self._read_catalog()
+                    continue
+                # The whole value comes with the change: a large one fills a thin link for a second.
+                changes = self.store.watch(CONFIG_KEY, position, WATCH_SECONDS)
+                for item in changes.items:
+                    if item.key == CONFIG_KEY:
+                        self._adopt_catalog(item.value, "store")
+                position = changes.revision
             except HistoryDropped:
                 position = 0
             except (StoreUnavailable, StoreAnswerLost) as error:
                 logger.debug("configuration not read", extra={"error": str(error)})
+                position = 0
                 gevent.sleep(RETRY_SECONDS)
 
+    def _read_catalog(self) -> int:
+        """Read the configuration and return the revision from which a watch continues."""
+        item = self.store.get(CONFIG_KEY, CONFIG_SECONDS)
+        if item.revision:
+            self._adopt_catalog(item.value, "store")
+        return max(1, item.revision)
+
     def _adopt_catalog(self, data: bytes, source: str) -> None:
         try:
             catalog = decode_catalog(data)
@@ -323,7 +332,7 @@
     def _peer_status(self, link: PeerLink, status: dict[str, Any]) -> None:
         version = int(status.get("configuration", 0))
         if version > (self.catalog.version if self.catalog else 0):
-            data = link.call(CATALOG, {}, 1.0).get("data", b"")
+            data = link.call(CATALOG, {}, CONFIG_SECONDS).get("data", b"")
             self._adopt_catalog(bytes(data), link.entry_id)
 
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
--- a/src/acaciastand/coordination/transactions.py
+++ b/src/acaciastand/coordination/transactions.py
@@ -79,8 +79,16 @@
     """Every call can raise `StoreUnavailable`; `commit` can also raise `StoreAnswerLost`."""
 
     @abstractmethod
-    def get(self, key: str) -> Item:
-        """Return the item at `key`; its revision is 0 when there is none."""
+    def get(self, key: str, seconds: float | None = None) -> Item:
+        """Return the item at `key`; its revision is 0 when there is none.
+
+        Parameters
+        ----------
+        key
+            The key.
+        seconds
+            Time to wait for the answer, for values that are known to be large.
+        """
 
     @abstractmethod
     def list(self, prefix: str, stale: bool = False) -> Listing:
@@ -149,7 +157,7 @@
         self.revision = 1
         self.dropped = 0
 
-    def get(self, key: str) -> Item:
+    def get(self, key: str, seconds: float | None = None) -> Item:
         """Return one item."""
         self._check_read("get")
         return self.items.get(key, Item(key))
--- a/src/acaciastand/platform/kv.py
+++ b/src/acaciastand/platform/kv.py
@@ -28,6 +28,7 @@
 
 READ_SECONDS = 0.7  # for one read; several times the answer time of a store that is slow
 COMMIT_SECONDS = 0.5
+WATCH_SECONDS = 2.5  # beyond the time a watch waits; its changes can be large
 NOT_DONE = frozenset({429, 503})
 CONFLICT = 412
 GONE = 410
@@ -58,9 +59,10 @@
         """Close the kept connections."""
         self.caller.close()
 
-    def get(self, key: str) -> Item:
+    def get(self, key: str, seconds: float | None = None) -> Item:
         """Return the item at `key`."""
-        answer = self._read("get", f"/kv-key?{urlencode({'key': key})}", self.read_seconds)
+        path = f"/kv-key?{urlencode({'key': key})}"
+        answer = self._read("get", path, seconds or self.read_seconds)
         return Item(key) if answer.status == NOT_FOUND else _item(_body(answer, "get"))
 
     def list(self, prefix: str, stale: bool = False) -> Listing:
@@ -86,7 +88,7 @@
         """Wait for changes below `prefix`."""
         query = {"prefix": prefix, "after": after, "waitMs": int(wait_seconds * 1000)}
         path = f"/kv-watch?{urlencode(query)}"
-        answer = self._read("watch", path, wait_seconds + self.read_seconds)
+        answer = self._read("watch", path, wait_seconds + WATCH_SECONDS)
         if answer.status == GONE:
             raise HistoryDropped(after)
         fields = _body(answer, "watch")
--- a/src/acaciastand/workflow/catalog.py
+++ b/src/acaciastand/workflow/catalog.py
@@ -76,9 +76,14 @@
         Names of services whose workers reject what does not fit.
     max_body_bytes
         Largest body of a submission.
+
+    Attributes
+    ----------
+    names, hosts
+        The queues by name, and all of one host.
     """
 
-    __slots__ = ("version", "queues", "guarded", "max_body_bytes")
+    __slots__ = ("version", "queues", "guarded", "max_body_bytes", "names", "hosts")
 
     def __init__(
         self,
@@ -91,12 +96,16 @@
         self.queues = queues or []
         self.guarded = guarded or []
         self.max_body_bytes = max_body_bytes
+        self.names = {queue.name: queue for queue in self.queues}
+        self.hosts: dict[str, list[Queue]] = {}
+        for queue in self.queues:
+            self.hosts.setdefault(queue.host, []).append(queue)
 
     def match(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest that `path` begins with."""
-        found = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
+        found = [q for q in self.hosts.get(host, ()) if path.startswith(q.prefix)]
         return max(found, key=lambda queue: len(queue.prefix), default=None)
 
     def by_name(self, name: str) -> Queue | None:
         """Return the queue with this name."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self.names.get(name)
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -6,6 +6,7 @@
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.reports import WorkerIdentity
 
+SERVING_USE_SHARE = 0.5  # of its reserved cores that a continuous task uses on average
 ROUNDING_CORES = 1e-6  # sums of fractions are inexact
 
 
@@ -25,7 +26,7 @@
     reserved_cores, reserved_memory_mb, reserved_accelerators
         What the assigned attempts reserve.
     asked_cores, serving_cores
-        Cores that all of them, and that the continuous ones, ask for.
+        Cores that all of them are expected to use, and that the continuous ones reserve.
     leftover_tasks
         How many of them run on leftover processor time.
     pace_percent, tail_share
@@ -125,13 +126,14 @@
         )
 
     def leftover_cores(self) -> float:
-        """Return the cores that no assigned attempt asks for."""
+        """Return the cores that the assigned attempts are expected to leave unused."""
         assert self.identity is not None
         return self.identity.capacity.cores - self.asked_cores
 
     def _count(self, task: Task, sign: int) -> None:
         step = task.step
-        self.asked_cores += sign * step.size.cores
+        share = SERVING_USE_SHARE if step.continuous else 1.0
+        self.asked_cores += sign * share * step.size.cores
         self.reserved_memory_mb += sign * step.size.memory_mb
         self.reserved_accelerators += sign * step.size.accelerators
         if step.uses_leftover:
