--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -175,7 +175,7 @@
     context.first = context.site.history()[0]
     gone = next(w for w in context.site.workers if w.worker_id == context.first.worker)
     gone.silent = True
-    gone.stop()
+    gone.gone = True
 
 
 @then("the first task starts at the other worker within {seconds:d} seconds")
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -50,6 +50,8 @@
     ----------
     history
         All runs of all its lives.
+    silent, gone
+        Whether it announces itself no more, and whether it answers no more calls.
     unanswered_share
         Share of the starts that are carried out and not answered.
     """
@@ -73,6 +75,7 @@
         self.failures: dict[str, int] = {}
         self.draining = False
         self.silent = False
+        self.gone = False
         self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
         self._begin_life()
 
@@ -166,6 +169,8 @@
         self.ends.append([self.ends_count, run.task, run.run, how, ""])
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        if self.gone:
+            raise GreenletExit  # the connection closes without an answer
         fields = json.loads(environ["wsgi.input"].read())
         answer: dict[str, Any] = {}
         intended = environ.get("HTTP_X_TARGET_INSTANCE", self.worker_id)
