Start gangs together and split the scheduler's policies off

Change: gang.py places all members or none, one end stands for all, and they restart together; orders.py, set_aside.py and moves.py hold what the scheduler hands out and two of its policies.

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -3,7 +3,8 @@
 from behave import given, then, when
 from workflow_support import BORN_MS, WorkflowWorld, step
 
-from acaciastand.workflow.job import JobState
+from acaciastand.workflow.job import Job, JobState
+from acaciastand.workflow.spec import WorkflowSpec
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
@@ -411,3 +412,65 @@
         worker.running[TASK] = attempt
         worker.end(TASK, "failed")
         context.world.report("1")
+
+
+@given("a gang of {count:d} tasks of {cores:d} cores")
+def given_gang(context, count, cores):
+    context.job = context.world.submit(JOB, "checks", step(count, float(cores), gang=True))
+    context.world.plan()
+
+
+@when("the scheduler plans for 1 second")
+def when_plans_second(context):
+    context.world.advance(1.0)
+
+
+@when("another worker of {cores:d} cores joins")
+def when_joins(context, cores):
+    context.world.add_worker("9", float(cores))
+    context.world.plan()
+
+
+@then("{count:d} tasks have started with the same attempt")
+def then_same_attempt(context, count):
+    assert len(context.world.started) == count
+    assert {row[1] for row in context.world.started} == {1}
+
+
+@when("one member fails")
+def when_member_fails(context):
+    context.world.end(TASK, "failed")
+    context.world.advance(0.5)
+
+
+@then("the others are stopped and all start again with attempt 2")
+def then_gang_again(context):
+    assert {row[0] for row in context.world.stopped} == {f"{JOB}.0.0.1", f"{JOB}.0.0.2"}
+    assert [row[1] for row in context.world.started[3:]] == [2, 2, 2]
+
+
+@when("one member is done")
+def when_member_done(context):
+    context.world.end(TASK)
+
+
+@then("the job is complete")
+def then_job_complete(context):
+    assert context.job.complete
+
+
+@given("a job of 3 occurrences that are due every 2 seconds from 1 second on")
+def given_repeated(context):
+    world = context.world
+    spec = WorkflowSpec("text", [step()], 3, world.now_unix + 1.0, 2.0)
+    world.scheduler.accept(Job(JOB, "checks", spec, world.now_unix))
+
+
+@when("{seconds:f} seconds pass")
+def when_pass(context, seconds):
+    context.world.advance(seconds)
+
+
+@then("{count:d} occurrences have started")
+def then_occurrences(context, count):
+    assert len({row[0] for row in context.world.started}) == count, context.world.started
--- a/features/workflow.feature
+++ b/features/workflow.feature
@@ -165,3 +165,29 @@
     When 0 services of 6.4 cores and 12 batch tasks of 4.0 leftover cores are submitted
     And another job of 3 batch tasks waits for 5 seconds
     Then 1 of its tasks has started
+
+  Scenario: A gang starts only when all of its tasks fit at the same time
+    Given 2 workers of 16 cores
+    And a gang of 3 tasks of 10 cores
+    When the scheduler plans for 1 second
+    Then nothing has started
+    When another worker of 16 cores joins
+    Then 3 tasks have started with the same attempt
+
+  Scenario: The end of one member ends or completes the gang
+    Given 3 workers of 16 cores
+    And a gang of 3 tasks of 10 cores
+    When one member fails
+    Then the others are stopped and all start again with attempt 2
+    When one member is done
+    Then the job is complete
+
+  Scenario: Occurrences of a repeated job start when they are due
+    Given 1 worker of 16 cores
+    And a job of 3 occurrences that are due every 2 seconds from 1 second on
+    When 0.5 seconds pass
+    Then 0 occurrences have started
+    When 1.0 seconds pass
+    Then 1 occurrences have started
+    When 4.0 seconds pass
+    Then 3 occurrences have started
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -41,8 +41,9 @@
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
+from acaciastand.workflow.orders import Start, Stop
 from acaciastand.workflow.reports import AgentReport, StartOutcome, TaskName
-from acaciastand.workflow.scheduler import Scheduler, Start, Stop
+from acaciastand.workflow.scheduler import Scheduler
 
 PLAN_SECONDS = 0.1  # longest time between two rounds of decisions
 PLAN_PAUSE_SECONDS = 0.004  # events within this time are decided on together
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -9,11 +9,14 @@
 
 from typing import Any
 
-from acaciastand.record import Record
+from acaciastand.workflow import set_aside
 from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.gang import place_gang
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
 from acaciastand.workflow.limits import FRESH_SECONDS
+from acaciastand.workflow.moves import runs_to_move
 from acaciastand.workflow.order import LeastSlackFirst, StartOrderPolicy
+from acaciastand.workflow.orders import Decision, Start, Stop
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
 from acaciastand.workflow.reports import (
@@ -33,50 +36,10 @@
 MISSING_LOOKS = 2  # looks in a row without an attempt after which it is asked to stop
 FULL_SECONDS = 0.5  # a worker that rejected a start for room gets no new one for this long
 RETRY_SECONDS = 0.15  # before a task is started again after a refused start
-FAILURES_TO_SET_ASIDE = 2  # tasks of different jobs that failed on a worker since a success
-SET_ASIDE_SECONDS = 3.0  # first pause of a worker that fails what it starts; doubles each time
-MAX_SET_ASIDE_SECONDS = 24.0
-MAX_SET_ASIDE_SHARE = 0.34  # of all workers
-SLOWED_PERCENT = 50  # a run at this share or less is moved if there is room elsewhere
-SLOWED_SECONDS = 0.7  # and if it has run for at least this long
 STARVING_SECONDS = 4.0  # a job of which nothing runs waits for leftover time this long at most
 DRAIN_MARGIN_SECONDS = 0.7  # kept to stop a run and save its progress before its worker leaves
 
 
-class Start(Record):
-    """Order for an agent to start a run."""
-
-    __slots__ = ("agent_id", "task", "order")
-
-    def __init__(self, agent_id: str, task: Task, order: StartOrder) -> None:
-        self.agent_id = agent_id
-        self.task = task
-        self.order = order
-
-
-class Stop(Record):
-    """Order for an agent to stop a run; `known` tells whether the owner tracks the attempt."""
-
-    __slots__ = ("agent_id", "task_key", "run", "known")
-
-    def __init__(self, agent_id: str, task_key: str, run: int, known: bool = True) -> None:
-        self.agent_id = agent_id
-        self.task_key = task_key
-        self.run = run
-        self.known = known
-
-
-class Decision(Record):
-    """A decision with the inputs that led to it, for the log."""
-
-    __slots__ = ("what", "subject", "inputs")
-
-    def __init__(self, what: str, subject: str, inputs: dict[str, Any]) -> None:
-        self.what = what
-        self.subject = subject
-        self.inputs = inputs
-
-
 class Scheduler:
     """Jobs of one deployment in the hands of its owner.
 
@@ -108,7 +71,7 @@
         self.stops: list[Stop] = []
         self.decisions: list[Decision] = []
         self.checked_at = float("-inf")
-        self.moving: dict[str, Task] = {}  # stopped to go on where no service is beside them
+        self.moving: list[Task] = []  # stopped to go on where no service is beside them
         self.events = 0  # changes that call for a new plan
 
     # Jobs
@@ -273,7 +236,7 @@
         ranked = []
         for task in self.waiting.values():
             queue = self.catalog.by_name(task.job.queue)
-            if queue is not None and now >= task.not_before and not task.step.gang:
+            if queue is not None and now >= task.not_before:
                 ranked.append((self.order.rank(task, queue, now_unix), task, queue))
         ranked.sort(key=lambda row: row[0])
         starts = []
@@ -283,14 +246,29 @@
             if place in full:
                 continue
             fitting = [w for w in workers if w.identity and w.identity.service == queue.service]
+            if task.step.gang:
+                full.add(place)  # all of its tasks are placed, or none
+                starts += self._start_gang(task, fitting, now)
+                continue
             worker = self.placement.choose(task, fitting, now, self._starving(task, now))
             if worker is None:
                 full.add(place)
                 continue
             task.job.idle_since = 0.0
-            starts.append(self._start(task, worker, now))
+            starts.append(self._start(task, worker, task.run + 1, now))
         return starts
 
+    def _start_gang(self, task: Task, workers: list[WorkerView], now: float) -> list[Start]:
+        members = task.job.siblings(task)
+        if not all(member.key in self.waiting for member in members):
+            return []
+        chosen = place_gang(members, workers, self.placement, now)
+        if chosen is None:
+            return []
+        run = max(member.run for member in members) + 1
+        pairs = zip(members, chosen, strict=True)
+        return [self._start(member, worker, run, now) for member, worker in pairs]
+
     def _starving(self, task: Task, now: float) -> bool:
         """Return whether nothing of a waiting job has run for a while."""
         job = task.job
@@ -300,9 +278,9 @@
         job.idle_since = job.idle_since or now
         return now - job.idle_since >= STARVING_SECONDS
 
-    def _start(self, task: Task, worker: WorkerView, now: float) -> Start:
+    def _start(self, task: Task, worker: WorkerView, run: int, now: float) -> Start:
         del self.waiting[task.key]
-        task.run += 1
+        task.run = run
         task.state = TaskState.STARTING
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
@@ -351,7 +329,7 @@
         task.ended_runs.add(end.run)
         task.run = max(task.run, end.run)
         if end.checkpoint:
-            task.checkpoint = end.checkpoint
+            self._save(task, end.checkpoint)
         self._note(
             "run ended",
             task.key,
@@ -371,16 +349,11 @@
         worker.pending_ends.append((end.number, task.job.job_id, task.job.version))
 
     def _done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
-        worker.recent_failures.clear()
-        worker.set_asides = 0
-        if task.state in ON_WORKER:  # an earlier attempt was done after all
-            self._stop(task, now)
-            self.stops.append(Stop(task.agent_id, task.key, task.run))
-            self._release(task)
-        self.waiting.pop(task.key, None)
-        self.uncertain.pop(task.key, None)
+        set_aside.succeeded(worker)
         job = task.job
-        job.mark_done(task)
+        # One end of a gang stands for all of its members.
+        for member in job.siblings(task) if task.step.gang else [task]:
+            self._mark_done(member)
         if job.complete:
             self._job_over(job, now, now_unix)
         elif not job.open_tasks[(task.name.occurrence, task.name.step)]:
@@ -388,37 +361,38 @@
                 if other.state == TaskState.WAITING:
                     self._make_waiting(other)
 
+    def _mark_done(self, task: Task) -> None:
+        if task.state == TaskState.DONE:
+            return
+        if task.state in ON_WORKER:
+            if not task.step.gang:  # an earlier attempt was done after all
+                self.stops.append(Stop(task.agent_id, task.key, task.run))
+            self._release(task)
+        self.waiting.pop(task.key, None)
+        self.uncertain.pop(task.key, None)
+        task.job.mark_done(task)
+
     def _not_done(
         self, worker: WorkerView, task: Task, end: Ended, now: float, now_unix: float
     ) -> None:
         if end.how == RunEnd.FAILED:
             task.failures += 1
             task.avoid = worker.agent_id
-            self._blame(worker, task, now)
+            pause = set_aside.failed(worker, task.job.job_id, self.workers.values(), now)
+            if pause:
+                jobs = worker.recent_failures[:]
+                self._note("worker set aside", worker.agent_id, failed_jobs=jobs, for_s=pause)
         queue = self.catalog.by_name(task.job.queue)
         limit = queue.max_attempts if queue else 1
-        if end.how == RunEnd.FAILED and not task.step.continuous and task.failures >= limit:
+        members = task.job.siblings(task) if task.step.gang else [task]
+        failures = sum(member.failures for member in members)
+        if end.how == RunEnd.FAILED and not task.step.continuous and failures >= limit:
             task.job.failed = True
-            self._note("job failed", task.job.job_id, task=task.key, failures=task.failures)
+            self._note("job failed", task.job.job_id, task=task.key, failures=failures)
             self._job_over(task.job, now, now_unix)
         elif task.state not in ON_WORKER and task.state != TaskState.UNCERTAIN:
             self._make_waiting(task)
 
-    def _blame(self, worker: WorkerView, task: Task, now: float) -> None:
-        if task.job.job_id not in worker.recent_failures:
-            worker.recent_failures.append(task.job.job_id)
-        aside = sum(1 for w in self.workers.values() if now < w.set_aside_until)
-        if len(worker.recent_failures) < FAILURES_TO_SET_ASIDE:
-            return
-        if aside + 1 > MAX_SET_ASIDE_SHARE * len(self.workers):
-            return
-        pause = min(SET_ASIDE_SECONDS * 2**worker.set_asides, MAX_SET_ASIDE_SECONDS)
-        worker.set_aside_until = now + pause
-        worker.set_asides += 1
-        self._note(
-            "worker set aside", worker.agent_id, failed_jobs=worker.recent_failures[:], for_s=pause
-        )
-
     def _job_over(self, job: Job, now: float, now_unix: float) -> None:
         job.ended_unix = now_unix
         job.cancelled_at = now
@@ -458,7 +432,7 @@
             self.stops.append(Stop(worker.agent_id, running.task, running.run, known=False))
             return
         if running.checkpoint:
-            task.checkpoint = running.checkpoint
+            self._save(task, running.checkpoint)
         task.percent = running.percent
         task.figure = running.figure
 
@@ -549,38 +523,13 @@
                     self._stop(task, now)
 
     def _move_slowed(self, now: float) -> None:
-        """Stop one run that is slowed down beside a service, if it finds room elsewhere."""
         workers = [w for w in self.workers.values() if w.can_take(now, FRESH_SECONDS)]
-        free = sum(max(0.0, w.leftover_cores()) for w in workers if not w.serving_cores)
-        slowed = [
-            task
-            for worker in workers
-            if worker.serving_cores and worker.pace_percent <= SLOWED_PERCENT
-            for task in worker.tasks.values()
-            if task.state == TaskState.RUNNING
-            and task.step.uses_leftover
-            and task.step.saves_progress
-            and now - task.started >= SLOWED_SECONDS
-        ]
-        waiting = sum(t.step.size.cores for t in self.waiting.values() if t.step.uses_leftover)
-        moving = sum(t.step.size.cores for t in self.moving.values())
-        self.moving = {
-            key: task for key, task in self.moving.items() if task.state == TaskState.STOPPING
-        }
-        for task in slowed:
-            if task.step.size.cores > free - waiting - moving:
-                return
-            moving += task.step.size.cores
-            self.moving[task.key] = task
+        self.moving = [task for task in self.moving if task.state == TaskState.STOPPING]
+        for task in runs_to_move(workers, self.waiting.values(), self.moving, now):
+            self.moving.append(task)
             task.avoid = task.agent_id
-            self._note(
-                "run moved",
-                task.key,
-                run=task.run,
-                agent=task.agent_id,
-                pace=self.workers[task.agent_id].pace_percent,
-                free_cores=round(free, 1),
-            )
+            pace = self.workers[task.agent_id].pace_percent
+            self._note("run moved", task.key, run=task.run, agent=task.agent_id, pace=pace)
             self._stop(task, now)
 
     def _leave(self, worker: WorkerView, now: float) -> None:
@@ -612,12 +561,21 @@
 
     # Helpers
 
+    def _save(self, task: Task, checkpoint: str) -> None:
+        """Keep saved progress; all members of a gang resume from the same."""
+        for member in task.job.siblings(task) if task.step.gang else [task]:
+            member.checkpoint = checkpoint
+
     def _make_waiting(self, task: Task, due: bool = False) -> None:
         task.state = TaskState.WAITING
         self.events += 1
         job = task.job
         if job.over or not job.step_eligible(task.name.occurrence, task.step):
             return
+        if task.step.gang:
+            for member in job.siblings(task):
+                if member.state in (TaskState.STARTING, TaskState.RUNNING):
+                    self._stop(member, self.checked_at)
         if job.spec.repeats and not due:
             self.timed[task.key] = task
         else:
--- /dev/null
+++ b/src/acaciastand/workflow/set_aside.py
@@ -0,0 +1,37 @@
+"""Workers that fail what they start get nothing for a while.
+
+Answers workers that fail every task while they announce themselves as healthy: each failure uses up
+an attempt of a task that would be done elsewhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from acaciastand.workflow.worker import WorkerView
+
+FAILURES_TO_SET_ASIDE = 2  # tasks of different jobs that failed on a worker since a success
+FIRST_PAUSE_SECONDS = 3.0  # doubles each time until a task succeeds
+MAX_PAUSE_SECONDS = 24.0
+MAX_SET_ASIDE_SHARE = 0.34  # of all workers
+
+
+def failed(worker: WorkerView, job_id: str, workers: Collection[WorkerView], now: float) -> float:
+    """Count a failure and return for how long the worker is set aside, 0 if it is not."""
+    if job_id not in worker.recent_failures:
+        worker.recent_failures.append(job_id)
+    if len(worker.recent_failures) < FAILURES_TO_SET_ASIDE:
+        return 0.0
+    aside = sum(1 for other in workers if now < other.set_aside_until)
+    if aside + 1 > MAX_SET_ASIDE_SHARE * len(workers):
+        return 0.0
+    pause = min(FIRST_PAUSE_SECONDS * 2**worker.set_asides, MAX_PAUSE_SECONDS)
+    worker.set_aside_until = now + pause
+    worker.set_asides += 1
+    return pause
+
+
+def succeeded(worker: WorkerView) -> None:
+    """Forget the failures of a worker that completes a task."""
+    worker.recent_failures.clear()
+    worker.set_asides = 0
