--- a/src/acaciastand/cluster/callers.py
+++ b/src/acaciastand/cluster/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import re
 from collections.abc import Callable
 from typing import Any
 
@@ -12,15 +11,13 @@
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.intake import RETRY_AFTER_SECONDS, Intake
 from acaciastand.errors import AcaciastandError, InvalidInput, NotFound, Outcome
-from acaciastand.platform.operator import decode_job
+from acaciastand.platform.operator import DEADLINE_HEADER, JOB_ID, decode_job
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog, Queue
 
-DEADLINE_HEADER = "X-Deadline-Ms"
 DEFAULT_DEADLINE_SECONDS = 3.0
 ANSWER_SECONDS = 0.25  # kept of a caller's deadline for the answer to arrive
 MAX_DEADLINE_SECONDS = 30.0
-JOB_ID = re.compile(r"[0-9a-f]{16}")
 GONE = "410 Gone"
 
 logger = logging.getLogger(__name__)
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -22,6 +22,9 @@
     __slots__ = ()
     peer_address: str
     advertised_address: str
+    store_url: str
+    metrics_address: str
+    log_level: str
 
     @property
     def dialled_address(self) -> str:
--- a/src/acaciastand/platform/operator.py
+++ b/src/acaciastand/platform/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from acaciastand.errors import InvalidInput
@@ -11,6 +12,8 @@
 from acaciastand.workflow.spec import StepSpec, WorkflowSpec
 
 CONFIG_KEY = "op/config"
+DEADLINE_HEADER = "X-Deadline-Ms"  # how long the caller waits for the answer
+JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_TASKS = 20_000  # tasks of one job over all occurrences
 MAX_PAYLOAD_BYTES = 4_000
 
--- a/src/acaciastand/programs/job_daemon.py
+++ b/src/acaciastand/programs/job_daemon.py
@@ -4,16 +4,56 @@
 
 import argparse
 import os
+import signal
 import sys
 from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Protocol
+
+import gevent
 
 from acaciastand import __version__
+from acaciastand.cluster.clock import now
+from acaciastand.cluster.settings import DialledSettings
 from acaciastand.errors import AcaciastandError
+from acaciastand.platform.kv import PlatformStore
+from acaciastand.telemetry.metrics import Metrics, serve_metrics
+from acaciastand.telemetry.stream import log_to_stdout
 
 SETTINGS_VARIABLE = "ACACIASTAND_CONFIG"
 
 
-def run_program(name: str, run: Callable[[str], int], arguments: list[str] | None = None) -> int:
+class Daemon(Protocol):
+    """What `serve` needs of a daemon."""
+
+    def run(self) -> None:
+        """Serve until `request_stop`."""
+
+    def request_stop(self) -> None:
+        """Ask `run` to return; safe in a signal handler."""
+
+
+def serve(settings: DialledSettings, build: Callable[[PlatformStore, Metrics], Daemon]) -> None:
+    """Run a daemon with its log, metrics, store and signals until it is asked to stop."""
+    with ExitStack() as stack:
+        stack.callback(log_to_stdout(settings.log_level, now).close)
+        metrics = Metrics()
+        store = PlatformStore(
+            settings.store_url,
+            lambda call, outcome: metrics.count("store_calls", f"{call}.{outcome}"),
+        )
+        stack.callback(store.close)
+        daemon = build(store, metrics)
+        if settings.metrics_address:
+            server = serve_metrics(settings.metrics_address, metrics)
+            server.start()
+            stack.callback(server.stop, 0.0)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, daemon.request_stop)
+        daemon.run()
+
+
+def run_program(name: str, run: Callable[[str], None], arguments: list[str] | None = None) -> int:
     """Parse the command line, run the program and return its exit code."""
     parser = argparse.ArgumentParser(prog=name)
     parser.add_argument("--version", action="version", version=__version__)
@@ -25,7 +65,8 @@
     )
     options = parser.parse_args(arguments)
     try:
-        return run(options.settings)
+        run(options.settings)
     except AcaciastandError as error:
         print(f"{name}: {error}", file=sys.stderr)
         return error.exit_code
+    return 0
