--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -100,6 +100,12 @@
     read(context, b"", 7)
 
 
+@when("the owner was an earlier life of this entry")
+def when_earlier_life(context):
+    read_for(context, 0.5)
+    context.candidate.owner_is_gone()
+
+
 @then("it claims")
 def then_claims(context):
     assert context.candidate.should_claim(context.now)
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -38,6 +38,7 @@
       | the beat stands still beside a 3 second outage    | does not claim |
       | the owner's address refuses and the beat stands still for 1 second | claims |
       | the owner released its key                        | claims        |
+      | the owner was an earlier life of this entry       | claims        |
 
   Scenario Outline: A batch task <verdict> beside a service when <case>
     Given a worker with a service and room for batch tasks
--- a/src/acaciastand/cluster/election.py
+++ b/src/acaciastand/cluster/election.py
@@ -38,13 +38,14 @@
         Latest observation; None before the first read.
     """
 
-    __slots__ = ("last", "changed_at", "read_at", "refused")
+    __slots__ = ("last", "changed_at", "read_at", "refused", "gone")
 
     def __init__(self) -> None:
         self.last: Observation | None = None
         self.changed_at = 0.0
         self.read_at = float("-inf")
         self.refused = False
+        self.gone = False
 
     def observe(self, seen: Observation, now: float) -> None:
         """Take in a read of the store."""
@@ -52,6 +53,7 @@
         if gap or self.last is None or _revisions(seen) != _revisions(self.last):
             self.changed_at = now
             self.refused = False
+            self.gone = False
         self.last = seen
         self.read_at = now
 
@@ -59,12 +61,18 @@
         """Take note that nothing listens at the owner's address any more."""
         self.refused = True
 
+    def owner_is_gone(self) -> None:
+        """Take note that the owner was an earlier life of this very process."""
+        self.gone = True
+
     def should_claim(self, now: float) -> bool:
         """Return whether the owner is certainly or probably gone."""
         if self.last is None or now - self.read_at > MAX_READ_GAP_SECONDS:
             return False
         if not self.last.owner.revision or not self.last.owner.value:
             return True
+        if self.gone:
+            return True
         limit = DEAD_SECONDS if self.refused else SILENT_SECONDS
         return now - self.changed_at >= limit
 
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -219,6 +219,9 @@
         self._note_owner(current)
         if self.claimed is not None and current.value == self.claimed.encode():
             return self._begin_term(self.claimed, current.revision, began)
+        if self.owner_record and self.owner_record.address == self.settings.dialled_address:
+            # This process listens at the owner's address, so the owner has ended.
+            self.candidate.owner_is_gone()
         link = self.peers.get(self.owner_record.entry_id) if self.owner_record else None
         if link is not None and link.refused:
             self.candidate.owner_refuses()
