Reload settings on SIGHUP

Cause: the daemons had no handler, so SIGHUP ended them. Change: the file is read again, the log level applied, the rest named as waiting for a restart; a file that cannot be used changes nothing.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -67,3 +67,13 @@
     Given a site of 2 entries and 2 agents
     When the owner is asked to stop
     Then the other entry owns the jobs within 1.5 seconds
+
+  # Without a handler SIGHUP ends a process.
+  Scenario: Processes reload their settings on SIGHUP and keep serving
+    Given a site of 1 entries and 1 agents
+    When every process reloads settings with the log level "debug"
+    And the settings of the entry are damaged and it reloads them
+    And 1 jobs of 2 tasks of 0.2 seconds are submitted
+    Then the jobs are "completed" within 10 seconds at every entry
+    And every process is the one that was started
+    And the log of the entry has the lines "settings reloaded" and "settings not reloaded"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -185,3 +185,35 @@
         lambda: any(run.task == context.first.task for w in others for run in w.history),
         float(seconds),
     )
+
+
+@when('every process reloads settings with the log level "{level}"')
+def when_reload(context, level):
+    context.started = {n: p.pid for n, p in context.site.processes.items()}
+    for name, path in context.site.settings.items():
+        text = path.read_text(encoding="utf-8")
+        path.write_text(f'{text}log_level = "{level}"\n', encoding="utf-8")
+        context.site.signal(name, signal.SIGHUP)
+    context.site.wait(lambda: "settings reloaded" in entry_log(context))
+
+
+@when("the settings of the entry are damaged and it reloads them")
+def when_damaged(context):
+    context.site.settings["entry-1"].write_text("entry_id = ", encoding="utf-8")
+    context.site.signal("entry-1", signal.SIGHUP)
+    context.site.wait(lambda: "settings not reloaded" in entry_log(context))
+
+
+def entry_log(context):
+    return (context.site.folder / "entry-1.log").read_text(encoding="utf-8")
+
+
+@then("every process is the one that was started")
+def then_same_processes(context):
+    for name, process in context.site.processes.items():
+        assert process.poll() is None and process.pid == context.started[name], name
+
+
+@then('the log of the entry has the lines "{first}" and "{second}"')
+def then_log(context, first, second):
+    assert first in entry_log(context) and second in entry_log(context)
--- a/src/acaciastand/programs/job_agent.py
+++ b/src/acaciastand/programs/job_agent.py
@@ -10,7 +10,7 @@
 def run(settings_file: str) -> None:
     """Run the agent with the settings in `settings_file`."""
     settings = JobAgentSettings.load(settings_file)
-    serve(settings, lambda store, metrics: Agent(settings, store, metrics))
+    serve(settings, settings_file, lambda store, metrics: Agent(settings, store, metrics))
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/acaciastand/programs/job_daemon.py
+++ b/src/acaciastand/programs/job_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import os
 import signal
 import sys
@@ -17,11 +18,14 @@
 from acaciastand.cluster.settings import DialledSettings
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.kv import PlatformStore
+from acaciastand.telemetry import set_level
 from acaciastand.telemetry.metrics import Metrics, serve_metrics
 from acaciastand.telemetry.stream import log_to_stdout
 
 SETTINGS_VARIABLE = "ACACIASTAND_CONFIG"
 
+logger = logging.getLogger(__name__)
+
 
 class Daemon(Protocol):
     """What `serve` needs of a daemon."""
@@ -33,7 +37,11 @@
         """Ask `run` to return; safe in a signal handler."""
 
 
-def serve(settings: DialledSettings, build: Callable[[PlatformStore, Metrics], Daemon]) -> None:
+def serve(
+    settings: DialledSettings,
+    settings_file: str,
+    build: Callable[[PlatformStore, Metrics], Daemon],
+) -> None:
     """Run a daemon with its log, metrics, store and signals until it is asked to stop."""
     with ExitStack() as stack:
         stack.callback(log_to_stdout(settings.log_level, now).close)
@@ -50,9 +58,30 @@
             stack.callback(server.stop, 0.0)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, daemon.request_stop)
+        gevent.signal_handler(signal.SIGHUP, reload_settings, settings, settings_file)
         daemon.run()
 
 
+def reload_settings(settings: DialledSettings, settings_file: str) -> None:
+    """Read the settings file again and apply what can change in a running process.
+
+    Only the log level can; other changes take hold at the next start. A file that cannot be used
+    changes nothing.
+    """
+    try:
+        fresh = type(settings).load(settings_file)
+    except AcaciastandError as error:
+        logger.error("settings not reloaded", extra={"error": str(error)})
+        return
+    set_level(fresh.log_level)
+    waiting = [
+        name
+        for name in settings.known
+        if name != "log_level" and getattr(settings, name) != getattr(fresh, name)
+    ]
+    logger.info("settings reloaded", extra={"need_restart": waiting})
+
+
 def run_program(name: str, run: Callable[[str], None], arguments: list[str] | None = None) -> int:
     """Parse the command line, run the program and return its exit code."""
     parser = argparse.ArgumentParser(prog=name)
