--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -3,18 +3,20 @@
 from behave import given, then, when
 from workflow_support import WorkflowWorld, step
 
+from acaciastand.cluster.agent_worker import WorkerHold
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.committer import OwnershipLost
 from acaciastand.cluster.election import Candidate, Observation
 from acaciastand.cluster.keys import JOBS_PREFIX, OWNER_KEY, OwnerRecord, encode_job
 from acaciastand.cluster.owner import Owner
 from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
+from acaciastand.platform.http import CallTimedOut
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.job import Job
 from acaciastand.workflow.pacing import FullSpeed, RunLimits, TailPacer
 from acaciastand.workflow.placement import calm
-from acaciastand.workflow.reports import Running
+from acaciastand.workflow.reports import Look, Running
 from acaciastand.workflow.spec import WorkflowSpec
 
 LOOK_SECONDS = 0.35
@@ -264,3 +266,44 @@
     known = context.owner.scheduler.jobs[context.job.job_id]
     assert known.revision == context.store.get(f"progress/{context.job.job_id}").revision
     assert known.shown.value == "cancelled"
+
+
+class FakeTaskClient:
+    """Answers looks from a list; an error in it is raised."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.acknowledged = []
+
+    def look(self, lease_ms, acknowledged, wait):
+        self.acknowledged.append(acknowledged)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+@given("an agent that has acknowledged 7 ends of its worker")
+def given_agent(context):
+    context.hold = WorkerHold("10.0.0.1:1", 1, lambda: None, Metrics())
+    failure = CallTimedOut("no answer", "look again")
+    looks = [Look(5_000, 1.0, [], []), Look(5_000, 2.0, [], []), failure, Look(6_000, 1.0, [], [])]
+    context.hold.client = FakeTaskClient(looks)
+    context.hold._look_once()
+    context.hold.ends_stored(5_000, 7)
+    context.hold._look_once()
+
+
+@when("a look fails and the worker restarts")
+def when_look_fails(context):
+    try:
+        context.hold._look_once()
+    except CallTimedOut as error:
+        context.hold._look_failed(error)
+
+
+@then("the next look acknowledges nothing and learns of the new life")
+def then_nothing_acknowledged(context):
+    context.hold._look_once()
+    assert context.hold.client.acknowledged == [0, 7, 7, 0], context.hold.client.acknowledged
+    assert context.hold.born_ms == 6_000 and context.hold.acknowledged == 0
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -76,3 +76,10 @@
     Given an owner whose last beat was stored 0.1 seconds ago
     When the answer to its commit of a job is lost
     Then the next commits store the job without losing the ownership
+
+  # The worker restarted while looks failed; the next look acknowledged ends of its new life, which were
+  # lost, and their tasks ran again (soak seeds 27 and 30).
+  Scenario: A look after a failed one acknowledges nothing
+    Given an agent that has acknowledged 7 ends of its worker
+    When a look fails and the worker restarts
+    Then the next look acknowledges nothing and learns of the new life
--- a/src/acaciastand/cluster/agent_worker.py
+++ b/src/acaciastand/cluster/agent_worker.py
@@ -229,8 +229,11 @@
         silent = self.failed_looks >= SILENT_LOOKS
         granted = self.clock_at and self.grant_until > now()
         lease_ms = self._lease_end() if granted and not silent else None
+        # After a failure the worker may be in another life, whose ends have the same numbers; 0
+        # acknowledges nothing.
+        acknowledged = 0 if self.failed_looks else self.acknowledged
         try:
-            look = self.client.look(lease_ms, self.acknowledged, wait)
+            look = self.client.look(lease_ms, acknowledged, wait)
         except TokenRefused:
             self._raise_token()
             raise
