Answer a cancel of an unknown job with 410

Cause: found on the last read of the diff: the answer was chosen by a look into the first twelve characters of the error message, which never matched, so callers got 404. Change: a typed error with the status 410. Figures: the step fails before (404) and passes after.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -60,6 +60,7 @@
   Scenario: Unknown ids, malformed bodies and foreign paths are refused
     Given a site of 1 entries and 1 agents
     Then a query for an unknown id is answered with 410
+    And a cancel of an unknown id is answered with 410
     And a malformed job is answered with 400
     And a call outside all queues is answered with 404
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -159,6 +159,11 @@
     assert context.site.call("entry-1", "GET", job_id(99))[0] == 410
 
 
+@then("a cancel of an unknown id is answered with 410")
+def then_cancel_gone(context):
+    assert context.site.call("entry-1", "DELETE", job_id(99))[0] == 410
+
+
 @then("a malformed job is answered with 400")
 def then_malformed(context):
     assert context.site.call("entry-1", "POST", job_id(1), {"steps": [{"count": 0}]})[0] == 400
--- a/src/acaciastand/cluster/callers.py
+++ b/src/acaciastand/cluster/callers.py
@@ -106,9 +106,6 @@
         response.media = {}
 
     def _refuse(self, error: AcaciastandError, response: falcon.Response) -> None:
-        if isinstance(error, NotFound) and "job" in error.message[:12]:
-            response.status = GONE
-            return
         response.status = falcon.code_to_http_status(error.http_status)
         response.media = {"error": error.code, "message": error.message, "remedy": error.remedy}
         if error.outcome is Outcome.NOT_RUN and error.http_status == 503:
--- a/src/acaciastand/cluster/intake.py
+++ b/src/acaciastand/cluster/intake.py
@@ -50,6 +50,13 @@
     code = "intake_unavailable"
 
 
+class JobUnknown(NotFound):
+    """No job with this id was ever accepted, or it ended long ago."""
+
+    code = "job_unknown"
+    http_status = 410
+
+
 class Intake:
     """Takes in what callers ask.
 
@@ -95,13 +102,13 @@
 
         Raises
         ------
-        NotFound
+        JobUnknown
             No such job was stored.
         Unavailable, OutcomeUnknown
             As in `submit`.
         """
         if self.state(job_id, deadline) is None:
-            raise NotFound(f"there is no job {job_id}", "check the id")
+            raise JobUnknown(f"there is no job {job_id}", "check the id")
         self._put(CANCELS_PREFIX + job_id, encode_fields(now_unix()), deadline)
 
     def state(self, job_id: str, deadline: float) -> JobState | None:
