Register and follow the store from one place, and drop state that nothing reads

Cause: on the last read of the diff, registration stood in entry and agent, two loops of the owner followed a prefix each, and fields and two metrics were written or named but never used. Change: members.register, Owner._follow; no change of behaviour is meant.

--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -12,10 +12,10 @@
 
 from acaciastand.cluster.agent_worker import WorkerHold
 from acaciastand.cluster.clock import now, now_unix
-from acaciastand.cluster.keys import AGENTS_PREFIX, encode_fields
+from acaciastand.cluster.keys import AGENTS_PREFIX
+from acaciastand.cluster.members import register
 from acaciastand.cluster.settings import JobAgentSettings
-from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
-from acaciastand.coordination.transactions import CommitConflict, TransactionalStore
+from acaciastand.coordination.transactions import TransactionalStore
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.platform.tasks import ANNOUNCE_PATH, LEAVE_PATH, decode_announcement
 from acaciastand.resources import Resources
@@ -208,16 +208,7 @@
                 self.owner_seen = now()
 
     def _register(self) -> bool:
-        key = AGENTS_PREFIX + self.settings.agent_id
-        value = encode_fields([self.settings.dialled_address, self.settings.availability_zone])
-        try:
-            found = self.store.get(key)
-            if found.value != value:
-                self.store.commit({key: found.revision}, {key: value})
-            return True
-        except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
-            logger.warning("registration failed", extra={"error": str(error)})
-            return False
+        return register(self.store, AGENTS_PREFIX + self.settings.agent_id, self.settings)
 
     # Worker
 
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -69,7 +69,6 @@
         self.connection: Connection | None = None
         self.reported_at = float("-inf")
         self.agent_clock = 0.0  # the agent's clock at its last report
-        self.connected = False
 
     def run(self) -> None:
         """Keep the connection until killed."""
@@ -140,12 +139,10 @@
             self.on_superseded(reply.epoch)
             return
         self.connection = connection
-        self.connected = True
         logger.info("agent regained", extra={"agent_id": self.agent_id, "epoch": self.epoch})
 
     def _disconnect(self, why: str) -> None:
         connection, self.connection = self.connection, None
-        self.connected = False
         logger.warning("agent lost", extra={"agent_id": self.agent_id, "why": why})
         if connection is not None:
             connection.close()
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -23,14 +23,13 @@
     OWNER_KEY,
     OwnerRecord,
     decode_fields,
-    encode_fields,
 )
+from acaciastand.cluster.members import register
 from acaciastand.cluster.owner import Owner, claim
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
-    CommitConflict,
     HistoryDropped,
     Item,
     TransactionalStore,
@@ -291,16 +290,8 @@
 
     def _register_forever(self) -> None:
         key = ENTRIES_PREFIX + self.settings.entry_id
-        value = encode_fields([self.settings.dialled_address, self.settings.availability_zone])
-        while True:
-            try:
-                found = self.store.get(key)
-                if found.value != value:
-                    self.store.commit({key: found.revision}, {key: value})
-                return
-            except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
-                logger.warning("registration failed", extra={"error": str(error)})
-                gevent.sleep(RETRY_SECONDS)
+        while not register(self.store, key, self.settings):
+            gevent.sleep(RETRY_SECONDS)
 
     def _follow_members(self) -> None:
         while True:
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -30,9 +30,11 @@
 )
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
+    Changes,
     CommitConflict,
     HistoryDropped,
     Item,
+    Listing,
     TransactionalStore,
 )
 from acaciastand.errors import AcaciastandError
@@ -351,44 +353,40 @@
                     gevent.spawn(self.links[worker.agent_id].ends_stored, worker.born_ms, number)
 
     def _watch_inbox(self) -> None:
-        while True:
-            try:
-                changes = self.store.watch(INBOX_PREFIX, self.inbox_revision, WATCH_SECONDS)
-                items, self.inbox_revision = changes.items, changes.revision
-            except HistoryDropped:
-                items = self._list_again(INBOX_PREFIX)
-            except (StoreUnavailable, StoreAnswerLost):
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
-                self.learn(item)
-
-    def _list_again(self, prefix: str) -> list[Item]:
-        while True:
-            try:
-                listing = self.store.list(prefix)
-            except (StoreUnavailable, StoreAnswerLost):
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            if prefix == INBOX_PREFIX:
-                self.inbox_revision = listing.revision
-            else:
-                self.agents_revision = listing.revision
-            logger.warning("history dropped; listed again", extra={"prefix": prefix})
-            return listing.items
+        self._follow(INBOX_PREFIX, self.inbox_revision, WATCH_SECONDS, self._learn_all)
 
     def _watch_agents(self) -> None:
+        self._follow(AGENTS_PREFIX, self.agents_revision, 2 * WATCH_SECONDS, self._add_agents)
+
+    def _follow(
+        self, prefix: str, position: int, seconds: float, take: Callable[[list[Item]], None]
+    ) -> None:
+        """Pass on changes below a prefix; everything again after the history was dropped."""
+        listing = False
         while True:
             try:
-                changes = self.store.watch(AGENTS_PREFIX, self.agents_revision, 2 * WATCH_SECONDS)
-                items, self.agents_revision = changes.items, changes.revision
+                if listing:
+                    found: Changes | Listing = self.store.list(prefix)
+                    logger.warning("history dropped; listed again", extra={"prefix": prefix})
+                else:
+                    found = self.store.watch(prefix, position, seconds)
             except HistoryDropped:
-                items = self._list_again(AGENTS_PREFIX)
+                listing = True
+                continue
             except (StoreUnavailable, StoreAnswerLost):
                 gevent.sleep(RETRY_SECONDS)
                 continue
-            for item in items:
-                self._add_agent(item, None)
+            listing = False
+            position = found.revision
+            take(found.items)
+
+    def _learn_all(self, items: list[Item]) -> None:
+        for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
+            self.learn(item)
+
+    def _add_agents(self, items: list[Item]) -> None:
+        for item in items:
+            self._add_agent(item, None)
 
     def _add_agent(self, item: Item, granted_until: float | None) -> None:
         agent_id = item.key[len(AGENTS_PREFIX) :]
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -20,6 +20,7 @@
     """Base of processes that other processes of the system connect to."""
 
     __slots__ = ()
+    availability_zone: str
     peer_address: str
     advertised_address: str
     store_url: str
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -18,7 +18,6 @@
     "worker_calls_failed": ("call", "Calls to the worker without a usable answer."),
     "decisions": ("what", "Decisions of the owner of the jobs."),
     "announcements_ignored": ("why", "Announcements that name no worker."),
-    "log_lines_dropped": ("why", "Log lines that were not written."),
 }
 HISTOGRAMS = {
     "request_seconds": ("call", "Time from the arrival of a call to its answer."),
@@ -31,7 +30,6 @@
     "owner_epoch": ("", "Epoch of this entry as owner; 0 while it is not."),
     "configuration_version": ("", "Version of the configuration in use."),
     "waiting_tasks": ("", "Tasks that wait for room."),
-    "workers": ("state", "Workers by state, at the owner."),
 }
 MAX_LABEL_VALUES = 64  # of one metric; later values are counted as "other"
 
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -48,8 +48,6 @@
         Attempts that have ended by failure.
     agent_id, born_ms
         Where the attempt runs, and in which life of the worker.
-    since
-        When it entered its state, seconds of the owner's clock.
     missing
         Looks in a row that did not show the attempt.
     percent
@@ -69,7 +67,6 @@
         "checkpoint",
         "agent_id",
         "born_ms",
-        "since",
         "missing",
         "percent",
         "figure",
@@ -95,7 +92,6 @@
         self.checkpoint = ""
         self.agent_id = ""
         self.born_ms = 0
-        self.since = 0.0
         self.missing = 0
         self.percent = 100.0
         self.figure = 0.0
@@ -177,7 +173,6 @@
         "touched",
         "ended_unix",
         "revision",
-        "cancelled_at",
         "idle_since",
     )
 
@@ -203,7 +198,6 @@
         self.touched = False
         self.ended_unix = 0.0
         self.revision = 0  # of the stored progress
-        self.cancelled_at = 0.0
         self.idle_since = 0.0  # since when nothing of it runs though it waits for leftover time
 
     def _names(self) -> Iterator[TaskName]:
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -284,7 +284,6 @@
         task.state = TaskState.STARTING
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
-        task.since = now
         task.missing = 0
         task.stop_confirmed_at = 0.0
         task.percent = 0.0 if task.step.continuous else 100.0
@@ -395,7 +394,6 @@
 
     def _job_over(self, job: Job, now: float, now_unix: float) -> None:
         job.ended_unix = now_unix
-        job.cancelled_at = now
         for task in job.tasks.values():
             self.waiting.pop(task.key, None)
             self.timed.pop(task.key, None)
@@ -442,7 +440,7 @@
         task.state = TaskState.RUNNING
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
-        task.since = task.started = now
+        task.started = now
         task.missing = 0
         task.job.touched = True
         worker.assign(task)
@@ -547,7 +545,6 @@
         if task.state != TaskState.STOPPING:
             self.events += 1
             task.state = TaskState.STOPPING
-            task.since = now
             task.stop_sent = float("-inf")
             task.stop_confirmed_at = 0.0
 
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -58,10 +58,8 @@
         "leftover_started_at",
         "pending_ends",
         "acknowledged",
-        "failing_since",
         "recent_failures",
         "set_aside_until",
-        "probing",
         "set_asides",
         "full_until",
     )
@@ -86,10 +84,8 @@
         self.leftover_started_at = float("-inf")
         self.pending_ends: list[tuple[int, str, int]] = []
         self.acknowledged = 0
-        self.failing_since = 0.0
         self.recent_failures: list[str] = []  # jobs whose tasks failed since the last success
         self.set_aside_until = 0.0
-        self.probing = ""
         self.set_asides = 0
         self.full_until = 0.0
 
