Keep an unanswered start in doubt when its repetition is refused, and start nothing during a hand-over

By reading: an owner whose release was not answered still took in and started jobs that its successor started too; a pace that was not answered could take effect after later ones and stay. Change: such a start is unknown and is stopped before the task starts again; an owner that leaves plans nothing and keeps new jobs back; a pace without an answer is repeated for 13 s.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -1,12 +1,15 @@
 """Steps for decisions apart from I/O: pace, election, placement beside services."""
 
 import json
-from itertools import product
+from itertools import pairwise, product
 from pathlib import Path
+from unittest import mock
 
+import gevent
 from behave import given, then, when
 from workflow_support import WorkflowWorld, step
 
+from acaciastand.cluster import agent_worker
 from acaciastand.cluster.agent_worker import WorkerHold
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import OwnershipLost
@@ -14,19 +17,25 @@
 from acaciastand.cluster.keys import JOBS_PREFIX, OWNER_KEY, OwnerRecord, encode_job
 from acaciastand.cluster.owner import Owner
 from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
-from acaciastand.platform.http import CallTimedOut
+from acaciastand.platform.http import CallNotSent, CallTimedOut
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.job import Job
 from acaciastand.workflow.pacing import FullSpeed, Pace, RunLimits, TailPacer
 from acaciastand.workflow.placement import calm
-from acaciastand.workflow.reports import Look, Running
+from acaciastand.workflow.reports import Look, Running, StartOrder, StartOutcome
 from acaciastand.workflow.spec import WorkflowSpec
 
 LOOK_SECONDS = 0.35
 SERVICE_IMAGE = "watch"
 RECORDED = Path(__file__).parent.parent / "recorded" / "shared_workers.json"
+REPETITIONS = {
+    "is accepted": StartOutcome.STARTED,
+    "is refused": StartOutcome.REFUSED,
+    "finds no room": StartOutcome.NO_ROOM,
+    "reaches no worker": CallNotSent("refused", "check that it is running"),
+}
 DISTURBING = {
     ("batch-4", "service-2"),
     ("batch-4", "service-3"),
@@ -369,6 +378,19 @@
     assert context.job.job_id in context.owner.scheduler.jobs
 
 
+@when("it is told of a new job while the answer to its release is on its way")
+def when_told_at_release(context):
+    commit = context.store.commit
+
+    def commit_and_tell(*arguments):
+        revision = commit(*arguments)
+        when_told(context)
+        return revision
+
+    context.store.commit = commit_and_tell
+    context.owner.release()
+
+
 @when("another entry claims the ownership")
 def when_other_claims(context):
     context.store.commit({}, {OWNER_KEY: b"other"})
@@ -446,3 +468,77 @@
     context.hold._look_once()
     assert context.hold.client.acknowledged == [0, 7, 7, 0], context.hold.client.acknowledged
     assert context.hold.born_ms == 6_000 and context.hold.acknowledged == 0
+
+
+@given("an agent whose worker does not answer the first call of a start")
+def given_unanswered_start(context):
+    context.hold = WorkerHold("10.0.0.1:1", 1, lambda: None, Metrics())
+    context.hold.grant_until = now() + 5.0
+    context.answers = [CallTimedOut("no answer", "repeat the call")]
+
+
+@when("the repetition {repetition}")
+def when_repetition(context, repetition):
+    context.answers.append(REPETITIONS[repetition])
+    context.hold.client = FakeTaskClient([])
+    context.hold.client.start = lambda order, lease_ms: answer_next(context.answers)
+    order = StartOrder("00000000000000aa.0.0.0", 1)
+    context.outcome = context.hold.start(order, now() + 2.0, 1)
+
+
+def answer_next(answers):
+    answer = answers.pop(0)
+    if isinstance(answer, Exception):
+        raise answer
+    return answer
+
+
+@then('the outcome of the start is "{outcome}"')
+def then_outcome(context, outcome):
+    assert context.outcome.value == outcome, context.outcome
+
+
+@given("an agent that slows a batch run beside a service")
+def given_slowing_agent(context):
+    context.hold = WorkerHold("10.0.0.1:1", 1, lambda: None, Metrics(), FixedPacer(45))
+    context.hold.client = FakeTaskClient([])
+    context.hold.limits["b"] = RunLimits(0.0, True)
+    context.sent, context.failures = [], [CallTimedOut("no answer", "repeat the call")]
+    context.hold.client.pace = lambda task, run, percent: send_pace(context, percent)
+    context.look = Look(5_000, 1.0, [Running("b", 1, figure=3.0)], [])
+
+
+class FixedPacer(FullSpeed):
+    """Always returns the same pace."""
+
+    def __init__(self, percent):
+        super().__init__()
+        self.percent = percent
+
+    def update(self, running, limits, gentle, now):
+        return Pace(self.percent, self.percent)
+
+
+def send_pace(context, percent):
+    context.sent.append((context.now, percent))
+    if context.failures:
+        raise context.failures.pop()
+
+
+@when("a change of pace is not answered and the next one is")
+def when_pace_lost(context):
+    context.now = 100.0
+    with mock.patch.object(agent_worker, "now", lambda: context.now):
+        while context.now < 120.0:
+            context.hold._pace(context.look)
+            gevent.sleep(0)
+            context.now += LOOK_SECONDS
+
+
+@then("the pace is sent again each second for 13 seconds, and not later")
+def then_pace_repeated(context):
+    times = [at for at, percent in context.sent if percent == 45]
+    assert len(times) == len(context.sent)
+    gaps = [later - earlier for earlier, later in pairwise(times)]
+    assert max(gaps) <= 1.0 + 2 * LOOK_SECONDS, times
+    assert 113.0 <= times[-1] <= 113.0 + 1.0 + LOOK_SECONDS, times
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -119,6 +119,12 @@
     When its beat is stored
     Then it schedules the job
 
+  # The answer to the release was lost; the successor claimed, and both started a job accepted then.
+  Scenario: An owner that hands over starts nothing more
+    Given an owner whose last beat was stored 0.1 seconds ago
+    When it is told of a new job while the answer to its release is on its way
+    Then it does not schedule the job
+
   Scenario: An owner learns from a conflict that it was superseded
     Given an owner whose last beat was stored 0.1 seconds ago
     When another entry claims the ownership
@@ -135,3 +141,24 @@
     Given an agent that has acknowledged 7 ends of its worker
     When a look fails and the worker restarts
     Then the next look acknowledges nothing and learns of the new life
+
+  # A run can be over before its start is repeated, and the worker then refuses the repetition; the task
+  # was started again beside or after it (reprise-ops-grown scale-1: two runs of one task).
+  Scenario Outline: A start that was not answered stays unknown when its repetition <repetition>
+    Given an agent whose worker does not answer the first call of a start
+    When the repetition <repetition>
+    Then the outcome of the start is "<outcome>"
+
+    Examples:
+      | repetition         | outcome |
+      | is accepted        | started |
+      | is refused         | unknown |
+      | finds no room      | unknown |
+      | reaches no worker  | unknown |
+
+  # The worker may carry out an unanswered call seconds later, after newer ones, and shows the pace of a
+  # run nowhere; the run then stayed slow although its agent let it go.
+  Scenario: A pace that may have been overtaken by an unanswered one is repeated
+    Given an agent that slows a batch run beside a service
+    When a change of pace is not answered and the next one is
+    Then the pace is sent again each second for 13 seconds, and not later
--- a/src/acaciastand/cluster/agent_worker.py
+++ b/src/acaciastand/cluster/agent_worker.py
@@ -29,10 +29,22 @@
 SILENT_LOOKS = 2  # failed looks in a row after which the worker counts as silent
 TOKEN_STEP = 10_000_000  # added to a token that was refused
 RETRY_PAUSE_SECONDS = 0.05
+LATE_CALL_SECONDS = 13.0  # a call without an answer may take effect up to this much later
+PACE_REPEAT_SECONDS = 1.0  # between two repetitions of a pace that may have been overtaken
 
 logger = logging.getLogger(__name__)
 
 
+class PaceDoubt:
+    """A change of pace without an answer, which may take effect after later ones."""
+
+    __slots__ = ("repeat_at", "until")
+
+    def __init__(self, sent_at: float) -> None:
+        self.repeat_at = sent_at + PACE_REPEAT_SECONDS
+        self.until = sent_at + LATE_CALL_SECONDS
+
+
 class WorkerHold:
     """Runs tasks on one worker for as long as the owner grants.
 
@@ -86,6 +98,7 @@
         self.stored = Event()
         self.limits: dict[str, RunLimits] = {}
         self.paces: dict[tuple[str, int], int] = {}
+        self.pace_doubts: dict[tuple[str, int], PaceDoubt] = {}
         self.known_ends = 0
         self.gentle: frozenset[str] = frozenset()
         self.pace_percent = 100
@@ -187,14 +200,16 @@
         return outcome
 
     def _start(self, order: StartOrder, not_after: float) -> StartOutcome:
+        answered = True
         while now() < min(not_after, self.grant_until):
             try:
                 outcome = self.client.start(order, self._lease_end())
             except CallNotSent:
-                return StartOutcome.REFUSED
+                break
             except TokenRefused:
                 self._raise_token()
             except AcaciastandError as error:
+                answered = False
                 self.metrics.count("worker_calls_failed", "start")
                 logger.warning(
                     "start unanswered",
@@ -202,8 +217,11 @@
                 )
                 gevent.sleep(RETRY_PAUSE_SECONDS)
             else:
-                return outcome
-        return StartOutcome.UNKNOWN
+                if answered or outcome == StartOutcome.STARTED:
+                    return outcome
+                break
+        # After a call without an answer a refusal proves nothing: the run may be over already.
+        return StartOutcome.REFUSED if answered else StartOutcome.UNKNOWN
 
     def stop(self, task: str, run: int, not_after: float) -> bool:
         """Stop a run and return whether the worker has taken the order."""
@@ -309,6 +327,7 @@
         self.pace_percent = pace.disturbing
         running = {(run.task, run.run) for run in look.running}
         self.paces = {key: value for key, value in self.paces.items() if key in running}
+        self.pace_doubts = {k: value for k, value in self.pace_doubts.items() if k in running}
         self.limits = {
             task: value
             for task, value in self.limits.items()
@@ -319,9 +338,21 @@
             if limits is None or not limits.uses_leftover:
                 continue
             percent = pace.gentle if run.task in self.gentle else pace.disturbing
-            if self.paces.get((run.task, run.run), 100) != percent:
+            key = (run.task, run.run)
+            if self.paces.get(key, 100) != percent or self._pace_doubtful(key):
                 gevent.spawn(self._send_pace, run.task, run.run, percent)
-                self.paces[(run.task, run.run)] = percent
+                self.paces[key] = percent
+
+    def _pace_doubtful(self, key: tuple[str, int]) -> bool:
+        """Return whether a call without an answer may have changed the pace since the last one."""
+        doubt = self.pace_doubts.get(key)
+        if doubt is None or now() < doubt.repeat_at:
+            return False
+        if now() >= doubt.until:
+            del self.pace_doubts[key]
+        else:
+            doubt.repeat_at = now() + PACE_REPEAT_SECONDS
+        return True
 
     def _send_pace(self, task: str, run: int, percent: int) -> None:
         try:
@@ -329,4 +360,5 @@
             logger.info("pace set", extra={"task": task, "run": run, "percent": percent})
         except AcaciastandError as error:
             self.paces.pop((task, run), None)  # the next look sends it again
+            self.pace_doubts[(task, run)] = PaceDoubt(now())
             logger.warning("pace not set", extra={"task": task, "error": str(error)})
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -106,6 +106,7 @@
         self.wake = Event()
         self.ready = False
         self.lost = False
+        self.leaving = False
         self.beats = 0
         self.unsure: dict[str, Item] = {}  # learned without a recent beat
         self.greenlets: list[gevent.Greenlet] = []
@@ -127,7 +128,12 @@
         self.metrics.set("owner_epoch", 0)
 
     def release(self) -> None:
-        """Hand over in a planned stop: store what changed and clear the owner key."""
+        """Hand over in a planned stop: store what changed and clear the owner key.
+
+        Nothing is started meanwhile: once the key is cleared another entry may own the jobs, also
+        if the answer to that is lost.
+        """
+        self.leaving = True
         try:
             with gevent.Timeout(1.0, False):
                 while self.scheduler.dirty and self.committer.commit_some():
@@ -146,7 +152,7 @@
         Without a recent beat another owner may have been elected before the job was accepted, and
         it starts such jobs at once; they are kept until the next beat shows that there is none.
         """
-        if now() - self.confirmed_at > SURE_SECONDS:
+        if self.leaving or now() - self.confirmed_at > SURE_SECONDS:
             self.unsure[item.key] = item
             return
         if item.key.startswith(JOBS_PREFIX):
@@ -267,7 +273,7 @@
 
     def _confirmed(self, sent_at: float) -> None:
         self.confirmed_at = sent_at
-        if self.unsure:
+        if self.unsure and not self.leaving:
             unsure, self.unsure = self.unsure, {}
             for item in unsure.values():
                 self.learn(item)
@@ -286,7 +292,7 @@
             self._plan()
 
     def _plan(self) -> None:
-        if self.authority <= 0:
+        if self.leaving or self.authority <= 0:
             return
         for worker in self.scheduler.workers.values():
             worker.reachable = self.links[worker.agent_id].connection is not None
@@ -314,7 +320,7 @@
         worker = self.scheduler.workers[start.agent_id]
         run = start.order.run
         link = self.links[start.agent_id]
-        if self.lost or self.authority <= 0:
+        if self.lost or self.leaving or self.authority <= 0:
             outcome, look = StartOutcome.REFUSED, 0
         else:
             outcome, look = link.start(worker.born_ms, start.order)
