Copy the configuration from one entry at a time, and let batch tasks go that disturb nobody

Change: CatalogCopy takes one compressed copy at a time; interference is learned as headroom (limit divided by tail), which falls evenly with the cores; gentle tasks stand still only for a trial, and the pace of the others rises again below 0.82 of the limit or without any of them.

--- a/features/steps/platform_contract_steps.py
+++ b/features/steps/platform_contract_steps.py
@@ -1,11 +1,10 @@
 """Steps for the contracts of the platform's interfaces."""
 
 import json
-from types import SimpleNamespace
 
 from behave import given, then, when
 
-from acaciastand.cluster.entry import JobEntry
+from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
     CommitConflict,
@@ -16,7 +15,6 @@
 from acaciastand.platform.kv import PlatformStore
 from acaciastand.platform.operator import decode_catalog, decode_job
 from acaciastand.platform.tasks import decode_announcement
-from acaciastand.telemetry.metrics import Metrics
 from acaciastand_standin.platform_store import PlatformStoreStandIn
 
 PAGE_JOB = {
@@ -248,13 +246,13 @@
 
 @given("an entry that uses configuration version {version:d}")
 def given_entry(context, version):
-    context.entry = SimpleNamespace(catalog=None, owner=None, metrics=Metrics(), catalog_bytes=b"")
+    context.entry = CatalogCopy(MemoryTransactionalStore(lambda call: ""), lambda catalog: None)
     offer(context, version)
 
 
 def offer(context, version):
     data = json.dumps({"version": version, "routes": []}).encode()
-    JobEntry._adopt_catalog(context.entry, data, "test")
+    context.entry.adopt(data, "test")
 
 
 @when("it is offered versions 4, 7 and 9")
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -1,6 +1,8 @@
 """Steps for decisions apart from I/O: pace, election, placement beside services."""
 
 import json
+import zlib
+from contextlib import suppress
 from itertools import pairwise, product
 from pathlib import Path
 from unittest import mock
@@ -11,12 +13,14 @@
 
 from acaciastand.cluster import agent_worker
 from acaciastand.cluster.agent_worker import WorkerHold
+from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import OwnershipLost
 from acaciastand.cluster.election import SMALL_HOST_SECONDS, Candidate, Observation
 from acaciastand.cluster.keys import JOBS_PREFIX, OWNER_KEY, OwnerRecord, encode_job
 from acaciastand.cluster.owner import Owner
 from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
+from acaciastand.errors import OutcomeUnknown
 from acaciastand.platform.http import CallNotSent, CallTimedOut
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
@@ -75,6 +79,8 @@
     running = [Running("s", 1, figure=float(tail)), Running("b", 1, figure=3.0)]
     gentle = getattr(context, "gentle", ())
     running += [Running(task, 1, figure=3.0) for task in gentle]
+    if getattr(context, "moved", False):
+        del running[1]
     end = context.now + seconds
     while context.now < end:
         context.pace = context.pacer.update(running, limits, gentle, context.now)
@@ -208,7 +214,7 @@
     return bool(context.world.plan())
 
 
-@given('image "{image}" is known to add {share:f} a core beside the service')
+@given('image "{image}" is known to take {share:f} headroom a core beside the service')
 def given_known(context, image, share):
     context.world.scheduler.interference.known[(image, SERVICE_IMAGE)] = share
 
@@ -257,6 +263,17 @@
     assert context.pace.gentle == 100 and context.pace.disturbing < 50, context.pace
 
 
+@when("the disturbing task has moved and its tail latency is {tail:d} ms for {seconds:f} seconds")
+def when_moved(context, tail, seconds):
+    context.moved = True
+    when_tail(context, tail, seconds)
+
+
+@then("the next disturbing task may work at 100 percent")
+def then_let_go(context):
+    assert context.pace.disturbing == 100, context.pace
+
+
 @then("both tasks stand still")
 def then_both_stand(context):
     assert context.pace == Pace(0, 0), context.pace
@@ -279,10 +296,10 @@
 def then_disturbs(context):
     for batch, service in DISTURBING:
         share = context.interference.per_core(batch, service)
-        assert share is not None and share > 0.12, (batch, service, share)
+        assert share is not None and share > 0.14, (batch, service, share)
 
 
-@then("no other known pair adds more than {limit:f} of the limit a core")
+@then("no other known pair takes more than {limit:f} of the headroom a core")
 def then_others(context, limit):
     images = {name for _, cores in context.measurements for name, _ in cores}
     services = {name for tails, _ in context.measurements for name, _ in tails}
@@ -542,3 +559,51 @@
     gaps = [later - earlier for earlier, later in pairwise(times)]
     assert max(gaps) <= 1.0 + 2 * LOOK_SECONDS, times
     assert 113.0 <= times[-1] <= 113.0 + 1.0 + LOOK_SECONDS, times
+
+
+def stored_catalog(version):
+    return json.dumps({"version": version, "routes": [], "services": []}).encode()
+
+
+@given("an entry with version {version:d} of the configuration")
+def given_copy(context, version):
+    store = MemoryTransactionalStore(lambda call: "")
+    context.copy, context.copies = CatalogCopy(store, lambda catalog: None), 0
+    context.copy.adopt(stored_catalog(version), "store")
+
+
+@when("{count:d} other entries tell it of version {version:d} at once")
+def when_told_of(context, count, version):
+    def call(name, payload, seconds):
+        context.copies += 1
+        gevent.sleep(0.05)
+        return {"zlib": zlib.compress(stored_catalog(version))}
+
+    fetches = [gevent.spawn(context.copy.fetch, version, "e", call) for _ in range(count)]
+    gevent.joinall(fetches, raise_error=True)
+    context.copy.fetch(version, "e", call)
+
+
+@when("an entry that tells it of version {version:d} gives no answer")
+def when_no_answer(context, version):
+    def call(name, payload, seconds):
+        raise OutcomeUnknown("no answer", "repeat the call")
+
+    with suppress(OutcomeUnknown):
+        context.copy.fetch(version, "e", call)
+
+
+@when("another entry sends version {version:d}")
+def when_sent(context, version):
+    context.copy.adopt(stored_catalog(version), "e")
+
+
+@then("{copies:d} copy is made and the entry has version {version:d}")
+def then_copied(context, copies, version):
+    assert context.copies == copies, context.copies
+    assert context.copy.version == version
+
+
+@then("the entry has version {version:d}")
+def then_version(context, version):
+    assert context.copy.version == version
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -60,38 +60,51 @@
     Given the recorded measurements of shared workers
     When they are learned from
     Then batch-4 disturbs service-2, service-3 and service-4, and batch-5 and batch-8 service-3
-    And no other known pair adds more than 0.12 of the limit a core
+    And no other known pair takes more than 0.14 of the headroom a core
 
   Scenario: A batch task that disturbs nobody starts beside services at once
     Given a worker with a service and room for batch tasks
-    And image "print" is known to add 0.0 a core beside the service
+    And image "print" is known to take 0.0 headroom a core beside the service
     When another one started a moment ago
     Then 3 batch tasks of image "print" start at once
 
   Scenario: A batch task that would push a service over its limit waits
     Given a worker with a service and room for batch tasks
-    And image "print" is known to add 0.3 a core beside the service
+    And image "print" is known to take 0.3 headroom a core beside the service
     When the service is far below its limit
     Then no batch task of image "print" starts
 
   Scenario: Batch tasks that disturb nobody leave the free worker to those that do
     Given a worker with a service and room for batch tasks
-    And image "print" is known to add 0.0 a core beside the service
+    And image "print" is known to take 0.0 headroom a core beside the service
     And a worker without services
     Then 2 batch tasks of image "print" start beside the service
     And a batch task of image "other" starts on the worker without services
 
-  Scenario: Only the batch tasks that disturb a service are slowed down
+  Scenario: Only the batch tasks that disturb a service are slowed down near its limit
     Given a service with a limit of 18 ms beside a gentle and a disturbing batch task
-    When its tail latency is 40 ms for 1.0 seconds
+    When its tail latency is 17 ms for 1.0 seconds
     Then the gentle task works at 100 percent and the other at less than 50
 
   # What was learned of a pair may no longer hold; the limit may be crossed for four seconds at most.
-  Scenario: A gentle task is slowed down too when the others stand still
+  Scenario: Gentle tasks stand still for a trial when the others do and the limit is still crossed
     Given a service with a limit of 18 ms beside a gentle and a disturbing batch task
     When its tail latency is 40 ms for 3.2 seconds
     Then both tasks stand still
 
+  # A service near its limit by its own load kept all batch tasks beside it at a stand (reprise-ops-grown
+  # quiet-1: five thousand of nine thousand looks).
+  Scenario: A gentle task goes on when slowing it down does not help
+    Given a service with a limit of 18 ms beside a gentle and a disturbing batch task
+    When its tail latency is 40 ms for 4.9 seconds
+    Then the gentle task works at 100 percent and the other at less than 50
+
+  Scenario: Batch tasks are let go while a service is near its limit without any that disturbs it
+    Given a service with a limit of 18 ms beside a gentle and a disturbing batch task
+    When its tail latency is 40 ms for 1.0 seconds
+    And the disturbing task has moved and its tail latency is 14 ms for 8.0 seconds
+    Then the next disturbing task may work at 100 percent
+
   Scenario Outline: A batch task <verdict> beside a service when <case>
     Given a worker with a service and room for batch tasks
     When <case>
@@ -162,3 +175,18 @@
     Given an agent that slows a batch run beside a service
     When a change of pace is not answered and the next one is
     Then the pace is sent again each second for 13 seconds, and not later
+
+  # Each of eleven entries sent its copy of 1,876 routes at once, which filled links of 10 Mbit/s for
+  # seconds (bmfw-stand-grown trouble-1: refused with 404 as an older version says).
+  Scenario: An entry that is behind copies the configuration from one other entry at a time
+    Given an entry with version 3 of the configuration
+    When 11 other entries tell it of version 5 at once
+    Then 1 copy is made and the entry has version 5
+    When another entry sends version 4
+    Then the entry has version 5
+
+  Scenario: A copy of the configuration that breaks off is made from the next entry
+    Given an entry with version 3 of the configuration
+    When an entry that tells it of version 5 gives no answer
+    And 11 other entries tell it of version 5 at once
+    Then 1 copy is made and the entry has version 5
--- a/src/acaciastand/cluster/agent_worker.py
+++ b/src/acaciastand/cluster/agent_worker.py
@@ -337,8 +337,8 @@
             limits = self.limits.get(run.task)
             if limits is None or not limits.uses_leftover:
                 continue
-            percent = pace.gentle if run.task in self.gentle else pace.disturbing
             key = (run.task, run.run)
+            percent = pace.gentle if run.task in self.gentle else pace.disturbing
             if self.paces.get(key, 100) != percent or self._pace_doubtful(key):
                 gevent.spawn(self._send_pace, run.task, run.run, percent)
                 self.paces[key] = percent
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -13,6 +13,7 @@
 from gevent.pywsgi import WSGIServer
 
 from acaciastand.cluster.callers import CallerSink
+from acaciastand.cluster.catalog_copy import CATALOG, CatalogCopy
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.election import (
     BEAT_SECONDS,
@@ -20,7 +21,7 @@
     Candidate,
     Observation,
 )
-from acaciastand.cluster.intake import CATALOG, NOTICE, PUT, STATE, WAITING, Intake
+from acaciastand.cluster.intake import NOTICE, PUT, STATE, WAITING, Intake
 from acaciastand.cluster.keys import (
     BEAT_KEY,
     CONTROL_PREFIX,
@@ -34,21 +35,14 @@
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
-from acaciastand.coordination.transactions import (
-    HistoryDropped,
-    Item,
-    TransactionalStore,
-)
+from acaciastand.coordination.transactions import Item, TransactionalStore
 from acaciastand.entry.http import CallerServer
 from acaciastand.errors import AcaciastandError, InvalidInput, Refused
-from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
 from acaciastand.workflow.catalog import Catalog
 
-WATCH_SECONDS = 1.0
-CONFIG_SECONDS = 3.0  # a configuration of a megabyte passes a link of 5 Mbit/s in two
 RETRY_SECONDS = 0.15
 MEMBERS_SECONDS = 2.0
 READY_SECONDS = 2.2  # the balancer needs two checks, a second apart, to notice
@@ -76,8 +70,7 @@
         self.settings = settings
         self.store = store
         self.metrics = metrics
-        self.catalog: Catalog | None = None
-        self.catalog_bytes = b""
+        self.configuration = CatalogCopy(store, self._catalog_changed)
         self.owner: Owner | None = None
         self.owner_record: OwnerRecord | None = None
         self.claimed: OwnerRecord | None = None
@@ -92,7 +85,7 @@
             store, lambda: self.owner, self.owner_link, lambda: list(self.peers.values())
         )
         app = falcon.App()
-        app.add_sink(CallerSink(self.intake, lambda: self.catalog, metrics), "/")
+        app.add_sink(CallerSink(self.intake, lambda: self.configuration.catalog, metrics), "/")
         self.http = CallerServer(settings.http_address, app)
         self.ready_server = WSGIServer(split_address(settings.ready_address), self._ready, log=None)
 
@@ -106,7 +99,7 @@
             stack.callback(self.ready_server.stop, 0.0)
             loops = (
                 self._register_forever,
-                self._follow_catalog,
+                self.configuration.follow_forever,
                 self._elect_forever,
                 self._follow_members,
                 self._measure_lag,
@@ -145,7 +138,7 @@
                 gevent.sleep(POLL_SECONDS)
 
     def _ready(self, _environ: dict[str, Any], start_response: Any) -> list[bytes]:
-        ready = not self.stopping and self.catalog is not None
+        ready = not self.stopping and self.configuration.catalog is not None
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
@@ -156,61 +149,18 @@
             gevent.sleep(LAG_SECONDS)
             self.metrics.observe("loop_lag_seconds", max(0.0, now() - began - LAG_SECONDS))
 
-    # Configuration
-
-    def _follow_catalog(self) -> None:
-        position = 0  # 0 until the key was read after the last interruption
-        while True:
-            try:
-                if not position:
-                    position = self._read_catalog()
-                    continue
-                # The whole value comes with the change: a large one fills a thin link for a second.
-                changes = self.store.watch(CONFIG_KEY, position, WATCH_SECONDS)
-                for item in changes.items:
-                    if item.key == CONFIG_KEY:
-                        self._adopt_catalog(item.value, "store")
-                position = changes.revision
-            except HistoryDropped:
-                position = 0
-            except (StoreUnavailable, StoreAnswerLost) as error:
-                logger.debug("configuration not read", extra={"error": str(error)})
-                position = 0
-                gevent.sleep(RETRY_SECONDS)
-
-    def _read_catalog(self) -> int:
-        """Read the configuration and return the revision from which a watch continues."""
-        item = self.store.get(CONFIG_KEY, CONFIG_SECONDS)
-        if item.revision:
-            self._adopt_catalog(item.value, "store")
-        return max(1, item.revision)
-
-    def _adopt_catalog(self, data: bytes, source: str) -> None:
-        try:
-            catalog = decode_catalog(data)
-        except InvalidInput as error:
-            logger.error("configuration ignored", extra={"error": str(error), "source": source})
-            return
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return
-        former = self.catalog.version if self.catalog else None
-        self.catalog = catalog
-        self.catalog_bytes = data
+    def _catalog_changed(self, catalog: Catalog) -> None:
         if self.owner is not None:
             self.owner.scheduler.catalog = catalog
             self.owner.wake.set()
         self.metrics.set("configuration_version", catalog.version)
-        logger.info(
-            "configuration changed",
-            extra={"version": catalog.version, "former": former, "source": source},
-        )
 
     # Election
 
     def _elect_forever(self) -> None:
         while True:
             gevent.sleep(BEAT_SECONDS if self.owner is not None else BEAT_SECONDS / 2)
-            if self.owner is None and not self.stopping and self.catalog is not None:
+            if self.owner is None and not self.stopping and self.configuration.catalog is not None:
                 try:
                     self._elect()
                     self._note_store(None)
@@ -267,7 +217,7 @@
         self.claimed = record
 
     def _begin_term(self, record: OwnerRecord, fence: int, began: float) -> None:
-        assert self.catalog is not None
+        assert self.configuration.catalog is not None
         self.claimed = None
         self.owner_record = record
         owner = Owner(
@@ -276,7 +226,7 @@
             fence,
             began,
             self.candidate.changed_at,
-            self.catalog,
+            self.configuration.catalog,
             self.settings.stop_timeout_ms / 1000,
             self.metrics,
             self._owner_lost,
@@ -341,13 +291,11 @@
         gevent.killall(list(self.peer_greenlets.values()))
 
     def _status(self) -> dict[str, Any]:
-        return {"configuration": self.catalog.version if self.catalog else 0}
+        return {"configuration": self.configuration.version}
 
     def _peer_status(self, link: PeerLink, status: dict[str, Any]) -> None:
         version = int(status.get("configuration", 0))
-        if version > (self.catalog.version if self.catalog else 0):
-            data = link.call(CATALOG, {}, CONFIG_SECONDS).get("data", b"")
-            self._adopt_catalog(bytes(data), link.entry_id)
+        self.configuration.fetch(version, link.entry_id, link.call)
 
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
         return answer_forward(self._call, message)
@@ -355,7 +303,7 @@
     def _call(self, name: str, payload: dict[str, Any]) -> dict[str, Any]:
         calls: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
             PING: lambda _: self._status(),
-            CATALOG: lambda _: {"data": self.catalog_bytes},
+            CATALOG: lambda _: {"zlib": self.configuration.compressed},
             PUT: self._put,
             STATE: self._state,
             NOTICE: self._notice,
--- a/src/acaciastand/cluster/intake.py
+++ b/src/acaciastand/cluster/intake.py
@@ -39,7 +39,6 @@
 STATE = "state"
 NOTICE = "notice"
 WAITING = "waiting"
-CATALOG = "catalog"
 
 logger = logging.getLogger(__name__)
 
--- a/src/acaciastand/platform/kv.py
+++ b/src/acaciastand/platform/kv.py
@@ -78,8 +78,7 @@
             if stale:
                 query["serializable"] = 1
             path = f"/kv-range?{urlencode(query)}"
-            # A page of a megabyte takes two seconds over a link of 5 Mbit/s.
-            page = _body(self._read("list", path, self.read_seconds, per_part=True), "list")
+            page = _body(self._read("list", path, self.read_seconds), "list")
             # Pages are not a snapshot: a watch has to continue from the first of them.
             revision = revision or int(page["storeRevision"])
             items.extend(_item(fields) for fields in page.get("items") or [])
@@ -130,8 +129,9 @@
         self.observe("commit", "done")
         return revision
 
-    def _read(self, call: str, path: str, seconds: float, per_part: bool = False) -> HttpAnswer:
-        answer = self._call("GET", call, path, seconds, per_part=per_part)
+    def _read(self, call: str, path: str, seconds: float) -> HttpAnswer:
+        # A page or value of a megabyte takes two seconds over a link of 5 Mbit/s.
+        answer = self._call("GET", call, path, seconds, per_part=True)
         self.observe(call, "done" if answer.status < 500 else "failed")
         return answer
 
--- a/src/acaciastand/workflow/interference.py
+++ b/src/acaciastand/workflow/interference.py
@@ -1,9 +1,10 @@
-"""How much batch tasks of one image slow services of another, learned from rough measurements.
+"""How much batch tasks of one image disturb services of another, learned from rough measurements.
 
 Tasks of one image behave alike, so what one pair of images shows on one worker holds for all
-workers. A measurement names the tail latency of each service and the cores of each batch task over
-the same half second, and the tail of a service is taken as its own share plus an amount for each
-core of each batch image beside it.
+workers. The tail latency of a service grows out of proportion as the batch tasks beside it take
+what it needs, but its headroom, the latency limit divided by the tail, falls about evenly with each
+core. A measurement names the tail of each service and the cores of each batch task over the same
+half second.
 """
 
 from __future__ import annotations
@@ -20,11 +21,15 @@
 LAST_RATE = 0.05  # the same for a known pair; earlier behaviour fades by this share each time
 KNOWN_CORES = 2.5  # sum of the cores over all measurements, from which on a pair counts as known
 MIN_CORES = 0.1  # fewer cores of an image show nothing
-MAX_TAIL_SHARE = 2.0  # of the limit; tails beyond grow out of proportion to the cores beside them
-OWN_TAIL_SHARE = 0.45  # of the limit, for a service that was not measured alone yet
-OWN_RATE = 0.05  # of the error that the own share of a service takes on
-ALONE_SHARE = 0.06  # of the limit; a service counts as alone while batch images add less each
-GENTLE_SHARE = 0.2  # of the limit; a batch task that adds less does not disturb a service
+MAX_HEADROOM = 2.0  # a tail below half the limit differs by the service's own load alone
+OWN_RATE = 0.05  # of the error that the headroom of a service alone takes on
+ALONE_HEADROOM = 0.1  # a service counts as alone while each batch image takes less
+GENTLE_HEADROOM = 0.2  # a batch task that takes less does not disturb a service
+
+
+def headroom(tail_share: float) -> float:
+    """Return the headroom at a tail latency given as a share of its limit; 1 at the limit."""
+    return min(MAX_HEADROOM, 1.0 / max(tail_share, 1e-3))
 
 
 class Interference(ABC):
@@ -36,25 +41,25 @@
 
     @abstractmethod
     def per_core(self, batch: str, service: str) -> float | None:
-        """Return what a core of image `batch` adds to the tail of image `service`.
+        """Return the headroom that a core of image `batch` takes from image `service`.
 
-        The unit is the share of the service's latency limit; None for an unknown pair.
+        None for an unknown pair.
         """
 
-    def added(self, task: Task, worker: WorkerView) -> float | None:
-        """Return the most that a batch task adds to the tail of any service on a worker."""
+    def taken(self, task: Task, worker: WorkerView) -> float | None:
+        """Return the most headroom that a batch task takes from any service on a worker."""
         worst = 0.0
         for service in worker.serving_images:
-            share = self.per_core(task.step.image, service)
-            if share is None:
+            per_core = self.per_core(task.step.image, service)
+            if per_core is None:
                 return None
-            worst = max(worst, share * task.step.size.cores)
+            worst = max(worst, per_core * task.step.size.cores)
         return worst
 
     def is_gentle(self, task: Task, worker: WorkerView) -> bool:
         """Return whether a batch task is known to disturb no service on a worker."""
-        added = self.added(task, worker)
-        return added is not None and added <= GENTLE_SHARE
+        taken = self.taken(task, worker)
+        return taken is not None and taken <= GENTLE_HEADROOM
 
 
 class UnknownInterference(Interference):
@@ -84,7 +89,7 @@
 
 
 class LearnedInterference(Interference):
-    """Corrects each pair by the error of the sum over all of them (normalised least mean squares).
+    """Corrects all pairs by the error of their sum (normalised least mean squares).
 
     Answers a mix in which some pairs of images get on and others do not: without it, batch tasks
     beside services start one at a time and are slowed down together, whoever is to blame.
@@ -118,15 +123,15 @@
         cores
             Cores that each batch image on the worker had meanwhile.
         """
-        own = self._own.get(service, OWN_TAIL_SHARE)
+        own = self._own.get(service, MAX_HEADROOM)
         pairs = {image: self._pair(image, service) for image in cores}
-        error = min(tail_share, MAX_TAIL_SHARE) - own
-        error -= sum(pair.per_core * cores[image] for image, pair in pairs.items())
-        if all(pair.per_core * cores[image] < ALONE_SHARE for image, pair in pairs.items()):
-            self._own[service] = own + OWN_RATE * error
+        expected = own - sum(pair.per_core * cores[image] for image, pair in pairs.items())
+        missing = expected - headroom(tail_share)
+        if all(pair.per_core * cores[image] < ALONE_HEADROOM for image, pair in pairs.items()):
+            self._own[service] = own - OWN_RATE * missing
         norm = sum(value * value for value in cores.values())
         for image, pair in pairs.items():
-            step = pair.rate * error * cores[image] / norm
+            step = pair.rate * missing * cores[image] / norm
             pair.per_core = max(0.0, pair.per_core + step)
             pair.cores += cores[image]
 
--- a/src/acaciastand/workflow/pacing.py
+++ b/src/acaciastand/workflow/pacing.py
@@ -9,13 +9,17 @@
 from acaciastand.workflow.reports import Running
 
 FULL_PERCENT = 100
-SLOW_AT = 0.9  # share of the latency limit above which the tasks are slowed down
-RELEASE_BELOW = 0.7  # share of the limit below which they are let go again
+OVER_AT = 1.0  # share of the latency limit above which gentle tasks are in doubt too
+SLOW_AT = 0.9  # share above which the tasks are slowed down
+RELEASE_BELOW = 0.82  # share below which they are let go again
 SLOW_FACTOR = 0.45  # of the current share, at each step down
 STOP_PERCENT = 12  # a share below this becomes 0
 RAISE_PERCENT = 15  # added at each step up
 STEP_DOWN_SECONDS = 0.6  # a measurement covers half a second, and a change takes effect in 0.1 s
 STEP_UP_SECONDS = 1.0
+DOUBT_SECONDS = 0.8  # over the limit without others at work, before gentle tasks stand still
+TRIAL_SECONDS = 1.3  # a limit still crossed this long after gentle tasks stood still is not theirs
+ACQUITTED_SECONDS = 6.0  # before gentle tasks stand still again
 
 
 class Pace(Record):
@@ -90,19 +94,36 @@
 
 
 class TailPacer(Pacer):
-    """Halves the share while a service is near its limit, and raises it slowly afterwards.
+    """Slows disturbing tasks down while a service is near its limit, and lets them go afterwards.
 
     Answers a service whose tail latency crosses its limit within seconds because of the tasks
-    beside it. Gentle tasks are slowed down only once the others stand still, since what was learned
-    of them may no longer hold. The fall of both is fast enough to reach zero in six measurements.
+    beside it, and one that is near its limit by its own load, where slowing down helps nobody.
+    Gentle tasks stand still for a trial once the limit is crossed without the others, since what
+    was learned of them may no longer hold; they go on if that does not help.
+
+    Attributes
+    ----------
+    pace
+        Current percentages.
+    changed_at
+        When the disturbing tasks were slowed down or let go last.
+    over_since
+        Since when the limit is crossed with no disturbing task at work; None if it is not.
+    trial_at
+        When gentle tasks were stopped for a trial; None outside of one.
+    acquitted_until
+        Until when gentle tasks are not tried again.
     """
 
-    __slots__ = ("pace", "changed_at")
+    __slots__ = ("pace", "changed_at", "over_since", "trial_at", "acquitted_until")
 
     def __init__(self) -> None:
         super().__init__()
         self.pace = Pace()
         self.changed_at = float("-inf")
+        self.over_since: float | None = None
+        self.trial_at: float | None = None
+        self.acquitted_until = float("-inf")
 
     def update(
         self,
@@ -116,33 +137,38 @@
             (run.figure / limits[run.task].target_ms for run in running if _serves(run, limits)),
             default=0.0,
         )
-        if self.tail_share > SLOW_AT:
-            disturbing = any(_paced(run, limits) and run.task not in gentle for run in running)
-            self._slow_down(disturbing, now)
-        elif self.tail_share < RELEASE_BELOW:
-            self._let_go(now)
+        present = any(_paced(run, limits) and run.task not in gentle for run in running)
+        disturbing = self._disturbing(present, now)
+        calm = self.tail_share <= OVER_AT or (present and disturbing > 0)
+        self.pace = Pace(disturbing, self._gentle(calm, now))
         return self.pace
 
-    def _slow_down(self, disturbing: bool, now: float) -> None:
-        if now - self.changed_at < STEP_DOWN_SECONDS:
-            return
-        pace = self.pace
-        if pace.disturbing and disturbing:
-            self.pace = Pace(_lower(pace.disturbing), pace.gentle)
-        elif pace.gentle:
-            # What was learned of them is wrong, and the limit has been crossed for a while.
-            self.pace = Pace(0, _lower(pace.gentle) if pace.gentle == FULL_PERCENT else 0)
-        self.changed_at = now
-
-    def _let_go(self, now: float) -> None:
-        pace = self.pace
-        if now - self.changed_at < STEP_UP_SECONDS or pace == Pace():
-            return
-        if pace.gentle < FULL_PERCENT:
-            self.pace = Pace(pace.disturbing, _higher(pace.gentle))
-        else:
-            self.pace = Pace(_higher(pace.disturbing), pace.gentle)
-        self.changed_at = now
+    def _disturbing(self, present: bool, now: float) -> int:
+        percent = self.pace.disturbing
+        since = now - self.changed_at
+        if present and self.tail_share > SLOW_AT and since >= STEP_DOWN_SECONDS:
+            self.changed_at = now
+            return _lower(percent)
+        if (not present or self.tail_share < RELEASE_BELOW) and since >= STEP_UP_SECONDS:
+            self.changed_at = now
+            return min(FULL_PERCENT, percent + RAISE_PERCENT)
+        return percent
+
+    def _gentle(self, calm: bool, now: float) -> int:
+        if calm:
+            self.over_since = self.trial_at = None
+            return min(FULL_PERCENT, self.pace.gentle + RAISE_PERCENT)
+        if self.over_since is None:
+            self.over_since = now
+        if self.trial_at is None:
+            if now - self.over_since < DOUBT_SECONDS or now < self.acquitted_until:
+                return self.pace.gentle
+            self.trial_at = now
+        if now - self.trial_at < TRIAL_SECONDS:
+            return 0
+        self.trial_at = None
+        self.acquitted_until = now + ACQUITTED_SECONDS
+        return FULL_PERCENT
 
 
 def _lower(percent: int) -> int:
@@ -150,10 +176,6 @@
     return lower if lower >= STOP_PERCENT else 0
 
 
-def _higher(percent: int) -> int:
-    return min(FULL_PERCENT, percent + RAISE_PERCENT)
-
-
 def _serves(run: Running, limits: Mapping[str, RunLimits]) -> bool:
     return run.task in limits and limits[run.task].target_ms > 0
 
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -6,19 +6,20 @@
 from collections.abc import Sequence
 
 from acaciastand.workflow.interference import (
-    GENTLE_SHARE,
-    OWN_TAIL_SHARE,
+    GENTLE_HEADROOM,
+    MAX_HEADROOM,
     Interference,
     UnknownInterference,
+    headroom,
 )
 from acaciastand.workflow.job import Task, TaskState
-from acaciastand.workflow.pacing import SLOW_AT
 from acaciastand.workflow.worker import WorkerView
 
 LEFTOVER_SHARE = 1.0  # of the unreserved cores that tasks on leftover time may ask for together
 CALM_SHARE = 0.65  # of the latency limit, up to which another batch task may come beside a service
-BEARABLE_SHARE = 0.75  # of the latency limit, that a known batch task may lead to
-UNKNOWN_PER_CORE = 0.1  # of the limit, taken for a recent start of an unknown pair
+MIN_HEADROOM = 1.2  # that a batch task of a known image leaves to a service; 1 is its limit
+GENTLE_MIN_HEADROOM = 0.9  # of all services on a worker that gets a batch task that takes little
+UNKNOWN_PER_CORE = 0.1  # headroom, taken for a recent start of an unknown pair
 SETTLE_SECONDS = 0.8  # a measurement covers half a second and is reported within 0.5 s
 
 
@@ -124,35 +125,33 @@
             return max(candidates, key=lambda w: _reserved_score(task, w), default=None)
         if not starving:
             candidates = [w for w in candidates if has_leftover(task, w)]
-        rated = [(w, self.interference.added(task, w)) for w in candidates]
+        rated = [(w, self.interference.taken(task, w)) for w in candidates]
         if not starving:
-            rated = [(w, added) for w, added in rated if self._bears(task, w, added, now)]
+            rated = [(w, taken) for w, taken in rated if self._bears(task, w, taken, now)]
         best = max(rated, key=lambda row: _leftover_score(task, *row), default=None)
         return best[0] if best else None
 
-    def _bears(self, task: Task, worker: WorkerView, added: float | None, now: float) -> bool:
+    def _bears(self, task: Task, worker: WorkerView, taken: float | None, now: float) -> bool:
         """Return whether the services on a worker bear the task beside them."""
         if not worker.serving_images:
             return True
-        if added is None:
+        if taken is None:
             return calm(worker, now)
-        if added <= GENTLE_SHARE:
-            return worker.tail_share <= SLOW_AT
-        return worker.pace_percent >= 100 and self._expected(task, worker, now) <= BEARABLE_SHARE
-
-    def _expected(self, task: Task, worker: WorkerView, now: float) -> float:
-        """Return the largest tail share on a worker once the task and recent starts show."""
-        recent = [other for other in worker.tasks.values() if _unmeasured(other, now)]
-        worst = 0.0
+        if taken <= GENTLE_HEADROOM:
+            return headroom(worker.tail_share) >= GENTLE_MIN_HEADROOM
+        return worker.pace_percent >= 100 and self._left(task, worker, now) >= MIN_HEADROOM
+
+    def _left(self, task: Task, worker: WorkerView, now: float) -> float:
+        """Return the least headroom on a worker once the task and recent starts show."""
+        added = [task, *(other for other in worker.tasks.values() if _unmeasured(other, now))]
+        least = MAX_HEADROOM
         for service in worker.serving_images:
-            share = worker.tails.get(service, OWN_TAIL_SHARE)
-            for other in (task, *recent):
+            left = headroom(worker.tails.get(service, 0.0))
+            for other in added:
                 per_core = self.interference.per_core(other.step.image, service)
-                share += other.step.size.cores * (
-                    UNKNOWN_PER_CORE if per_core is None else per_core
-                )
-            worst = max(worst, share)
-        return worst
+                left -= other.step.size.cores * (UNKNOWN_PER_CORE if per_core is None else per_core)
+            least = min(least, left)
+        return least
 
 
 def _unmeasured(task: Task, now: float) -> bool:
@@ -169,11 +168,10 @@
     return (not avoided, near, bool(serving), worker.leftover_cores())
 
 
-def _leftover_score(task: Task, worker: WorkerView, added: float | None) -> tuple[float, ...]:
+def _leftover_score(task: Task, worker: WorkerView, taken: float | None) -> tuple[float, ...]:
     near = bool(task.step.data_rack) and worker.rack == task.step.data_rack
     avoided = worker.agent_id == task.avoid
-    gentle = added is not None and added <= GENTLE_SHARE
-    if gentle:
+    if taken is not None and taken <= GENTLE_HEADROOM:
         return (not avoided, near, 0.0, bool(worker.serving_images), worker.leftover_cores())
-    disturbed = worker.serving_cores if added is None else added * worker.serving_cores
+    disturbed = worker.serving_cores if taken is None else taken * worker.serving_cores
     return (not avoided, near, -disturbed, 0.0, worker.leftover_cores())
