Judge a trial of gentle tasks by whether the tail falls, and learn from cores that follow as slowly

Change: a trial has helped if the tail fell by three tenths; its tasks then count as disturbing until they end. The cores that a measurement is learned from follow at the same speed as the tail.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -274,6 +274,12 @@
     assert context.pace.disturbing == 100, context.pace
 
 
+@then("the gentle task is slowed down with the others")
+def then_blamed(context):
+    assert context.pacer.blamed == {"g"}
+    assert context.pace.disturbing < 50, context.pace
+
+
 @then("both tasks stand still")
 def then_both_stand(context):
     assert context.pace == Pace(0, 0), context.pace
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -190,3 +190,12 @@
     When an entry that tells it of version 5 gives no answer
     And 11 other entries tell it of version 5 at once
     Then 1 copy is made and the entry has version 5
+
+  # The tail of a service falls over two seconds; tasks that stood still for less were let go although
+  # they were to blame (reprise-ops-grown quiet-1, trial: over the limit for 4.5 s beside them).
+  Scenario: A gentle task that turns out to disturb is slowed down until it ends
+    Given a service with a limit of 18 ms beside a gentle and a disturbing batch task
+    When the disturbing task has moved and its tail latency is 200 ms for 1.2 seconds
+    And its tail latency is 60 ms for 1.1 seconds
+    And its tail latency is 8 ms for 0.7 seconds
+    Then the gentle task is slowed down with the others
--- a/src/acaciastand/cluster/agent_worker.py
+++ b/src/acaciastand/cluster/agent_worker.py
@@ -338,7 +338,8 @@
             if limits is None or not limits.uses_leftover:
                 continue
             key = (run.task, run.run)
-            percent = pace.gentle if run.task in self.gentle else pace.disturbing
+            gentle = run.task in self.gentle and run.task not in self.pacer.blamed
+            percent = pace.gentle if gentle else pace.disturbing
             if self.paces.get(key, 100) != percent or self._pace_doubtful(key):
                 gevent.spawn(self._send_pace, run.task, run.run, percent)
                 self.paces[key] = percent
--- a/src/acaciastand/workflow/interference.py
+++ b/src/acaciastand/workflow/interference.py
@@ -23,6 +23,7 @@
 MIN_CORES = 0.1  # fewer cores of an image show nothing
 MAX_HEADROOM = 2.0  # a tail below half the limit differs by the service's own load alone
 OWN_RATE = 0.05  # of the error that the headroom of a service alone takes on
+FOLLOW_SHARE = 0.5  # of a change of cores that shows in the tails at the next look
 ALONE_HEADROOM = 0.1  # a service counts as alone while each batch image takes less
 GENTLE_HEADROOM = 0.2  # a batch task that takes less does not disturb a service
 
@@ -98,10 +99,11 @@
     def __init__(self) -> None:
         self._pairs: OrderedDict[tuple[str, str], Pair] = OrderedDict()
         self._own: dict[str, float] = {}
+        self._cores: dict[str, dict[str, float]] = {}
 
     def observe(self, worker: WorkerView) -> None:
         """Learn from each service on the worker."""
-        cores = _batch_cores(worker)
+        cores = self._smoothed(worker.agent_id, _batch_cores(worker))
         for task in worker.tasks.values():
             if task.state == TaskState.RUNNING and task.step.target_ms and task.figure > 0:
                 self.learn(task.step.image, task.figure / task.step.target_ms, cores)
@@ -135,6 +137,18 @@
             pair.per_core = max(0.0, pair.per_core + step)
             pair.cores += cores[image]
 
+    def _smoothed(self, agent_id: str, cores: Mapping[str, float]) -> dict[str, float]:
+        """Return the cores as they show in the tails, which follow them over about a second."""
+        former = self._cores.get(agent_id, {})
+        smoothed = {
+            image: (1.0 - FOLLOW_SHARE) * former.get(image, 0.0)
+            + FOLLOW_SHARE * cores.get(image, 0.0)
+            for image in former.keys() | cores.keys()
+        }
+        kept = {image: value for image, value in smoothed.items() if value >= MIN_CORES}
+        self._cores[agent_id] = kept
+        return kept
+
     def _pair(self, batch: str, service: str) -> Pair:
         pair = self._pairs.setdefault((batch, service), Pair())
         self._pairs.move_to_end((batch, service))
@@ -150,4 +164,4 @@
         if task.step.uses_leftover and task.state == TaskState.RUNNING:
             image = task.step.image
             cores[image] = cores.get(image, 0.0) + task.figure / 1000
-    return {image: value for image, value in cores.items() if value >= MIN_CORES}
+    return cores
--- a/src/acaciastand/workflow/pacing.py
+++ b/src/acaciastand/workflow/pacing.py
@@ -18,7 +18,8 @@
 STEP_DOWN_SECONDS = 0.6  # a measurement covers half a second, and a change takes effect in 0.1 s
 STEP_UP_SECONDS = 1.0
 DOUBT_SECONDS = 0.8  # over the limit without others at work, before gentle tasks stand still
-TRIAL_SECONDS = 1.3  # a limit still crossed this long after gentle tasks stood still is not theirs
+TRIAL_SECONDS = 1.3  # that gentle tasks stand still, until it shows whether they are to blame
+HELPED_FACTOR = 0.7  # on the tail latency, which falls over more than a second, if they are
 ACQUITTED_SECONDS = 6.0  # before gentle tasks stand still again
 
 
@@ -49,12 +50,15 @@
     ----------
     tail_share
         Largest tail latency of a continuous task at the last look, as a share of its limit.
+    blamed
+        Tasks that are slowed down although they were said to be gentle.
     """
 
-    __slots__ = ("tail_share",)
+    __slots__ = ("tail_share", "blamed")
 
     def __init__(self) -> None:
         self.tail_share = 0.0
+        self.blamed: set[str] = set()
 
     @abstractmethod
     def update(
@@ -99,7 +103,8 @@
     Answers a service whose tail latency crosses its limit within seconds because of the tasks
     beside it, and one that is near its limit by its own load, where slowing down helps nobody.
     Gentle tasks stand still for a trial once the limit is crossed without the others, since what
-    was learned of them may no longer hold; they go on if that does not help.
+    was learned of them may no longer hold; if that helps they count as disturbing until they end,
+    else they go on.
 
     Attributes
     ----------
@@ -109,13 +114,20 @@
         When the disturbing tasks were slowed down or let go last.
     over_since
         Since when the limit is crossed with no disturbing task at work; None if it is not.
-    trial_at
-        When gentle tasks were stopped for a trial; None outside of one.
+    trial_at, trial_tail
+        When gentle tasks were stopped for a trial, and the tail then; None outside of one.
     acquitted_until
         Until when gentle tasks are not tried again.
     """
 
-    __slots__ = ("pace", "changed_at", "over_since", "trial_at", "acquitted_until")
+    __slots__ = (
+        "pace",
+        "changed_at",
+        "over_since",
+        "trial_at",
+        "trial_tail",
+        "acquitted_until",
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -123,6 +135,7 @@
         self.changed_at = float("-inf")
         self.over_since: float | None = None
         self.trial_at: float | None = None
+        self.trial_tail = 0.0
         self.acquitted_until = float("-inf")
 
     def update(
@@ -137,12 +150,24 @@
             (run.figure / limits[run.task].target_ms for run in running if _serves(run, limits)),
             default=0.0,
         )
-        present = any(_paced(run, limits) and run.task not in gentle for run in running)
+        batch = {run.task for run in running if _paced(run, limits)}
+        self.blamed &= batch
+        if self._trial_helped(now):
+            self.blamed |= batch
+            self.pace = Pace(0, FULL_PERCENT)
+            self.changed_at = now
+        present = not batch <= (set(gentle) - self.blamed)
         disturbing = self._disturbing(present, now)
         calm = self.tail_share <= OVER_AT or (present and disturbing > 0)
         self.pace = Pace(disturbing, self._gentle(calm, now))
         return self.pace
 
+    def _trial_helped(self, now: float) -> bool:
+        if self.trial_at is None:
+            return False
+        over = now - self.trial_at >= TRIAL_SECONDS or self.tail_share <= OVER_AT
+        return over and self.tail_share <= self.trial_tail * HELPED_FACTOR
+
     def _disturbing(self, present: bool, now: float) -> int:
         percent = self.pace.disturbing
         since = now - self.changed_at
@@ -164,6 +189,7 @@
             if now - self.over_since < DOUBT_SECONDS or now < self.acquitted_until:
                 return self.pace.gentle
             self.trial_at = now
+            self.trial_tail = self.tail_share
         if now - self.trial_at < TRIAL_SECONDS:
             return 0
         self.trial_at = None
