Split the planning of starts and the choice of overdue runs off the scheduler

Change: StartPlanner in starts.py, overdue_runs in overdue.py, runs_that_outlast in moves.py; no change of behaviour is meant.

--- a/src/acaciastand/workflow/moves.py
+++ b/src/acaciastand/workflow/moves.py
@@ -12,6 +12,7 @@
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.worker import WorkerView
 
+DRAIN_MARGIN_SECONDS = 0.7  # kept to stop a run and save its progress before its worker leaves
 SLOWED_PERCENT = 50  # a run at this share or less is moved if there is room elsewhere
 SLOWED_SECONDS = 0.7  # and if it has run for at least this long
 
@@ -68,3 +69,15 @@
         and now - task.started >= SLOWED_SECONDS
         and not interference.is_gentle(task, worker)
     ]
+
+
+def runs_that_outlast(worker: WorkerView, now: float) -> list[Task]:
+    """Return the runs on a leaving worker that cannot end before it leaves."""
+    assert worker.identity is not None
+    left = worker.identity.remaining_seconds - DRAIN_MARGIN_SECONDS
+    return [
+        task
+        for task in worker.tasks.values()
+        if task.state == TaskState.RUNNING
+        and (task.step.continuous or task.step.estimate_seconds - (now - task.started) > left)
+    ]
--- a/src/acaciastand/workflow/overdue.py
+++ b/src/acaciastand/workflow/overdue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 
 from acaciastand.workflow.job import Task, TaskState
+from acaciastand.workflow.worker import WorkerView
 
 FACTOR = 3.0  # on the longest run time that is expected
 SLACK_SECONDS = 2.0
@@ -33,3 +35,22 @@
         ]
         expected = max([task.step.estimate_seconds, *finished])
         return FACTOR ** (1 + task.restarts) * expected + SLACK_SECONDS
+
+
+def overdue_runs(
+    workers: Iterable[WorkerView], policy: OverduePolicy, now: float
+) -> list[tuple[Task, float]]:
+    """Return the runs that have taken longer than their limit, with the limit in seconds.
+
+    Continuous tasks have none, and the time of tasks on leftover time depends on their pace.
+    """
+    found = []
+    for worker in workers:
+        for task in worker.tasks.values():
+            bounded = not task.step.continuous and not task.step.uses_leftover
+            if task.state != TaskState.RUNNING or not bounded:
+                continue
+            limit = policy.limit_seconds(task)
+            if now - task.started > limit:
+                found.append((task, limit))
+    return found
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -7,18 +7,18 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from acaciastand.workflow import set_aside
 from acaciastand.workflow.catalog import Catalog
-from acaciastand.workflow.gang import place_gang
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
 from acaciastand.workflow.limits import FRESH_SECONDS
-from acaciastand.workflow.moves import runs_to_move
+from acaciastand.workflow.moves import runs_that_outlast, runs_to_move
 from acaciastand.workflow.order import LeastSlackFirst, StartOrderPolicy
 from acaciastand.workflow.orders import Decision, Start, Stop
-from acaciastand.workflow.overdue import LongestSibling, OverduePolicy
+from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -28,6 +28,7 @@
     StartOrder,
     StartOutcome,
 )
+from acaciastand.workflow.starts import StartPlanner
 from acaciastand.workflow.worker import WorkerView
 
 STOP_SECONDS = 1.0  # longest stop of a run, unless the settings say otherwise
@@ -37,8 +38,6 @@
 MISSING_LOOKS = 2  # looks in a row without an attempt after which it is asked to stop
 FULL_SECONDS = 0.5  # a worker that rejected a start for room gets no new one for this long
 RETRY_SECONDS = 0.15  # before a task is started again after a refused start
-STARVING_SECONDS = 1.5  # a job of which nothing runs waits for leftover time this long at most
-DRAIN_MARGIN_SECONDS = 0.7  # kept to stop a run and save its progress before its worker leaves
 
 
 class Scheduler:
@@ -61,9 +60,10 @@
         stop_seconds: float = STOP_SECONDS,
         interference: Interference | None = None,
     ) -> None:
-        self.order = order or LeastSlackFirst()
         self.interference = interference or LearnedInterference()
-        self.placement = placement or SeparatingPlacement(self.interference)
+        self.starts = StartPlanner(
+            order or LeastSlackFirst(), placement or SeparatingPlacement(self.interference)
+        )
         self.stop_seconds = stop_seconds
         self.overdue: OverduePolicy = LongestSibling()
         self.catalog = Catalog()
@@ -170,7 +170,8 @@
             worker.measured()
             self.interference.observe(worker)
         if report.identity.draining:
-            self._leave(worker, now)
+            for task in runs_that_outlast(worker, now):
+                self._stop(task, now)
 
     def gentle_tasks(self, worker: WorkerView) -> list[str]:
         """Return the batch tasks on a worker that are known to disturb no service there."""
@@ -238,66 +239,18 @@
             self._check_overdue(now)
             self._move_slowed(now)
         self._repeat_stops(now)
-        starts = self._starts(now, now_unix)
+        starts = self.starts.plan(
+            self.waiting,
+            self.workers.values(),
+            self.catalog,
+            partial(self._start, now),
+            now,
+            now_unix,
+        )
         stops, self.stops = self.stops, []
         return starts, stops
 
-    def _starts(self, now: float, now_unix: float) -> list[Start]:
-        if not self.waiting:
-            return []
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.can_take(now, FRESH_SECONDS) and now >= worker.full_until
-        ]
-        if not workers:
-            return []
-        ranked = []
-        for task in self.waiting.values():
-            queue = self.catalog.by_name(task.job.queue)
-            if queue is not None and now >= task.not_before:
-                ranked.append((self.order.rank(task, queue, now_unix), task, queue))
-        ranked.sort(key=lambda row: row[0])
-        starts = []
-        full: set[tuple[str, int, str]] = set()  # steps of which no further task fits now
-        for _, task, queue in ranked:
-            place = (task.job.job_id, task.name.step, task.avoid)
-            if place in full:
-                continue
-            fitting = [w for w in workers if w.identity and w.identity.service == queue.service]
-            if task.step.gang:
-                full.add(place)  # all of its tasks are placed, or none
-                starts += self._start_gang(task, fitting, now)
-                continue
-            worker = self.placement.choose(task, fitting, now, self._starving(task, now))
-            if worker is None:
-                full.add(place)
-                continue
-            task.job.idle_since = 0.0
-            starts.append(self._start(task, worker, task.run + 1, now))
-        return starts
-
-    def _start_gang(self, task: Task, workers: list[WorkerView], now: float) -> list[Start]:
-        members = task.job.siblings(task)
-        if not all(member.key in self.waiting for member in members):
-            return []
-        chosen = place_gang(members, workers, self.placement, now)
-        if chosen is None:
-            return []
-        run = max(member.run for member in members) + 1
-        pairs = zip(members, chosen, strict=True)
-        return [self._start(member, worker, run, now) for member, worker in pairs]
-
-    def _starving(self, task: Task, now: float) -> bool:
-        """Return whether nothing of a waiting job has run for a while."""
-        job = task.job
-        if not task.step.uses_leftover or not job.idle():
-            job.idle_since = 0.0
-            return False
-        job.idle_since = job.idle_since or now
-        return now - job.idle_since >= STARVING_SECONDS
-
-    def _start(self, task: Task, worker: WorkerView, run: int, now: float) -> Start:
+    def _start(self, now: float, task: Task, worker: WorkerView, run: int) -> Start:
         del self.waiting[task.key]
         task.run = run
         task.state = TaskState.STARTING
@@ -525,23 +478,17 @@
                 self._make_waiting(task, due=True)
 
     def _check_overdue(self, now: float) -> None:
-        for worker in self.workers.values():
-            for task in list(worker.tasks.values()):
-                bounded = not task.step.continuous and not task.step.uses_leftover
-                if task.state != TaskState.RUNNING or not bounded:
-                    continue
-                limit = self.overdue.limit_seconds(task)
-                if now - task.started > limit:
-                    self._note(
-                        "run overdue",
-                        task.key,
-                        run=task.run,
-                        agent=task.agent_id,
-                        limit_s=round(limit, 2),
-                    )
-                    task.avoid = worker.agent_id
-                    task.restarts += 1
-                    self._stop(task, now)
+        for task, limit in overdue_runs(self.workers.values(), self.overdue, now):
+            self._note(
+                "run overdue",
+                task.key,
+                run=task.run,
+                agent=task.agent_id,
+                limit_s=round(limit, 2),
+            )
+            task.avoid = task.agent_id
+            task.restarts += 1
+            self._stop(task, now)
 
     def _move_slowed(self, now: float) -> None:
         workers = [w for w in self.workers.values() if w.can_take(now, FRESH_SECONDS)]
@@ -554,17 +501,6 @@
             self._note("run moved", task.key, run=task.run, agent=task.agent_id, pace=pace)
             self._stop(task, now)
 
-    def _leave(self, worker: WorkerView, now: float) -> None:
-        """Move what cannot end before its worker leaves."""
-        assert worker.identity is not None
-        left = worker.identity.remaining_seconds - DRAIN_MARGIN_SECONDS
-        for task in list(worker.tasks.values()):
-            if task.state != TaskState.RUNNING:
-                continue
-            needed = task.step.estimate_seconds - (now - task.started)
-            if task.step.continuous or needed > left:
-                self._stop(task, now)
-
     def _stop(self, task: Task, now: float) -> None:
         if task.state != TaskState.STOPPING:
             self.events += 1
