--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -15,11 +15,11 @@
 from typing import Any
 
 import gevent
-from gevent import socket
 
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import HttpCaller
 from acaciastand_lab.fault_proxy import FaultProxy
+from acaciastand_lab.processes import free_address
 from acaciastand_standin.platform_store import PlatformStoreStandIn
 from acaciastand_standin.platform_worker import PlatformWorkerStandIn, Run
 
@@ -237,13 +237,6 @@
     return json.dumps(fields).encode()
 
 
-def free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def broken_promises(history: list[Run], now: float) -> list[str]:
     """Return where tasks ran twice at the same time, or again after a noted end.
 
--- a/src/acaciastand_lab/processes.py
+++ b/src/acaciastand_lab/processes.py
@@ -75,11 +75,21 @@
     return call(method, url, body, {"Content-Type": "application/json", **names})
 
 
+def own_loopback() -> str:
+    """Return a loopback address that other runs do not use.
+
+    Outgoing connections have 127.0.0.1 as their source, and take ports of it at any moment.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid // 64_516 % 250}.{1 + pid // 254 % 254}.{1 + pid % 254}"
+
+
 def free_address() -> str:
-    """Return an ``ip:port`` on loopback that was free a moment ago."""
+    """Return an ``ip:port`` on a loopback address of this run, with a free port."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+        sock.bind((own_loopback(), 0))
+        host, port = sock.getsockname()
+        return f"{host}:{port}"
 
 
 def wait_until(
