Log and explain a refusal that the store gate decided

Cause: a submission refused without a try left no line with its id but the answer, and explain named a missing configuration as its cause. Change: the line 'store known to be away' with the failed writes; explain knows it.

--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -10,7 +10,7 @@
 from acaciastand.programs.explain import cause, lines_of
 from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
 
-A, B, C = "a" * 16, "b" * 16, "c" * 16
+A, B, C, E = "a" * 16, "b" * 16, "c" * 16, "e" * 16
 LINES = (
     {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
     {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
@@ -23,6 +23,13 @@
         "error": "the store answered 503 to commit",
     },
     {"time": "6", "message": "answered", "job": B, "method": "POST", "status": "503"},
+    {
+        "time": "8",
+        "message": "store known to be away",
+        "key": f"inbox/jobs/{E}",
+        "error": "4 writes in a row failed",
+    },
+    {"time": "9", "message": "answered", "job": E, "method": "POST", "status": "503"},
     {"time": "7", "message": "answered", "job": C, "method": "POST", "status": "200"},
 )
 
--- a/src/acaciastand/cluster/intake.py
+++ b/src/acaciastand/cluster/intake.py
@@ -173,6 +173,9 @@
                     tried = True
                 except StoreUnavailable as error:
                     logger.info("store turned away", extra={"key": key, "error": str(error)})
+            else:
+                failed = f"{self.gate.failures} writes in a row failed"
+                logger.info("store known to be away", extra={"key": key, "error": failed})
             for link in self._helpers():
                 try:
                     return self._notify(Item(key, value, self._put_through(link, key, value)))
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -74,8 +74,11 @@
 )
 
 
+REFUSALS = ("store turned away", "store known to be away", "commit unanswered", "peer cannot store")
+
+
 def _cause_of_refusal(status: str, found: list[LogLine]) -> str:
-    for message in ("store turned away", "commit unanswered", "peer cannot store"):
+    for message in REFUSALS:
         line = _last(found, message)
         if line is not None:
             return f"answered with {status}: {message}: {line.content.get('error', '')}"
