Never hand out an address of the lab twice

Cause: free_address closes the port that it found, and the kernel may offer it again before its process listens, so two processes of a deployment get one address. Ruled out: outgoing connections that take a port; they have 127.0.0.1 as their source, and runs have listened on addresses of their own since.

--- a/features/harness.feature
+++ b/features/harness.feature
@@ -33,3 +33,6 @@
       | gone       |
       | slow       |
       | overload   |
+
+  Scenario: No address is handed out twice to the processes of one run
+    Then 2000 free addresses of one run are all different
--- a/features/steps/harness_steps.py
+++ b/features/steps/harness_steps.py
@@ -20,6 +20,7 @@
 from acaciastand_lab.harness.figures import check_executions, worst_added_share
 from acaciastand_lab.harness.host import PairSlowdown
 from acaciastand_lab.harness.served import Options, ServedSystem
+from acaciastand_lab.processes import free_address
 
 
 @then("calls planned at 3, 1, 2 and a task that sleeps 2.5 run in order")
@@ -133,3 +134,10 @@
     assert any(result.outcome == "answered" for result in results)
     assert max(len(agent.target.active) for agent in system.agents) == 0, "all requests ended"
     assert run_system(fault)[1] == results
+
+
+@then("{count:d} free addresses of one run are all different")
+def step_free_addresses(context, count):
+    # Two processes with one port: the second cannot listen and the deployment never gets ready.
+    addresses = [free_address() for _ in range(count)]
+    assert len(set(addresses)) == count, f"{count - len(set(addresses))} handed out again"
--- a/src/acaciastand_lab/processes.py
+++ b/src/acaciastand_lab/processes.py
@@ -16,6 +16,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections import deque
 from collections.abc import Callable
 from contextlib import ExitStack
 from functools import partial
@@ -28,6 +29,9 @@
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
 STOP_SECONDS = 15.0  # a planned stop that takes longer is ended by SIGKILL and reported
+REMEMBERED_ADDRESSES = 4096  # several deployments; a sixth of the ports that the kernel offers
+
+_handed_out: deque[str] = deque(maxlen=REMEMBERED_ADDRESSES)
 
 
 class Answer(Record):
@@ -85,11 +89,19 @@
 
 
 def free_address() -> str:
-    """Return an ``ip:port`` on a loopback address of this run, with a free port."""
-    with socket.socket() as sock:
-        sock.bind((own_loopback(), 0))
-        host, port = sock.getsockname()
-        return f"{host}:{port}"
+    """Return an ``ip:port`` on a loopback address of this run, with a free port.
+
+    The kernel may offer a port again as soon as it is closed, although the process that it was
+    meant for has not begun to listen; such a port is passed over.
+    """
+    while True:
+        with socket.socket() as sock:
+            sock.bind((own_loopback(), 0))
+            host, port = sock.getsockname()
+        address = f"{host}:{port}"
+        if address not in _handed_out:
+            _handed_out.append(address)
+            return address
 
 
 def wait_until(
