Make store calls through another entry while the store turns this one away

Besides, an entry that was turned away before it had read the list of entries knew no peer at all.

Change: RelayedStore passes reads, watches and commits on to a peer when the store does not take them; intake and owner use it. A commit without an answer is repeated through a peer; entries that could not help are asked last. The gate moves there from the intake. Pings carry id and address of the sender and the owner that it follows.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -35,6 +35,16 @@
     Then the jobs are "completed" within 30 seconds at every entry
     And no promise is broken
 
+  # Incident inc-d41b: another entry took over after 2.1 s, in which nothing was shown as completed.
+  Scenario: An owner that the store turns away keeps the jobs through another entry
+    Given a site of 2 entries and 2 agents
+    When 2 jobs of 2 tasks of 0.2 seconds are submitted
+    And the store turns the owner away
+    And 6 jobs of 2 tasks of 0.2 seconds are submitted
+    Then the jobs are "completed" within 4 seconds at every entry
+    And the owner is the same after 3 seconds
+    And no promise is broken
+
   Scenario: A cancelled job stops and stays cancelled
     Given a site of 2 entries and 2 agents
     When 1 jobs of 2 tasks of 60.0 seconds are submitted
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -59,6 +59,19 @@
     context.site.signal(context.killed, signal.SIGKILL)
 
 
+@when("the store turns the owner away")
+def when_owner_turned_away(context):
+    context.site.wait(context.site.owner)
+    context.turned_away = context.site.owner()
+    context.site.store_access[context.turned_away].turned_away = True
+
+
+@then("the owner is the same after {seconds:d} seconds")
+def then_same_owner(context, seconds):
+    gevent.sleep(seconds)  # longer than the silence after which another entry claims
+    assert context.site.owner() == context.turned_away, context.site.owner()
+
+
 @when("every process is killed and started again")
 def when_all_killed(context):
     for name in list(context.site.processes):
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -19,6 +19,7 @@
 from acaciastand.cluster.intake import Intake, Unavailable
 from acaciastand.cluster.keys import JOBS_PREFIX, OWNER_KEY, OwnerRecord, encode_job
 from acaciastand.cluster.owner import Owner
+from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.coordination.store import StoreAnswerLost
 from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
 from acaciastand.errors import AcaciastandError, OutcomeUnknown
@@ -397,7 +398,8 @@
         return commit(*arguments)
 
     store.commit = commit_or_not
-    context.intake = Intake(store, lambda: None, lambda: None, list)
+    context.relayed = RelayedStore(store, list, Metrics())
+    context.intake = Intake(context.relayed, lambda: None, lambda: None)
 
 
 def submit(context, seconds=1.0):
@@ -415,14 +417,14 @@
 @when("{count:d} writes were not answered")
 def when_unanswered(context, count):
     for _ in range(count):
-        context.intake.gate.admits(now())
-        context.intake.gate.failed()
+        context.relayed.gate.admits(now())
+        context.relayed.gate.failed()
 
 
 @when("{count:d} writes were not answered and one is")
 def when_answered(context, count):
     when_unanswered(context, count)
-    context.intake.gate.succeeded()
+    context.relayed.gate.succeeded()
 
 
 @when("a job is submitted with a deadline of {seconds:f} seconds")
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -21,7 +21,7 @@
     Candidate,
     Observation,
 )
-from acaciastand.cluster.intake import NOTICE, PUT, STATE, WAITING, Intake
+from acaciastand.cluster.intake import NOTICE, STATE, WAITING, Intake
 from acaciastand.cluster.keys import (
     BEAT_KEY,
     CONTROL_PREFIX,
@@ -34,6 +34,7 @@
 from acaciastand.cluster.owner import Owner, claim
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
+from acaciastand.cluster.store_relay import COMMIT, READ, WATCH, RelayedStore
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import Item, TransactionalStore
 from acaciastand.entry.http import CallerServer
@@ -81,9 +82,8 @@
         self.stopping = False
         self.stopped = Event()
         self.listener = Listener(settings.peer_address, self._handle)
-        self.intake = Intake(
-            store, lambda: self.owner, self.owner_link, lambda: list(self.peers.values())
-        )
+        self.relayed = RelayedStore(store, lambda: list(self.peers.values()), metrics)
+        self.intake = Intake(self.relayed, lambda: self.owner, self.owner_link)
         app = falcon.App()
         app.add_sink(CallerSink(self.intake, lambda: self.configuration.catalog, metrics), "/")
         self.http = CallerServer(settings.http_address, app)
@@ -221,7 +221,7 @@
         self.claimed = None
         self.owner_record = record
         owner = Owner(
-            self.store,
+            self.relayed,
             record,
             fence,
             began,
@@ -256,6 +256,13 @@
                 },
             )
 
+    def _told_owner(self, record: OwnerRecord) -> None:
+        """Follow the owner that another entry sees while the store turns this one away."""
+        epoch = self.owner_record.epoch if self.owner_record else 0
+        if self.election_stalled_at is not None and self.owner is None and record.epoch > epoch:
+            self.owner_record = record
+            logger.info("owner told", extra={"owner": record.entry_id, "epoch": record.epoch})
+
     # Other entries
 
     def _register_forever(self) -> None:
@@ -272,12 +279,11 @@
                 gevent.sleep(RETRY_SECONDS)
                 continue
             for item in listing.items:
-                self._add_peer(item)
+                entry_id = item.key[len(ENTRIES_PREFIX) :]
+                self._add_peer(entry_id, str(decode_fields(item.value)[0]))
             gevent.sleep(MEMBERS_SECONDS)
 
-    def _add_peer(self, item: Item) -> None:
-        entry_id = item.key[len(ENTRIES_PREFIX) :]
-        address = str(decode_fields(item.value)[0])
+    def _add_peer(self, entry_id: str, address: str) -> None:
         if entry_id == self.settings.entry_id:
             return
         if entry_id in self.peers:
@@ -291,10 +297,22 @@
         gevent.killall(list(self.peer_greenlets.values()))
 
     def _status(self) -> dict[str, Any]:
-        return {"configuration": self.configuration.version}
+        return {
+            "entry_id": self.settings.entry_id,
+            "address": self.settings.dialled_address,
+            "configuration": self.configuration.version,
+            "owner": self.owner_record.encode() if self.owner_record else b"",
+        }
+
+    def _pinged(self, status: dict[str, Any]) -> dict[str, Any]:
+        """Dial back: an entry that the store turns away cannot read who the others are."""
+        self._add_peer(str(status["entry_id"]), str(status["address"]))
+        return self._status()
 
     def _peer_status(self, link: PeerLink, status: dict[str, Any]) -> None:
         version = int(status.get("configuration", 0))
+        if status.get("owner"):
+            self._told_owner(OwnerRecord.decode(bytes(status["owner"])))
         self.configuration.fetch(version, link.entry_id, link.call)
 
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
@@ -302,9 +320,11 @@
 
     def _call(self, name: str, payload: dict[str, Any]) -> dict[str, Any]:
         calls: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
-            PING: lambda _: self._status(),
+            PING: self._pinged,
             CATALOG: lambda _: {"zlib": self.configuration.compressed},
-            PUT: self._put,
+            READ: lambda asked: self.relayed.answer(READ, asked),
+            WATCH: lambda asked: self.relayed.answer(WATCH, asked),
+            COMMIT: lambda asked: self.relayed.answer(COMMIT, asked),
             STATE: self._state,
             NOTICE: self._notice,
             WAITING: lambda _: self._owning().scheduler.count_waiting(),
@@ -318,10 +338,6 @@
             raise Refused("this entry does not own the jobs", "ask the owner")
         return self.owner
 
-    def _put(self, payload: dict[str, Any]) -> dict[str, Any]:
-        key, value = str(payload["key"]), bytes(payload["value"])
-        return {"revision": self.intake.put_here(key, value, 0.6)}
-
     def _state(self, payload: dict[str, Any]) -> dict[str, Any]:
         state = self._owning().state_of(str(payload["job_id"]))
         return {"state": state.value if state else ""}
--- a/src/acaciastand/cluster/intake.py
+++ b/src/acaciastand/cluster/intake.py
@@ -24,7 +24,6 @@
 )
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PeerLink
-from acaciastand.cluster.store_gate import StoreGate
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import CommitConflict, Item, TransactionalStore
 from acaciastand.errors import AcaciastandError, NotFound, OutcomeUnknown, Refused
@@ -32,12 +31,10 @@
 from acaciastand.workflow.spec import WorkflowSpec
 
 RETRY_SECONDS = 0.08
-PEER_SECONDS = 0.8  # for a call that another entry makes in place of this one
 OWNER_SECONDS = 0.5  # for an answer of the owner, before the store is read instead
 RETRY_AFTER_SECONDS = 1  # an outage of the store may end at any moment; whole, as HTTP has it
-UNKNOWN_SECONDS = 1.3  # two commits; then the caller learns that the outcome is not known
+UNKNOWN_SECONDS = 1.3  # a commit here and one through a peer, before the caller is told
 
-PUT = "put"
 STATE = "state"
 NOTICE = "notice"
 WAITING = "waiting"
@@ -67,8 +64,6 @@
         Returns the term of ownership of this entry, or None.
     owner_link
         Returns the connection to the owner, or None.
-    peers
-        Returns the connections to all other entries.
     """
 
     def __init__(
@@ -76,13 +71,10 @@
         store: TransactionalStore,
         owner: Callable[[], Owner | None],
         owner_link: Callable[[], PeerLink | None],
-        peers: Callable[[], list[PeerLink]],
     ) -> None:
         self.store = store
         self.owner = owner
         self.owner_link = owner_link
-        self.peers = peers
-        self.gate = StoreGate()
         self.waiting: dict[str, int] = {}
         self.waiting_at = float("-inf")
 
@@ -146,12 +138,6 @@
             self._refresh_waiting()
         return self.waiting.get(queue, 0)
 
-    def put_here(self, key: str, value: bytes, seconds: float) -> int:
-        """Write for another entry; returns the revision."""
-        if not self.gate.admits(now()):
-            raise Unavailable("the store cannot be reached", "try another entry")
-        return self._put_until(key, value, now() + seconds)
-
     def _refresh_waiting(self) -> None:
         link = self.owner_link()
         if link is None:
@@ -163,68 +149,27 @@
             logger.info("waiting jobs not counted", extra={"error": str(error)})
 
     def _put(self, key: str, value: bytes, deadline: float) -> None:
+        """Create a key and tell the owner; an existing one is a success."""
         deadline = min(deadline, now() + UNKNOWN_SECONDS)
         tried = False
-        while True:
-            if self.gate.admits(now()):
-                try:
-                    return self._notify(Item(key, value, self._put_until(key, value, deadline)))
-                except OutcomeUnknown:
-                    tried = True
-                except StoreUnavailable as error:
-                    logger.info("store turned away", extra={"key": key, "error": str(error)})
-            else:
-                failed = f"{self.gate.failures} writes in a row failed"
-                logger.info("store known to be away", extra={"key": key, "error": failed})
-            for link in self._helpers():
-                try:
-                    return self._notify(Item(key, value, self._put_through(link, key, value)))
-                except OutcomeUnknown:
-                    tried = True
-                except AcaciastandError as error:
-                    logger.info("peer cannot store", extra={"key": key, "error": str(error)})
-            if not tried:
-                raise Unavailable("the store cannot be reached", "send the job again")
-            if now() + RETRY_SECONDS >= deadline:
-                raise OutcomeUnknown("the outcome of the write is not known", "send it again")
-            gevent.sleep(RETRY_SECONDS)
-
-    def _put_through(self, link: PeerLink, key: str, value: bytes) -> int:
-        result = link.call(PUT, {"key": key, "value": value}, PEER_SECONDS)
-        return int(result["revision"])
-
-    def _helpers(self) -> list[PeerLink]:
-        return [link for link in self.peers() if link.connection is not None][:2]
-
-    def _put_until(self, key: str, value: bytes, deadline: float) -> int:
-        """Create a key; an existing one is a success.
-
-        Raises
-        ------
-        StoreUnavailable
-            Nothing was done.
-        OutcomeUnknown
-            It may have been done.
-        """
-        tried = False
         while True:
             try:
                 revision = self.store.commit({key: 0}, {key: value})
-                self.gate.succeeded()
-                return revision
             except CommitConflict as conflict:
-                self.gate.succeeded()
-                return conflict.current[key].revision
+                revision = conflict.current[key].revision
             except StoreAnswerLost as error:
                 tried = True
-                self.gate.failed()
+                revision = 0
                 logger.info("commit unanswered", extra={"key": key, "error": str(error)})
-            except StoreUnavailable:
-                self.gate.failed()
+            except StoreUnavailable as error:
+                revision = 0
+                logger.info("store turned away", extra={"key": key, "error": str(error)})
                 if not tried:
-                    raise
+                    raise Unavailable("the store cannot be reached", "send it again") from error
+            if revision:
+                return self._notify(Item(key, value, revision))
             if now() + RETRY_SECONDS >= deadline:
-                raise OutcomeUnknown("the write was not answered", "send it again")
+                raise OutcomeUnknown("the outcome of the write is not known", "send it again")
             gevent.sleep(RETRY_SECONDS)
 
     def _notify(self, item: Item) -> None:
--- /dev/null
+++ b/src/acaciastand/cluster/store_relay.py
@@ -0,0 +1,214 @@
+"""The store as an entry reaches it: by itself, or through another entry that is served.
+
+The platform's store may turn one host away for seconds while it serves the others. An entry that
+owns the jobs keeps them then, since its beats and commits arrive through its peers.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, TypeVar
+
+from acaciastand.cluster.clock import now
+from acaciastand.cluster.peers import PeerLink
+from acaciastand.cluster.store_gate import StoreGate
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
+from acaciastand.coordination.transactions import (
+    Changes,
+    CommitConflict,
+    HistoryDropped,
+    Item,
+    Listing,
+    TransactionalStore,
+)
+from acaciastand.errors import AcaciastandError, OutcomeUnknown
+from acaciastand.telemetry.metrics import Metrics
+
+READ = "store_read"  # calls that one entry makes for another
+WATCH = "store_watch"
+COMMIT = "store_commit"
+CALL_SECONDS = 0.7  # beyond the half second that the other entry waits for the store
+MAX_HELPERS = 2  # entries that are asked in turn; a store that is down answers none of them
+
+logger = logging.getLogger(__name__)
+
+Result = TypeVar("Result")
+
+
+class RelayedStore(TransactionalStore):
+    """Passes calls to the store, and through another entry while the store turns them away.
+
+    A commit without an answer is repeated through another entry, so that a conflict may show the
+    effect of the very commit that raises it.
+
+    Parameters
+    ----------
+    direct
+        The store as this host reaches it.
+    peers
+        Returns the connections to all other entries.
+    """
+
+    def __init__(
+        self,
+        direct: TransactionalStore,
+        peers: Callable[[], list[PeerLink]],
+        metrics: Metrics,
+    ) -> None:
+        self.direct = direct
+        self.peers = peers
+        self.metrics = metrics
+        self.gate = StoreGate()
+        self.failed_at: dict[str, float] = {}  # when entries last failed to make a call
+
+    # Calls of this entry
+
+    def get(self, key: str, seconds: float | None = None) -> Item:
+        """Return the item at `key`."""
+        return self._read(
+            lambda: self.direct.get(key, seconds),
+            lambda link: _item(link.call(READ, {"key": key}, CALL_SECONDS)["item"]),
+        )
+
+    def list(self, prefix: str, stale: bool = False) -> Listing:
+        """Return all items below `prefix`, which only this host itself asks for."""
+        return self.direct.list(prefix, stale)
+
+    def watch(self, prefix: str, after: int, wait_seconds: float) -> Changes:
+        """Wait for changes below `prefix`."""
+        payload = {"prefix": prefix, "after": after, "wait": wait_seconds}
+        return self._read(
+            lambda: self.direct.watch(prefix, after, wait_seconds),
+            lambda link: _changes(link.call(WATCH, payload, wait_seconds + CALL_SECONDS), after),
+        )
+
+    def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        removes: Sequence[str] = (),
+    ) -> int:
+        """Write and remove keys under conditions.
+
+        Raises
+        ------
+        StoreUnavailable
+            Nothing was written, here or by a peer.
+        """
+        lost: AcaciastandError | None = None
+        try:
+            return self.commit_here(expected, puts, removes)
+        except StoreAnswerLost as error:
+            lost = error
+        except StoreUnavailable as error:
+            logger.debug("store turned away", extra={"error": str(error)})
+        payload = {"expected": dict(expected), "puts": dict(puts), "removes": list(removes)}
+        for link in self._helpers():
+            try:
+                reply = link.call(COMMIT, payload, CALL_SECONDS)
+            except AcaciastandError as error:
+                lost = error if isinstance(error, OutcomeUnknown) else lost
+                self._not_relayed(COMMIT, link, error)
+                continue
+            self.failed_at.pop(link.entry_id, None)
+            return _revision(reply)
+        if lost is not None:
+            raise StoreAnswerLost(f"no answer to a commit: {lost.message}", "read the keys")
+        raise StoreUnavailable("neither this entry nor a peer reaches the store", "try again later")
+
+    # Calls for other entries
+
+    def answer(self, name: str, payload: dict[str, Any]) -> dict[str, Any]:
+        """Make the call of another entry and return the reply to it.
+
+        Raises
+        ------
+        StoreUnavailable
+            Nothing was done.
+        StoreAnswerLost
+            The commit may have been done.
+        """
+        if name == COMMIT:
+            return self._answer_commit(payload)
+        if name == READ:
+            return {"item": list(self.direct.get(str(payload["key"])).values())}
+        try:
+            prefix, after = str(payload["prefix"]), int(payload["after"])
+            changes = self.direct.watch(prefix, after, float(payload["wait"]))
+        except HistoryDropped:
+            return {"dropped": True}
+        rows = [list(item.values()) for item in changes.items]
+        return {"items": rows, "deleted": changes.deleted, "revision": changes.revision}
+
+    def commit_here(
+        self,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        removes: Sequence[str] = (),
+    ) -> int:
+        """Commit from this host, unless what was tried before shows that it is in vain."""
+        if not self.gate.admits(now()):
+            raise StoreUnavailable(
+                f"the store did not answer the last {self.gate.failures} commits", "try again later"
+            )
+        try:
+            revision = self.direct.commit(expected, puts, removes)
+        except (StoreAnswerLost, StoreUnavailable):
+            self.gate.failed()
+            raise
+        except CommitConflict:
+            self.gate.succeeded()
+            raise
+        self.gate.succeeded()
+        return revision
+
+    def _answer_commit(self, payload: dict[str, Any]) -> dict[str, Any]:
+        try:
+            revision = self.commit_here(payload["expected"], payload["puts"], payload["removes"])
+        except CommitConflict as conflict:
+            return {"conflict": [list(item.values()) for item in conflict.current.values()]}
+        return {"revision": revision}
+
+    def _read(self, direct: Callable[[], Result], relayed: Callable[[PeerLink], Result]) -> Result:
+        failed: StoreUnavailable
+        try:
+            return direct()
+        except StoreUnavailable as error:
+            failed = error
+        for link in self._helpers():
+            try:
+                return relayed(link)
+            except HistoryDropped:
+                raise
+            except AcaciastandError as error:
+                self._not_relayed(READ, link, error)
+        raise failed
+
+    def _helpers(self) -> Sequence[PeerLink]:
+        """Return the entries to ask, those first that have not failed or failed longest ago."""
+        links = [link for link in self.peers() if link.connection is not None]
+        links.sort(key=lambda link: self.failed_at.get(link.entry_id, float("-inf")))
+        return links[:MAX_HELPERS]
+
+    def _not_relayed(self, call: str, link: PeerLink, error: AcaciastandError) -> None:
+        self.failed_at[link.entry_id] = now()
+        self.metrics.count("store_relay_failed", call)
+        logger.debug("not relayed", extra={"entry_id": link.entry_id, "error": str(error)})
+
+
+def _item(row: Sequence[Any]) -> Item:
+    return Item(str(row[0]), bytes(row[1]), int(row[2]))
+
+
+def _changes(reply: dict[str, Any], after: int) -> Changes:
+    if reply.get("dropped"):
+        raise HistoryDropped(after)
+    items = [_item(row) for row in reply["items"]]
+    return Changes(items, list(reply["deleted"]), int(reply["revision"]))
+
+
+def _revision(reply: dict[str, Any]) -> int:
+    if "conflict" in reply:
+        raise CommitConflict([_item(row) for row in reply["conflict"]])
+    return int(reply["revision"])
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -20,7 +20,7 @@
 from acaciastand.platform.http import HttpCaller
 from acaciastand_lab.fault_proxy import FaultProxy
 from acaciastand_lab.processes import free_address
-from acaciastand_standin.platform_store import PlatformStoreStandIn
+from acaciastand_standin.platform_store import PlatformStoreStandIn, StoreAccess
 from acaciastand_standin.platform_worker import PlatformWorkerStandIn, Run
 
 HOST = "desk.example"
@@ -55,6 +55,7 @@
         self.settings: dict[str, Path] = {}
         self.callers: dict[str, str] = {}
         self.workers: list[PlatformWorkerStandIn] = []
+        self.store_access: dict[str, StoreAccess] = {}  # of the entries
         self.with_proxies = proxies
         self.proxies: list[FaultProxy] = []
         self.stack.callback(self._end_processes)
@@ -176,6 +177,7 @@
 
     def _add_entry(self, name: str) -> None:
         self.callers[name] = free_address()
+        self.store_access[name] = self.store.add_access()
         peer = free_address()
         self._write_settings(
             name,
@@ -185,7 +187,7 @@
             ready_address=free_address(),
             peer_address=peer,
             advertised_address=self._behind_proxy(peer),
-            store_url=f"http://{self._behind_proxy(self.store.address)}",
+            store_url=f"http://{self._behind_proxy(self.store_access[name].address)}",
             stop_timeout_ms=STOP_TIMEOUT_MS,
         )
 
--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -26,6 +26,35 @@
 WATCH_POLL_SECONDS = 0.02
 
 
+class StoreAccess:
+    """An address of the store for one host, which the store can turn away.
+
+    Attributes
+    ----------
+    turned_away
+        Whether every call at this address is answered with 503.
+    """
+
+    def __init__(self, store: PlatformStoreStandIn, address: str = "127.0.0.1:0") -> None:
+        self.store = store
+        self.turned_away = False
+        self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
+
+    @property
+    def address(self) -> str:
+        """Address that the server is bound to."""
+        return f"{self.server.server_host}:{self.server.server_port}"
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        if self.turned_away:
+            return _answer(start_response, 503, {})
+        answer = self.store.serve(environ, start_response)
+        # A waiting watch is cut when the host is turned away meanwhile.
+        if self.turned_away:
+            raise GreenletExit
+        return answer
+
+
 class PlatformStoreStandIn:
     """Serves the store's calls.
 
@@ -47,26 +76,36 @@
         self.random = random.Random(seed)
         self.changed = Event()
         self.calls = 0
-        self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
+        self.common = StoreAccess(self, address)
+        self.accesses = [self.common]
 
     @property
     def address(self) -> str:
-        """Address that the server is bound to."""
-        return f"{self.server.server_host}:{self.server.server_port}"
+        """Address for all hosts that have none of their own."""
+        return self.common.address
 
     def start(self) -> None:
         """Bind and serve."""
-        self.server.start()
+        self.common.server.start()
 
     def stop(self) -> None:
         """Stop serving."""
-        self.server.stop(0.1)
+        for access in self.accesses:
+            access.server.stop(0.1)
+
+    def add_access(self) -> StoreAccess:
+        """Return an address for one more host, which is being served."""
+        access = StoreAccess(self)
+        access.server.start()
+        self.accesses.append(access)
+        return access
 
     def write(self, key: str, value: bytes) -> None:
         """Write a key as the operators do."""
         self.store.commit({}, {key: value})
 
-    def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+    def serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        """Answer one call."""
         self.calls += 1
         if self.delay_seconds:
             gevent.sleep(self.delay_seconds)
