Ask the placement service on advised queues, and give up a takeover that cannot read the jobs

Advice: starts on a queue with advice carried no ticket, so workers refused them and its jobs never ran. AdviceBook (workflow/advice.py) keeps tickets by life of the worker and chooses the next question; the owner asks one at a time. The stand-in of the service and the scenarios of features/advice.feature cover expiry, new lives, refused tickets, full and forbidden workers; 'Jobs of an advised queue run on allowed workers only' runs real processes. Before: such a job stayed waiting for ever.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -28,6 +28,14 @@
     And the jobs are "completed" within 20 seconds at every entry
     And the refused job never runs
 
+  # The beats of such an owner arrived through its peer, but it never read the jobs.
+  Scenario: An entry that is turned away in its takeover leaves the ownership to another
+    Given a site of 2 entries and 2 agents
+    When the store answers an entry no reads from its claim on
+    And 4 jobs of 2 tasks of 0.2 seconds are submitted
+    Then the jobs are "completed" within 5 seconds at every entry
+    And the other entry owns the jobs within 1.0 seconds
+
   Scenario: Answers of store and workers are lost
     Given a site of 2 entries and 2 agents
     And 30 percent of the commits and 20 percent of the starts are not answered
@@ -39,12 +47,22 @@
   Scenario: An owner that the store turns away keeps the jobs through another entry
     Given a site of 2 entries and 2 agents
     When 2 jobs of 2 tasks of 0.2 seconds are submitted
-    And the store turns the owner away
+    Then the jobs are "completed" within 10 seconds at every entry
+    When the store turns the owner away
     And 6 jobs of 2 tasks of 0.2 seconds are submitted
     Then the jobs are "completed" within 4 seconds at every entry
     And the owner is the same after 3 seconds
     And no promise is broken
 
+  # A start on an advised queue without a valid ticket is refused, so its jobs never ran.
+  Scenario: Jobs of an advised queue run on allowed workers only
+    Given a site of 1 entries and 3 agents
+    And the queue is advised and allows the workers "w-agent-2 w-agent-3"
+    When 2 jobs of 3 tasks of 0.2 seconds are submitted
+    Then the jobs are "completed" within 10 seconds at every entry
+    And only the allowed workers ran tasks
+    And no promise is broken
+
   Scenario: A cancelled job stops and stays cancelled
     Given a site of 2 entries and 2 agents
     When 1 jobs of 2 tasks of 60.0 seconds are submitted
--- /dev/null
+++ b/features/steps/advice_steps.py
@@ -0,0 +1,137 @@
+"""Steps on queues whose workers the placement service names."""
+
+from behave import given, then, when
+from workflow_support import WorkflowWorld, step
+
+from acaciastand.workflow.advice import Advice
+from acaciastand.workflow.catalog import Catalog, Queue
+from acaciastand.workflow.reports import StartOutcome
+
+VALID_SECONDS = 3.0
+SECOND = "a-2"
+QUEUES = [
+    Queue("advised", "h", "/advised/", "desk", 0, 3, 2.0, 1.0, True, 0.02, 0.002),
+    Queue("plain", "h", "/plain/", "desk", 0, 3, 2.0, 1.0),
+]
+
+
+@given("an advised queue and 3 workers, of which the second is allowed")
+def given_world(context):
+    context.world = WorkflowWorld()
+    context.world.scheduler.catalog = Catalog(1, QUEUES, ["desk"])
+    context.jobs = 0
+    for number in (1, 2, 3):
+        context.world.add_worker(f"a-{number}")
+
+
+@given("a job of {tasks:d} tasks on the {queue} queue")
+def given_job(context, tasks, queue):
+    name = "advised" if "advised" in queue else "plain"
+    context.jobs += 1
+    context.job = context.world.submit(f"{context.jobs:016x}", name, step(tasks))
+
+
+def question(context):
+    return context.world.scheduler.next_question(context.world.now, context.world.now_unix)
+
+
+def answer(context, asked, allowed):
+    tickets = {worker: f"ticket-{worker}" for worker in asked.worker_ids if worker in allowed}
+    advice = Advice(tickets, VALID_SECONDS)
+    context.world.scheduler.advised(asked, advice, context.world.now)
+
+
+def worker_id(context, agent_id=SECOND):
+    return context.world.workers[agent_id].identity().worker_id
+
+
+@given("the service was asked")
+def given_asked(context):
+    answer(context, question(context), {worker_id(context)})
+
+
+@given("the service was asked and allows no worker")
+def given_none_allowed(context):
+    answer(context, question(context), set())
+
+
+@given("the service was asked about the second worker only")
+def given_asked_one(context):
+    asked = question(context)
+    asked.lives = [life for life in asked.lives if life[0] == worker_id(context)]
+    answer(context, asked, {worker_id(context)})
+
+
+@then("nothing starts before the service was asked about 3 workers")
+def then_nothing(context):
+    assert not context.world.plan()
+    asked = question(context)
+    assert len(asked.lives) == 3 and asked.step == f"{context.job.job_id}.0.0", asked
+    assert asked.answer_seconds == 0.02 + 3 * 0.002
+    answer(context, asked, {worker_id(context)})
+
+
+@then("both tasks start on the second worker with its ticket")
+def then_both(context):
+    starts = context.world.plan()
+    assert [start.agent_id for start in starts] == [SECOND, SECOND], starts
+    assert {start.order.ticket for start in starts} == {f"ticket-{worker_id(context)}"}
+    assert question(context) is None
+
+
+@when("the tickets have expired before anything started")
+def when_expired(context):
+    context.world.now += VALID_SECONDS
+    context.world.report_all()
+    assert not context.world.plan()
+
+
+@when("the second worker restarts before anything started")
+def when_restarts(context):
+    context.world.workers[SECOND].born_ms += 1
+    context.world.report_all()
+    assert not context.world.plan()
+
+
+@when("the start on the second worker is refused for its ticket")
+def when_refused(context):
+    world = context.world
+    [start] = world.scheduler.plan(world.now, world.now_unix)[0]
+    refused = StartOutcome.NO_TICKET
+    world.scheduler.start_result(start.task, start.order.run, refused, 0, world.now)
+    world.now += 0.2  # the pause after a refused start
+    world.report_all()
+    assert not world.plan()
+
+
+@when("the second worker has no room left")
+def when_full(context):
+    world = context.world
+    world.scheduler.workers[SECOND].full_until = world.now + 60.0
+    world.scheduler.workers[SECOND].reserved_cores = 16.0
+    assert not world.plan()
+
+
+@when("the job is cancelled on the advised queue")
+def when_cancelled(context):
+    context.world.scheduler.cancel(context.job.job_id, context.world.now, context.world.now_unix)
+
+
+@then("the service is asked about the second worker only")
+def then_second(context):
+    assert question(context).worker_ids == [worker_id(context)], question(context)
+
+
+@then("the service is asked about {count:d} workers")
+def then_count(context, count):
+    assert len(question(context).lives) == count, question(context)
+
+
+@then("the service is asked nothing")
+def then_none(context):
+    assert question(context) is None, question(context)
+
+
+@then("nothing is known of its steps")
+def then_forgotten(context):
+    assert not context.world.scheduler.advice.steps
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,7 @@
 import gevent
 from behave import given, then, when
 
-from acaciastand_lab.platform_site import Site, broken_promises
+from acaciastand_lab.platform_site import Site, broken_promises, configuration
 
 LOST_ID = "00000000000000ff"
 
@@ -31,6 +31,20 @@
         worker.unanswered_share = starts / 100
 
 
+@given('the queue is advised and allows the workers "{workers}"')
+def given_advised(context, workers):
+    context.site.advice.allowed = set(workers.split())
+    for worker in context.site.workers:
+        worker.tickets = context.site.advice
+    context.site.store.write("op/config", configuration(2, advised=True))
+    gevent.sleep(1.0)  # the entry watches the configuration
+
+
+@then("only the allowed workers ran tasks")
+def then_allowed(context):
+    assert {run.worker for run in context.site.history()} <= context.site.advice.allowed
+
+
 @when("a job of {first:d} tasks and then {second:d} tasks is submitted at both entries")
 def when_twice(context, first, second):
     steps = ({"count": first, "cpu": 500}, {"count": second, "cpu": 500, "after": [0]})
@@ -66,6 +80,18 @@
     context.site.store_access[context.turned_away].turned_away = True
 
 
+@when("the store answers an entry no reads from its claim on")
+def when_turned_away_in_takeover(context):
+    context.site.wait(context.site.owner)
+    first = context.site.owner()
+    context.killed = next(e for e in context.site.names("entry") if e != first)
+    context.site.store_access[context.killed].turned_away_in_takeover = True
+    context.site.signal(first, signal.SIGKILL)
+    context.site.wait(lambda: context.site.store_access[context.killed].turned_away)
+    context.site.start(first)
+    context.site.wait(lambda: context.site.call(first, "GET", "")[0] == 200)
+
+
 @then("the owner is the same after {seconds:d} seconds")
 def then_same_owner(context, seconds):
     gevent.sleep(seconds)  # longer than the silence after which another entry claims
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -42,6 +42,7 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
+from acaciastand.workflow.advice import Adviser
 from acaciastand.workflow.catalog import Catalog
 
 RETRY_SECONDS = 0.15
@@ -63,14 +64,21 @@
         Its settings file.
     store
         The platform's store.
+    adviser
+        The operators' placement service, if there is one.
     """
 
     def __init__(
-        self, settings: JobEntrySettings, store: TransactionalStore, metrics: Metrics
+        self,
+        settings: JobEntrySettings,
+        store: TransactionalStore,
+        metrics: Metrics,
+        adviser: Adviser | None = None,
     ) -> None:
         self.settings = settings
         self.store = store
         self.metrics = metrics
+        self.adviser = adviser
         self.configuration = CatalogCopy(store, self._catalog_changed)
         self.owner: Owner | None = None
         self.owner_record: OwnerRecord | None = None
@@ -230,6 +238,7 @@
             self.settings.stop_timeout_ms / 1000,
             self.metrics,
             self._owner_lost,
+            self.adviser,
         )
         if self.stopping:  # the claim was on its way when the stop was asked for
             owner.release()
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -5,6 +5,7 @@
 import logging
 import os
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import gevent
@@ -40,6 +41,7 @@
 from acaciastand.errors import AcaciastandError
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.messages import RunGrant, RunReport
+from acaciastand.workflow.advice import Adviser
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
@@ -52,6 +54,9 @@
 PLAN_PAUSE_SECONDS = 0.004  # events within this time are decided on together
 WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.1
+LOAD_ATTEMPTS = 3  # to read the jobs at a takeover before it is left to another entry
+ADVICE_PAUSE_SECONDS = 0.03  # between two looks for a step that needs advice
+ADVICE_SECONDS = 1.0  # for an answer of the placement service, beyond the time it works
 KEEP_ENDED_SECONDS = 150.0  # ended jobs can be asked for this long
 FORGET_SECONDS = 10.0  # between two removals of old jobs
 MAX_FORGOTTEN = 10  # jobs removed in one commit of at most 32 entries; three keys each
@@ -78,6 +83,8 @@
         Longest time that a worker takes to stop a run.
     on_lost
         Called once when the ownership ends.
+    adviser
+        Placement service; without one, jobs of advised queues wait.
     """
 
     def __init__(
@@ -91,6 +98,7 @@
         stop_seconds: float,
         metrics: Metrics,
         on_lost: Callable[[Owner], None],
+        adviser: Adviser | None = None,
     ) -> None:
         self.store = store
         self.record = record
@@ -99,6 +107,7 @@
         self.former_beat_at = former_beat_at
         self.metrics = metrics
         self.on_lost = on_lost
+        self.adviser = adviser
         self.scheduler = Scheduler(stop_seconds=stop_seconds)
         self.scheduler.catalog = catalog
         self.committer = Committer(store, self.scheduler, fence, metrics, self._stored)
@@ -138,11 +147,18 @@
             with gevent.Timeout(1.0, False):
                 while self.scheduler.dirty and self.committer.commit_some():
                     pass
+        except AcaciastandError as error:
+            logger.warning("progress not stored", extra={"error": str(error)})
+        self._clear_key()
+        self.stop()
+
+    def _clear_key(self) -> None:
+        """Leave the ownership to the next entry that looks."""
+        try:
             self.store.commit({OWNER_KEY: self.fence}, {OWNER_KEY: b""})
             logger.info("ownership released", extra={"epoch": self.record.epoch})
         except AcaciastandError as error:
             logger.warning("ownership not released", extra={"error": str(error)})
-        self.stop()
 
     # Calls of entries
 
@@ -193,14 +209,25 @@
     # Taking over
 
     def _take_over(self) -> None:
-        while not self._load():
+        for _ in range(LOAD_ATTEMPTS):
+            if self._load():
+                break
             gevent.sleep(RETRY_SECONDS)
+        else:
+            # The store may turn only this host away: its beats arrive through peers, the jobs do
+            # not, and another entry can read them.
+            self.leaving = True
+            self._clear_key()
+            self._lose("the jobs cannot be read")
+            return
         self.ready = True
         self._spawn(self._commit_forever)
         self._spawn(self._plan_forever)
         self._spawn(self._watch_inbox)
         self._spawn(self._watch_agents)
         self._spawn(self._forget_forever)
+        if self.adviser is not None:
+            self._spawn(partial(self._advise_forever, self.adviser))
 
     def _load(self) -> bool:
         began = now()
@@ -306,6 +333,25 @@
         self._log_decisions()
         self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
 
+    def _advise_forever(self, adviser: Adviser) -> None:
+        while True:
+            question = self.scheduler.next_question(now(), now_unix())
+            if question is None:
+                gevent.sleep(ADVICE_PAUSE_SECONDS)
+                continue
+            asked_at = now()
+            seconds = question.answer_seconds + ADVICE_SECONDS
+            try:
+                advice = adviser.advise(question.step, question.worker_ids, seconds)
+            except AcaciastandError as error:
+                self.metrics.count("advice", "failed")
+                logger.warning("no advice", extra={"step": question.step, "error": str(error)})
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            self.metrics.count("advice", "answered")
+            self.scheduler.advised(question, advice, asked_at)
+            self.wake.set()
+
     def _log_decisions(self) -> None:
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
         for decision in decisions:
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -46,6 +46,7 @@
         "peer_address",
         "advertised_address",
         "store_url",
+        "advice_address",
         "stop_timeout_ms",
         "processors",
         "processor_share",
@@ -60,6 +61,7 @@
     peer_address: str
     advertised_address: str
     store_url: str
+    advice_address: str
     stop_timeout_ms: int
     processors: float
     processor_share: float
@@ -75,6 +77,9 @@
         "peer_address": Field(Address(listens=True), "Address for other entries."),
         "advertised_address": _ADVERTISED,
         "store_url": _STORE,
+        "advice_address": Field(
+            Address(empty=True), "Address of the placement service; empty for none.", ""
+        ),
         "stop_timeout_ms": Field(
             Whole(1, MAX_STOP_TIMEOUT_MS), "Longest time that a worker takes to stop a run.", 1000
         ),
--- a/src/acaciastand/platform/operator.py
+++ b/src/acaciastand/platform/operator.py
@@ -40,6 +40,7 @@
 
 
 def _queue(route: dict[str, Any]) -> Queue:
+    advice = route.get("advice") or {}
     return Queue(
         str(route["name"]),
         str(route["host"]),
@@ -49,7 +50,9 @@
         int(route.get("maxAttempts", 1)),
         float(route.get("stretch", 2.0)),
         float(route.get("targetLatencyMs", 1000)) / 1000,
-        bool(route.get("advice")),
+        bool(advice),
+        float(advice.get("decideMs", 0)) / 1000,
+        float(advice.get("perWorkerMs", 0)) / 1000,
     )
 
 
--- a/src/acaciastand/platform/tasks.py
+++ b/src/acaciastand/platform/tasks.py
@@ -121,6 +121,8 @@
             return StartOutcome.STARTED
         if status == 409 and fields.get("reason") == "room":
             return StartOutcome.NO_ROOM
+        if status == 409 and fields.get("reason") == "ticket":
+            return StartOutcome.NO_TICKET
         if status in (400, 429, 503) or (status == 409 and fields.get("reason") != "fence"):
             return StartOutcome.REFUSED
         self._check(status, fields)
--- a/src/acaciastand/programs/job_entry.py
+++ b/src/acaciastand/programs/job_entry.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
+from functools import partial
+
 from acaciastand.cluster.entry import JobEntry
 from acaciastand.cluster.settings import JobEntrySettings
+from acaciastand.platform.advice import AdviceClient
 from acaciastand.programs.job_daemon import run_program, serve
 
 
 def run(settings_file: str) -> None:
     """Run the entry with the settings in `settings_file`."""
     settings = JobEntrySettings.load(settings_file)
-    serve(settings, settings_file, lambda store, metrics: JobEntry(settings, store, metrics))
+    with ExitStack() as stack:
+        adviser = None
+        if settings.advice_address:
+            adviser = AdviceClient(settings.advice_address)
+            stack.callback(adviser.close)
+        build = partial(JobEntry, settings, adviser=adviser)
+        serve(settings, settings_file, build)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -15,6 +15,7 @@
 COUNTERS = {
     "requests": ("outcome", "Calls of callers by kind of answer."),
     "store_calls": ("outcome", "Calls to the store, as call.outcome."),
+    "advice": ("outcome", "Questions to the placement service."),
     "store_relay_failed": ("call", "Store calls that another entry could not make either."),
     "worker_calls_failed": ("call", "Calls to the worker without a usable answer."),
     "decisions": ("what", "Decisions of the owner of the jobs."),
--- a/src/acaciastand/workflow/catalog.py
+++ b/src/acaciastand/workflow/catalog.py
@@ -26,6 +26,8 @@
         Time added to that.
     advised
         Whether the placement service names the workers that may run a step.
+    advice_seconds, advice_worker_seconds
+        Time that its answer takes, and more for each worker named.
     """
 
     __slots__ = (
@@ -38,6 +40,8 @@
         "stretch",
         "target_seconds",
         "advised",
+        "advice_seconds",
+        "advice_worker_seconds",
     )
 
     def __init__(
@@ -51,6 +55,8 @@
         stretch: float = 2.0,
         target_seconds: float = 1.0,
         advised: bool = False,
+        advice_seconds: float = 0.0,
+        advice_worker_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.host = host
@@ -61,6 +67,8 @@
         self.stretch = stretch
         self.target_seconds = target_seconds
         self.advised = advised
+        self.advice_seconds = advice_seconds
+        self.advice_worker_seconds = advice_worker_seconds
 
 
 class Catalog(Record):
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -210,6 +210,7 @@
 
     STARTED = "started"
     NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"  # the ticket of the placement service is missing or has expired
     REFUSED = "refused"  # the worker will not start this run
     UNKNOWN = "unknown"  # it may have started
 
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from acaciastand.workflow import set_aside
+from acaciastand.workflow.advice import Advice, AdviceBook, Question, advises
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
@@ -61,8 +62,11 @@
         interference: Interference | None = None,
     ) -> None:
         self.interference = interference or LearnedInterference()
+        self.advice = AdviceBook()
         self.starts = StartPlanner(
-            order or LeastSlackFirst(), placement or SeparatingPlacement(self.interference)
+            order or LeastSlackFirst(),
+            placement or SeparatingPlacement(self.interference),
+            self.advice,
         )
         self.stop_seconds = stop_seconds
         self.overdue: OverduePolicy = LongestSibling()
@@ -214,6 +218,8 @@
             self._note("start refused", task.key, run=run, agent=task.agent_id, why=outcome.value)
             if outcome == StartOutcome.NO_ROOM:
                 worker.full_until = now + FULL_SECONDS
+            elif outcome == StartOutcome.NO_TICKET:
+                self.advice.refused(task, worker)
             self._release(task)
             task.not_before = now + RETRY_SECONDS
             self._make_waiting(task)
@@ -250,6 +256,21 @@
         stops, self.stops = self.stops, []
         return starts, stops
 
+    def next_question(self, now: float, now_unix: float) -> Question | None:
+        """Return what to ask the placement service next, or None."""
+        if not self.waiting or not advises(self.catalog):
+            return None
+        ranked = self.starts.ranked(self.waiting.values(), self.catalog, now, now_unix)
+        able = [w for w in self.workers.values() if w.can_take(now, FRESH_SECONDS)]
+        return self.advice.next_question(ranked, able, now)
+
+    def advised(self, question: Question, advice: Advice, asked_at: float) -> None:
+        """Take in an answer of the placement service that was asked at `asked_at`."""
+        self.events += 1
+        self.advice.answered(question, advice, asked_at)
+        asked, allowed = len(question.lives), len(advice.tickets)
+        self._note("step advised", question.step, workers=asked, allowed=allowed)
+
     def _start(self, now: float, task: Task, worker: WorkerView, run: int) -> Start:
         del self.waiting[task.key]
         task.run = run
@@ -272,6 +293,7 @@
             task.checkpoint,
             step.target_ms,
             step.uses_leftover,
+            self.advice.ticket(task, worker, now),
         )
         self._note(
             "start",
@@ -369,6 +391,7 @@
 
     def _job_over(self, job: Job, now: float, now_unix: float) -> None:
         job.ended_unix = now_unix
+        self.advice.forget(job.job_id)
         for task in job.tasks.values():
             self.waiting.pop(task.key, None)
             self.timed.pop(task.key, None)
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 
+from acaciastand.workflow.advice import AdviceBook
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.gang import place_gang
 from acaciastand.workflow.job import Task
@@ -25,11 +26,14 @@
     ----------
     order, placement
         Policies on which task goes first, and where.
+    advice
+        Workers that are allowed on advised queues.
     """
 
-    def __init__(self, order: StartOrderPolicy, placement: Placement) -> None:
+    def __init__(self, order: StartOrderPolicy, placement: Placement, advice: AdviceBook) -> None:
         self.order = order
         self.placement = placement
+        self.advice = advice
 
     def plan(
         self,
@@ -48,11 +52,13 @@
             return []
         starts: list[Start] = []
         full: set[tuple[str, int, str]] = set()  # steps of which no further task fits now
-        for task, queue in self._ranked(waiting.values(), catalog, now, now_unix):
+        for task, queue in self.ranked(waiting.values(), catalog, now, now_unix):
             place = (task.job.job_id, task.name.step, task.avoid)
             if place in full:
                 continue
             fitting = [w for w in able if w.identity and w.identity.service == queue.service]
+            if queue.advised:
+                fitting = [w for w in fitting if self.advice.ticket(task, w, now)]
             if task.step.gang:
                 full.add(place)  # all of its tasks are placed, or none
                 starts += self._start_gang(task, waiting, fitting, start, now)
@@ -65,9 +71,10 @@
             starts.append(start(task, worker, task.run + 1))
         return starts
 
-    def _ranked(
+    def ranked(
         self, waiting: Collection[Task], catalog: Catalog, now: float, now_unix: float
     ) -> list[tuple[Task, Queue]]:
+        """Return the tasks that may start now with their queues, the most urgent first."""
         ranked = []
         for task in waiting:
             queue = catalog.by_name(task.job.queue)
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -20,6 +20,7 @@
 from acaciastand.platform.http import HttpCaller
 from acaciastand_lab.fault_proxy import FaultProxy
 from acaciastand_lab.processes import free_address
+from acaciastand_standin.platform_advice import AdviceStandIn
 from acaciastand_standin.platform_store import PlatformStoreStandIn, StoreAccess
 from acaciastand_standin.platform_worker import PlatformWorkerStandIn, Run
 
@@ -50,6 +51,9 @@
         self.store = PlatformStoreStandIn(seed=seed)
         self.store.start()
         self.stack.callback(self.store.stop)
+        self.advice = AdviceStandIn()
+        self.advice.start()
+        self.stack.callback(self.advice.stop)
         self.store.write("op/config", configuration(1))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, Path] = {}
@@ -188,6 +192,7 @@
             peer_address=peer,
             advertised_address=self._behind_proxy(peer),
             store_url=f"http://{self._behind_proxy(self.store_access[name].address)}",
+            advice_address=self.advice.address,
             stop_timeout_ms=STOP_TIMEOUT_MS,
         )
 
@@ -222,9 +227,9 @@
             process.wait()
 
 
-def configuration(version: int) -> bytes:
-    """Return a configuration in the operators' form."""
-    route = {
+def configuration(version: int, advised: bool = False) -> bytes:
+    """Return a configuration in the operators' form, whose queue may be advised."""
+    route: dict[str, Any] = {
         "name": "jobs",
         "host": HOST,
         "prefix": PREFIX,
@@ -234,6 +239,8 @@
         "stretch": 2.0,
         "targetLatencyMs": 500,
     }
+    if advised:
+        route["advice"] = {"decideMs": 20, "perWorkerMs": 2, "validityMs": 2000}
     service = {"name": "desk", "rejectsOverload": True}
     fields = {"version": version, "routes": [route], "services": [service], "limits": {}}
     return json.dumps(fields).encode()
--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -13,6 +13,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from acaciastand.cluster.keys import OWNER_KEY
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
     CommitConflict,
@@ -33,11 +34,14 @@
     ----------
     turned_away
         Whether every call at this address is answered with 503.
+    turned_away_in_takeover
+        Whether that begins when the host has claimed the ownership.
     """
 
     def __init__(self, store: PlatformStoreStandIn, address: str = "127.0.0.1:0") -> None:
         self.store = store
         self.turned_away = False
+        self.turned_away_in_takeover = False
         self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
 
     @property
@@ -48,7 +52,10 @@
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         if self.turned_away:
             return _answer(start_response, 503, {})
+        owned = self.store.store.items.get(OWNER_KEY)
         answer = self.store.serve(environ, start_response)
+        if self.turned_away_in_takeover and environ["PATH_INFO"] == "/kv-txn":
+            self.turned_away = self.store.store.items.get(OWNER_KEY) != owned
         # A waiting watch is cut when the host is turned away meanwhile.
         if self.turned_away:
             raise GreenletExit
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -20,6 +20,7 @@
 from acaciastand.platform.http import HttpCaller
 from acaciastand.record import Record
 from acaciastand.wire.connection import split_address
+from acaciastand_standin.platform_advice import AdviceStandIn
 
 HEARTBEAT_SECONDS = 0.3
 TICK_SECONDS = 0.01
@@ -73,6 +74,7 @@
         self.unanswered_share = 0.0
         self.history: list[Run] = []
         self.failures: dict[str, int] = {}
+        self.tickets: AdviceStandIn | None = None  # checks the tickets of all starts
         self.draining = False
         self.silent = False
         self.gone = False
@@ -209,6 +211,9 @@
             return 409, {"reason": "old"}
         if fields["deadlineMs"] <= self._clock_ms():
             return 409, {"reason": "late"}
+        step = task.rpartition(".")[0]
+        if self.tickets and not self.tickets.valid(fields.get("ticket", ""), step, self.worker_id):
+            return 409, {"reason": "ticket"}
         payload = json.loads(fields["spec"])
         self.failures = {**self.failures, task: payload.get("failures", 0)}
         now = time.monotonic()
