Log the loss and return of the store from one class

Three parts of an entry (commits, election, configuration) each kept when they lost the store and logged it in their own words. StoreContact does it for all, with the part as a field, so one search finds all of them. Behaviour is otherwise unchanged.

--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -9,10 +9,10 @@
 
 import gevent
 
-from acaciastand.cluster.clock import now
+from acaciastand.cluster.store_contact import StoreContact
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import HistoryDropped, TransactionalStore
-from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.errors import InvalidInput
 from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
 from acaciastand.workflow.catalog import Catalog
 
@@ -46,7 +46,7 @@
         self.catalog: Catalog | None = None
         self.compressed = b""
         self.fetching = False
-        self.stalled_at: float | None = None
+        self.contact = StoreContact("configuration")
 
     @property
     def version(self) -> int:
@@ -59,11 +59,11 @@
         while True:
             try:
                 position = self._watch(position) if position else self._read()
-                self._note_store(None)
+                self.contact.succeeded()
             except HistoryDropped:
                 position = 0
             except (StoreUnavailable, StoreAnswerLost) as error:
-                self._note_store(error)
+                self.contact.failed(error)
                 position = 0
                 gevent.sleep(RETRY_SECONDS)
 
@@ -123,12 +123,3 @@
             if item.key == CONFIG_KEY:
                 self.adopt(item.value, "store")
         return changes.revision
-
-    def _note_store(self, error: AcaciastandError | None) -> None:
-        if error is not None and self.stalled_at is None:
-            self.stalled_at = now()
-            logger.warning("configuration lost the store", extra={"error": str(error)})
-        elif error is None and self.stalled_at is not None:
-            stalled = round(now() - self.stalled_at, 2)
-            self.stalled_at = None
-            logger.info("configuration regained the store", extra={"stalled_s": stalled})
--- a/src/acaciastand/cluster/committer.py
+++ b/src/acaciastand/cluster/committer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 import gevent
@@ -10,6 +9,7 @@
 
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.keys import OWNER_KEY, PROGRESS_PREFIX, encode_progress
+from acaciastand.cluster.store_contact import StoreContact
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import CommitConflict, TransactionalStore
 from acaciastand.errors import Conflict
@@ -21,8 +21,6 @@
 GROUP_SECONDS = 0.008  # changes within this time go into one commit
 RETRY_SECONDS = 0.1
 
-logger = logging.getLogger(__name__)
-
 
 class OwnershipLost(Conflict):
     """Another entry owns the jobs now."""
@@ -55,7 +53,7 @@
         self.metrics = metrics
         self.on_stored = on_stored
         self.wake = Event()
-        self.available = True
+        self.contact = StoreContact("commits")
 
     def run(self) -> None:
         """Commit changes as they come.
@@ -93,14 +91,10 @@
             self._reconcile(conflict, jobs)
             return True
         except (StoreUnavailable, StoreAnswerLost) as error:
-            if self.available:
-                logger.warning("store lost", extra={"error": str(error)})
-            self.available = False
+            self.contact.failed(error)
             return False
         self.metrics.observe("commit_seconds", now() - began)
-        if not self.available:
-            logger.info("store regained", extra={"revision": revision})
-        self.available = True
+        self.contact.succeeded()
         for job, version in zip(jobs, versions, strict=True):
             job.revision = revision
             self.scheduler.stored(job, version)
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -34,11 +34,12 @@
 from acaciastand.cluster.owner import Owner, claim
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
+from acaciastand.cluster.store_contact import StoreContact
 from acaciastand.cluster.store_relay import COMMIT, READ, WATCH, RelayedStore
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import Item, TransactionalStore
 from acaciastand.entry.http import CallerServer
-from acaciastand.errors import AcaciastandError, InvalidInput, Refused
+from acaciastand.errors import InvalidInput, Refused
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
@@ -84,7 +85,7 @@
         self.owner_record: OwnerRecord | None = None
         self.claimed: OwnerRecord | None = None
         self.candidate = self._new_candidate()
-        self.election_stalled_at: float | None = None  # None while its reads succeed
+        self.election_contact = StoreContact("election")
         self.peers: dict[str, PeerLink] = {}
         self.peer_greenlets: dict[str, gevent.Greenlet] = {}
         self.stopping = False
@@ -171,19 +172,9 @@
             if self.owner is None and not self.stopping and self.configuration.catalog is not None:
                 try:
                     self._elect()
-                    self._note_store(None)
+                    self.election_contact.succeeded()
                 except (StoreUnavailable, StoreAnswerLost) as error:
-                    self._note_store(error)
-
-    def _note_store(self, error: AcaciastandError | None) -> None:
-        """Log once that the election lost the store, and once that it has it again."""
-        if error is not None and self.election_stalled_at is None:
-            self.election_stalled_at = now()
-            logger.warning("election lost the store", extra={"error": str(error)})
-        elif error is None and self.election_stalled_at is not None:
-            stalled = round(now() - self.election_stalled_at, 2)
-            self.election_stalled_at = None
-            logger.info("election regained the store", extra={"stalled_s": stalled})
+                    self.election_contact.failed(error)
 
     def _new_candidate(self) -> Candidate:
         return Candidate(SMALL_HOST_SECONDS if self.settings.is_small else 0.0)
@@ -268,7 +259,7 @@
     def _told_owner(self, record: OwnerRecord) -> None:
         """Follow the owner that another entry sees while the store turns this one away."""
         epoch = self.owner_record.epoch if self.owner_record else 0
-        if self.election_stalled_at is not None and self.owner is None and record.epoch > epoch:
+        if self.election_contact.lost and self.owner is None and record.epoch > epoch:
             self.owner_record = record
             logger.info("owner told", extra={"owner": record.entry_id, "epoch": record.epoch})
 
