Hand what is learned of pairs of images to the next owner, and log a lost registration once

Cause: what an owner learned of pairs of images was lost with it. Change: the owner stores the known pairs every 3 s under its fence (LEARNED_KEY, at most 2,000 rows); a new owner reads them with the jobs. Unreadable ones are logged and learned again.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -32,6 +32,16 @@
     Then batch-4 disturbs service-2, service-3 and service-4, and batch-5 and batch-8 service-3
     And no other known pair takes more than 0.14 of the headroom a core
 
+  # After a takeover every pair was unknown, so batch tasks came beside services one at a time.
+  Scenario: A new owner knows the pairs of images that its predecessor learned
+    Given the recorded measurements of shared workers
+    When they are learned from
+    And a new owner reads what its predecessor stored
+    Then the new owner knows each pair as well as its predecessor
+
+  Scenario: Learned pairs that cannot be read are refused
+    Then learned pairs in another form are refused as invalid input
+
   Scenario: A batch task that disturbs nobody starts beside services at once
     Given a worker with a service and room for batch tasks
     And image "print" is known to take 0.0 headroom a core beside the service
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -4,9 +4,12 @@
 from itertools import pairwise, product
 from pathlib import Path
 
+import cbor2
 from behave import given, then, when
 from workflow_support import WorkflowWorld, step
 
+from acaciastand.cluster.keys import decode_learned, encode_learned
+from acaciastand.errors import InvalidInput
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.pacing import FullSpeed, Pace, RunLimits, TailPacer
 from acaciastand.workflow.placement import calm
@@ -205,6 +208,37 @@
             context.interference.learn(service, tail, dict(cores))
 
 
+@when("a new owner reads what its predecessor stored")
+def when_handed_over(context):
+    context.successor = LearnedInterference()
+    context.successor.restore(decode_learned(encode_learned(context.interference.learned())))
+
+
+@then("the new owner knows each pair as well as its predecessor")
+def then_handed_over(context):
+    batches = {batch for _, cores in context.measurements for batch, _ in cores}
+    services = {service for tails, _ in context.measurements for service, _ in tails}
+    known = 0
+    for batch, service in product(batches, services):
+        former = context.interference.per_core(batch, service)
+        found = context.successor.per_core(batch, service)
+        assert (former is None) == (found is None), (batch, service, former, found)
+        if former is not None:
+            known += 1
+            assert abs(former - found) < 0.001, (batch, service, former, found)
+    assert known >= len(DISTURBING)
+
+
+@then("learned pairs in another form are refused as invalid input")
+def then_refused(context):
+    for data in (b"", b"\xff", cbor2.dumps(7), cbor2.dumps([[["a", "b", "c", 1]], {}])):
+        try:
+            decode_learned(data)
+        except InvalidInput:
+            continue
+        raise AssertionError(f"{data!r} was taken")
+
+
 @then("batch-4 disturbs service-2, service-3 and service-4, and batch-5 and batch-8 service-3")
 def then_disturbs(context):
     for batch, service in DISTURBING:
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -13,7 +13,7 @@
 from acaciastand.cluster.agent_worker import WorkerHold
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.keys import AGENTS_PREFIX
-from acaciastand.cluster.members import register
+from acaciastand.cluster.members import Registration
 from acaciastand.cluster.settings import JobAgentSettings
 from acaciastand.coordination.transactions import TransactionalStore
 from acaciastand.errors import AcaciastandError, InvalidInput
@@ -59,7 +59,7 @@
         self, settings: JobAgentSettings, store: TransactionalStore, metrics: Metrics
     ) -> None:
         self.settings = settings
-        self.store = store
+        self.registration = Registration(store, AGENTS_PREFIX + settings.agent_id, settings)
         self.metrics = metrics
         self.epoch = 0
         self.owner: Connection | None = None
@@ -201,16 +201,13 @@
     # Registration
 
     def _register_forever(self) -> None:
-        while not self._register():
+        while not self.registration.write():
             gevent.sleep(REGISTER_PAUSE_SECONDS)
         while True:
             gevent.sleep(1.0)
-            if now() - self.owner_seen > REGISTER_SECONDS and self._register():
+            if now() - self.owner_seen > REGISTER_SECONDS and self.registration.write():
                 self.owner_seen = now()
 
-    def _register(self) -> bool:
-        return register(self.store, AGENTS_PREFIX + self.settings.agent_id, self.settings)
-
     # Worker
 
     def _announcement(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -30,7 +30,7 @@
     OwnerRecord,
     decode_fields,
 )
-from acaciastand.cluster.members import register
+from acaciastand.cluster.members import Registration
 from acaciastand.cluster.owner import Owner, claim
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
@@ -267,7 +267,8 @@
 
     def _register_forever(self) -> None:
         key = ENTRIES_PREFIX + self.settings.entry_id
-        while not register(self.store, key, self.settings):
+        registration = Registration(self.store, key, self.settings)
+        while not registration.write():
             gevent.sleep(RETRY_SECONDS)
 
     def _follow_members(self) -> None:
--- a/src/acaciastand/cluster/keys.py
+++ b/src/acaciastand/cluster/keys.py
@@ -6,7 +6,9 @@
 
 import cbor2
 
+from acaciastand.errors import InvalidInput
 from acaciastand.record import Record
+from acaciastand.workflow.interference import LearnedPairs
 from acaciastand.workflow.job import Durable, Job
 from acaciastand.workflow.spec import from_plain, plain
 
@@ -19,6 +21,7 @@
 JOBS_PREFIX = "inbox/jobs/"
 CANCELS_PREFIX = "inbox/cancels/"
 PROGRESS_PREFIX = "progress/"  # written by the owner only
+LEARNED_KEY = "learned/interference"  # what the owner knows of pairs of images
 
 
 class OwnerRecord(Record):
@@ -63,6 +66,29 @@
     return Durable(*cbor2.loads(data))
 
 
+def encode_learned(learned: LearnedPairs) -> bytes:
+    """Return what is known of pairs of images in its stored form."""
+    return cbor2.dumps(list(learned.values()))
+
+
+def decode_learned(data: bytes) -> LearnedPairs:
+    """Return what is known of pairs of images in its stored form.
+
+    Raises
+    ------
+    InvalidInput
+        It cannot be read.
+    """
+    try:
+        pairs, alone = cbor2.loads(data)
+        rows = [(str(b), str(s), float(taken), float(cores)) for b, s, taken, cores in pairs]
+        return LearnedPairs(rows, {str(key): float(value) for key, value in alone.items()})
+    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
+        raise InvalidInput(f"{LEARNED_KEY} cannot be read: {error!r}", "it is learned again") from (
+            error
+        )
+
+
 def encode_fields(fields: Any) -> bytes:
     """Return plain values in their stored form."""
     return cbor2.dumps(fields)
--- a/src/acaciastand/cluster/members.py
+++ b/src/acaciastand/cluster/members.py
@@ -2,24 +2,37 @@
 
 from __future__ import annotations
 
-import logging
-
 from acaciastand.cluster.keys import encode_fields
 from acaciastand.cluster.settings import DialledSettings
+from acaciastand.cluster.store_contact import StoreContact
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import CommitConflict, TransactionalStore
 
-logger = logging.getLogger(__name__)
 
+class Registration:
+    """Address of a process in the store.
+
+    Parameters
+    ----------
+    key
+        Key of the process.
+    """
+
+    def __init__(self, store: TransactionalStore, key: str, settings: DialledSettings) -> None:
+        self.store = store
+        self.key = key
+        self.settings = settings
+        self.contact = StoreContact("registration")
 
-def register(store: TransactionalStore, key: str, settings: DialledSettings) -> bool:
-    """Write the address of a process under `key` unless it stands there; False to try again."""
-    value = encode_fields([settings.dialled_address, settings.availability_zone])
-    try:
-        found = store.get(key)
-        if found.value != value:
-            store.commit({key: found.revision}, {key: value})
+    def write(self) -> bool:
+        """Write the address unless it stands there; False to try again."""
+        value = encode_fields([self.settings.dialled_address, self.settings.availability_zone])
+        try:
+            found = self.store.get(self.key)
+            if found.value != value:
+                self.store.commit({self.key: found.revision}, {self.key: value})
+        except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
+            self.contact.failed(error)
+            return False
+        self.contact.succeeded()
         return True
-    except (StoreUnavailable, StoreAnswerLost, CommitConflict) as error:
-        logger.warning("registration failed", extra={"error": str(error)})
-        return False
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -21,13 +21,16 @@
     CANCELS_PREFIX,
     INBOX_PREFIX,
     JOBS_PREFIX,
+    LEARNED_KEY,
     OWNER_KEY,
     PROGRESS_PREFIX,
     OwnerRecord,
     decode_fields,
     decode_job,
+    decode_learned,
     decode_progress,
     encode_fields,
+    encode_learned,
 )
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
@@ -38,7 +41,7 @@
     Listing,
     TransactionalStore,
 )
-from acaciastand.errors import AcaciastandError
+from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.messages import RunGrant, RunReport
 from acaciastand.workflow.advice import Adviser
@@ -54,6 +57,7 @@
 PLAN_PAUSE_SECONDS = 0.004  # events within this time are decided on together
 WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.1
+LEARNED_SECONDS = 3.0  # between two writes of what is known of pairs of images
 LOAD_ATTEMPTS = 3  # to read the jobs at a takeover before it is left to another entry
 ADVICE_PAUSE_SECONDS = 0.03  # between two looks for a step that needs advice
 ADVICE_SECONDS = 1.0  # for an answer of the placement service, beyond the time it works
@@ -226,6 +230,7 @@
         self._spawn(self._watch_inbox)
         self._spawn(self._watch_agents)
         self._spawn(self._forget_forever)
+        self._spawn(self._keep_learned_forever)
         if self.adviser is not None:
             self._spawn(partial(self._advise_forever, self.adviser))
 
@@ -235,6 +240,7 @@
             agents = self.store.list(AGENTS_PREFIX)
             inbox = self.store.list(INBOX_PREFIX)
             progress = self.store.list(PROGRESS_PREFIX)
+            learned = self.store.get(LEARNED_KEY)
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.warning("takeover waits for the store", extra={"error": str(error)})
             return False
@@ -243,6 +249,8 @@
         for item in agents.items:
             self._add_agent(item, until)
         self._load_jobs(inbox.items, progress.items)
+        if learned.revision:
+            self._load_learned(learned.value)
         self.agents_revision = agents.revision
         self.inbox_revision = inbox.revision
         logger.info(
@@ -257,6 +265,12 @@
         self.metrics.set("owner_epoch", self.record.epoch)
         return True
 
+    def _load_learned(self, data: bytes) -> None:
+        try:
+            self.scheduler.interference.restore(decode_learned(data))
+        except InvalidInput as error:
+            logger.error("learned pairs ignored", extra={"error": str(error)})
+
     def _load_jobs(self, inbox: list[Item], progress: list[Item]) -> None:
         stored = {item.key[len(PROGRESS_PREFIX) :]: item for item in progress}
         for item in inbox:
@@ -479,6 +493,20 @@
         self.links[agent_id] = link
         self._spawn(link.run)
 
+    def _keep_learned_forever(self) -> None:
+        """Store what is known of pairs of images, for the next owner."""
+        kept = b""
+        while True:
+            gevent.sleep(LEARNED_SECONDS)
+            value = encode_learned(self.scheduler.interference.learned())
+            if value == kept:
+                continue
+            try:
+                self.store.commit({OWNER_KEY: self.fence}, {LEARNED_KEY: value})
+                kept = value
+            except AcaciastandError as error:
+                logger.info("learned pairs not stored", extra={"error": str(error)})
+
     def _forget_forever(self) -> None:
         while True:
             gevent.sleep(FORGET_SECONDS)
--- a/src/acaciastand/workflow/interference.py
+++ b/src/acaciastand/workflow/interference.py
@@ -13,10 +13,12 @@
 from collections import OrderedDict
 from collections.abc import Mapping
 
+from acaciastand.record import Record
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.worker import WorkerView
 
 MAX_PAIRS = 4_096  # the one measured longest ago is dropped
+MAX_KEPT_PAIRS = 2_000  # known pairs that are handed to the next owner; about 100 kB
 FIRST_RATE = 0.5  # of the error that a new pair takes on
 LAST_RATE = 0.05  # the same for a known pair; earlier behaviour fades by this share each time
 KNOWN_CORES = 2.5  # sum of the cores over all measurements, from which on a pair counts as known
@@ -33,6 +35,28 @@
     return min(MAX_HEADROOM, 1.0 / max(tail_share, 1e-3))
 
 
+class LearnedPairs(Record):
+    """What one owner hands to the next.
+
+    Parameters
+    ----------
+    pairs
+        Rows of batch image, service image, headroom taken by a core, and cores measured.
+    alone
+        Headroom of each service image without batch tasks.
+    """
+
+    __slots__ = ("pairs", "alone")
+
+    def __init__(
+        self,
+        pairs: list[tuple[str, str, float, float]] | None = None,
+        alone: dict[str, float] | None = None,
+    ) -> None:
+        self.pairs = pairs or []
+        self.alone = alone or {}
+
+
 class Interference(ABC):
     """Knows how much batch images slow services down."""
 
@@ -47,6 +71,13 @@
         None for an unknown pair.
         """
 
+    def learned(self) -> LearnedPairs:
+        """Return what the next owner has to know."""
+        return LearnedPairs()
+
+    def restore(self, learned: LearnedPairs) -> None:
+        """Take over what a former owner learned."""
+
     def taken(self, task: Task, worker: WorkerView) -> float | None:
         """Return the most headroom that a batch task takes from any service on a worker."""
         worst = 0.0
@@ -113,6 +144,24 @@
         pair = self._pairs.get((batch, service))
         return pair.per_core if pair is not None and pair.cores >= KNOWN_CORES else None
 
+    def learned(self) -> LearnedPairs:
+        """Return the known pairs, those measured last if there are too many."""
+        known = [
+            (batch, service, round(pair.per_core, 4), round(pair.cores, 1))
+            for (batch, service), pair in self._pairs.items()
+            if pair.cores >= KNOWN_CORES
+        ]
+        alone = {service: round(value, 4) for service, value in self._own.items()}
+        return LearnedPairs(known[-MAX_KEPT_PAIRS:], alone)
+
+    def restore(self, learned: LearnedPairs) -> None:
+        """Take over the pairs of a former owner."""
+        for batch, service, per_core, cores in learned.pairs:
+            pair = self._pair(batch, service)
+            pair.per_core = per_core
+            pair.cores = cores
+        self._own.update(learned.alone)
+
     def learn(self, service: str, tail_share: float, cores: Mapping[str, float]) -> None:
         """Learn from one measurement of a service.
 
