Move slowed runs ahead of the tasks that wait behind them

Cause: a slowed batch run moved only if a worker had room for it after all waiting tasks. Change: only waiting tasks of a higher rank than the slowed run count as taking the room.

The new scenario fails on the code before.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -109,6 +109,19 @@
     Then the run is stopped to move
     And without free room elsewhere it would stay
 
+  # All waiting tasks counted as taking the room first, so under load no slowed run ever moved: the
+  # slowest of 20 tasks took 14.6 s where half of them took 5.4 s (bmfw-stand-grown trouble-1).
+  Scenario Outline: A slowed run <verdict> while tasks that go <place> it wait for all the room
+    Given a slowed batch run that saves its progress and a worker without services
+    And 9 batch tasks of <seconds> seconds wait for the worker without services
+    When the scheduler plans
+    Then the slowed run <verdict>
+
+    Examples:
+      | place  | seconds | verdict |
+      | after  | 100.0   | moves   |
+      | before | 1.0     | stays   |
+
   # The tail of a service falls over two seconds; tasks that stood still for less were let go although
   # they were to blame (reprise-ops-grown quiet-1, trial: over the limit for 4.5 s beside them).
   Scenario: A gentle task that turns out to disturb is slowed down until it ends
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -266,6 +266,18 @@
     context.view.pace_percent = 20
 
 
+@given("{count:d} batch tasks of {seconds:f} seconds wait for the worker without services")
+def given_waiting(context, count, seconds):
+    batch = step(count, 3.5, 1000, seconds, uses_leftover=True)
+    context.world.submit("00000000000000b1", "plans", batch)
+
+
+@then("the slowed run {verdict}")
+def then_verdict(context, verdict):
+    moved = [stop.task_key for stop in context.stops] == ["00000000000000b0.0.0.0"]
+    assert moved == (verdict == "moves"), context.stops
+
+
 @when("the scheduler plans")
 def when_plans(context):
     context.world.now += 0.2
--- a/src/acaciastand/workflow/moves.py
+++ b/src/acaciastand/workflow/moves.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Iterable, Sequence
+from itertools import accumulate
 
 from acaciastand.workflow.interference import Interference
 from acaciastand.workflow.job import Task, TaskState
@@ -17,31 +19,55 @@
 SLOWED_SECONDS = 0.7  # and if it has run for at least this long
 
 
+class WaitingCores:
+    """Cores that waiting batch tasks ask for, by their rank.
+
+    Parameters
+    ----------
+    ranked
+        Rank and cores of each waiting batch task.
+    """
+
+    __slots__ = ("ranks", "sums")
+
+    def __init__(self, ranked: Iterable[tuple[tuple[float, ...], float]]) -> None:
+        rows = sorted(ranked)
+        self.ranks = [rank for rank, _ in rows]
+        self.sums = [0.0, *accumulate(cores for _, cores in rows)]
+
+    def before(self, rank: tuple[float, ...]) -> float:
+        """Return the cores of the tasks that go before one of this rank."""
+        return self.sums[bisect_left(self.ranks, rank)]
+
+
 def runs_to_move(
+    slowed: Iterable[tuple[tuple[float, ...], Task]],
     workers: Sequence[WorkerView],
-    waiting: Iterable[Task],
+    waiting: WaitingCores,
     moving: Iterable[Task],
     interference: Interference,
-    now: float,
 ) -> list[Task]:
     """Return slowed runs for which workers have room whose services they do not disturb.
 
+    Tasks that wait behind a slowed run take no room from it: when more waits than fits, the last
+    tasks of a step that can still be in time are moved before those of later jobs start.
+
     Parameters
     ----------
+    slowed
+        Slowed runs with their ranks among the waiting tasks.
     workers
         Workers that may take work.
     waiting, moving
         Tasks that will take of the room before.
     interference
-        What is known of the pairs of images; gentle runs are not the ones that are slowed.
-    now
-        Seconds of the owner's clock.
+        What is known of the pairs of images.
     """
-    taken = sum(task.step.size.cores for task in waiting if task.step.uses_leftover)
-    taken += sum(task.step.size.cores for task in moving)
+    taken = sum(task.step.size.cores for task in moving)
     found = []
-    for task in _slowed(workers, interference, now):
-        if _calm_cores(task, workers, interference) - taken < task.step.size.cores:
+    for rank, task in slowed:
+        left = _calm_cores(task, workers, interference) - taken - waiting.before(rank)
+        if left < task.step.size.cores:
             continue
         taken += task.step.size.cores
         found.append(task)
@@ -57,7 +83,10 @@
     )
 
 
-def _slowed(workers: Sequence[WorkerView], interference: Interference, now: float) -> list[Task]:
+def slowed_runs(
+    workers: Sequence[WorkerView], interference: Interference, now: float
+) -> list[Task]:
+    """Return the runs that a service holds down; gentle runs are not the ones that are slowed."""
     return [
         task
         for worker in workers
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -16,7 +16,7 @@
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
 from acaciastand.workflow.limits import FRESH_SECONDS
-from acaciastand.workflow.moves import runs_that_outlast, runs_to_move
+from acaciastand.workflow.moves import WaitingCores, runs_that_outlast, runs_to_move, slowed_runs
 from acaciastand.workflow.order import LeastSlackFirst, StartOrderPolicy
 from acaciastand.workflow.orders import Decision, Start, Stop
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
@@ -243,7 +243,7 @@
             self._check_lost(now)
             self._check_due(now_unix)
             self._check_overdue(now)
-            self._move_slowed(now)
+            self._move_slowed(now, now_unix)
         self._repeat_stops(now)
         starts = self.starts.plan(
             self.waiting,
@@ -513,11 +513,20 @@
             task.restarts += 1
             self._stop(task, now)
 
-    def _move_slowed(self, now: float) -> None:
+    def _move_slowed(self, now: float, now_unix: float) -> None:
         workers = [w for w in self.workers.values() if w.can_take(now, FRESH_SECONDS)]
         self.moving = [task for task in self.moving if task.state == TaskState.STOPPING]
-        slowed = runs_to_move(workers, self.waiting.values(), self.moving, self.interference, now)
-        for task in slowed:
+        slowed = slowed_runs(workers, self.interference, now)
+        if not slowed:
+            return
+        ranked = self.starts.with_ranks(slowed, self.catalog, now, now_unix)
+        batch = [task for task in self.waiting.values() if task.step.uses_leftover]
+        waiting = WaitingCores(
+            (rank, task.step.size.cores)
+            for rank, task, _ in self.starts.with_ranks(batch, self.catalog, now, now_unix)
+        )
+        by_rank = [(rank, task) for rank, task, _ in ranked]
+        for task in runs_to_move(by_rank, workers, waiting, self.moving, self.interference):
             self.moving.append(task)
             task.avoid = task.agent_id
             pace = self.workers[task.agent_id].pace_percent
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -75,13 +75,20 @@
         self, waiting: Collection[Task], catalog: Catalog, now: float, now_unix: float
     ) -> list[tuple[Task, Queue]]:
         """Return the tasks that may start now with their queues, the most urgent first."""
-        ranked = []
-        for task in waiting:
+        rows = self.with_ranks(waiting, catalog, now, now_unix)
+        return [(task, queue) for _, task, queue in rows]
+
+    def with_ranks(
+        self, tasks: Collection[Task], catalog: Catalog, now: float, now_unix: float
+    ) -> list[tuple[tuple[float, ...], Task, Queue]]:
+        """Return the tasks that may start now with rank and queue, the most urgent first."""
+        rows = []
+        for task in tasks:
             queue = catalog.by_name(task.job.queue)
             if queue is not None and now >= task.not_before:
-                ranked.append((self.order.rank(task, queue, now_unix), task, queue))
-        ranked.sort(key=lambda row: row[0])
-        return [(task, queue) for _, task, queue in ranked]
+                rows.append((self.order.rank(task, queue, now_unix), task, queue))
+        rows.sort(key=lambda row: row[0])
+        return rows
 
     def _start_gang(
         self,
