Split the claim, the removal of old jobs and the learned pairs off the owner

Nothing changes but names; the test of the hand-over of learned pairs now goes through the store, and one covers a stored value that cannot be read.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -41,6 +41,7 @@
 
   Scenario: Learned pairs that cannot be read are refused
     Then learned pairs in another form are refused as invalid input
+    And an owner that finds them begins without any
 
   Scenario: A batch task that disturbs nobody starts beside services at once
     Given a worker with a service and room for batch tasks
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -3,12 +3,17 @@
 import json
 from itertools import pairwise, product
 from pathlib import Path
+from unittest import mock
 
 import cbor2
+import gevent
 from behave import given, then, when
 from workflow_support import WorkflowWorld, step
 
-from acaciastand.cluster.keys import decode_learned, encode_learned
+from acaciastand.cluster import learned_pairs
+from acaciastand.cluster.keys import LEARNED_KEY, OWNER_KEY, decode_learned
+from acaciastand.cluster.learned_pairs import KeptPairs
+from acaciastand.coordination.transactions import MemoryTransactionalStore
 from acaciastand.errors import InvalidInput
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.pacing import FullSpeed, Pace, RunLimits, TailPacer
@@ -210,8 +215,15 @@
 
 @when("a new owner reads what its predecessor stored")
 def when_handed_over(context):
+    store = MemoryTransactionalStore()
+    fence = store.commit({}, {OWNER_KEY: b"predecessor"})
+    with mock.patch.object(learned_pairs, "PAUSE_SECONDS", 0.01):
+        writer = gevent.spawn(KeptPairs(store, context.interference, fence).store_forever)
+        gevent.sleep(0.1)
+        writer.kill()
+    assert store.revision == fence + 1  # unchanged pairs are stored once
     context.successor = LearnedInterference()
-    context.successor.restore(decode_learned(encode_learned(context.interference.learned())))
+    KeptPairs(store, context.successor, fence).load()
 
 
 @then("the new owner knows each pair as well as its predecessor")
@@ -239,6 +251,15 @@
         raise AssertionError(f"{data!r} was taken")
 
 
+@then("an owner that finds them begins without any")
+def then_begins(context):
+    store = MemoryTransactionalStore()
+    fence = store.commit({}, {OWNER_KEY: b"predecessor", LEARNED_KEY: b"\xff"})
+    interference = LearnedInterference()
+    KeptPairs(store, interference, fence).load()
+    assert not interference.learned().pairs
+
+
 @then("batch-4 disturbs service-2, service-3 and service-4, and batch-5 and batch-8 service-3")
 def then_disturbs(context):
     for batch, service in DISTURBING:
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -144,7 +144,7 @@
 
 @then("one round removes the {old:d} from memory and store")
 def then_removed(context, old):
-    context.owner._forget_old()
+    context.owner.old_jobs.remove()
     left = set(context.owner.scheduler.jobs)
     assert left == {f"{old:016x}"}, left
     kept = {item.key for item in context.store.list("inbox/").items}
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -14,6 +14,7 @@
 
 from acaciastand.cluster.callers import CallerSink
 from acaciastand.cluster.catalog_copy import CATALOG, CatalogCopy
+from acaciastand.cluster.claim import claim
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.election import (
     BEAT_SECONDS,
@@ -31,7 +32,7 @@
     decode_fields,
 )
 from acaciastand.cluster.members import Registration
-from acaciastand.cluster.owner import Owner, claim
+from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PING, PeerLink, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.cluster.store_contact import StoreContact
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import os
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -21,17 +20,16 @@
     CANCELS_PREFIX,
     INBOX_PREFIX,
     JOBS_PREFIX,
-    LEARNED_KEY,
     OWNER_KEY,
     PROGRESS_PREFIX,
     OwnerRecord,
     decode_fields,
     decode_job,
-    decode_learned,
     decode_progress,
     encode_fields,
-    encode_learned,
 )
+from acaciastand.cluster.learned_pairs import KeptPairs
+from acaciastand.cluster.old_jobs import OldJobs
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
     Changes,
@@ -41,7 +39,7 @@
     Listing,
     TransactionalStore,
 )
-from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.errors import AcaciastandError
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.messages import RunGrant, RunReport
 from acaciastand.workflow.advice import Adviser
@@ -57,14 +55,9 @@
 PLAN_PAUSE_SECONDS = 0.004  # events within this time are decided on together
 WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.1
-LEARNED_SECONDS = 3.0  # between two writes of what is known of pairs of images
 LOAD_ATTEMPTS = 3  # to read the jobs at a takeover before it is left to another entry
 ADVICE_PAUSE_SECONDS = 0.03  # between two looks for a step that needs advice
 ADVICE_SECONDS = 1.0  # for an answer of the placement service, beyond the time it works
-KEEP_ENDED_SECONDS = 150.0  # ended jobs can be asked for this long
-FORGET_SECONDS = 10.0  # between two removals of old jobs
-MAX_FORGOTTEN = 10  # jobs removed in one commit of at most 32 entries; three keys each
-FORGET_PAUSE_SECONDS = 0.05  # between two such commits
 
 logger = logging.getLogger(__name__)
 decision_logger = logging.getLogger("acaciastand.decisions")
@@ -115,6 +108,8 @@
         self.scheduler = Scheduler(stop_seconds=stop_seconds)
         self.scheduler.catalog = catalog
         self.committer = Committer(store, self.scheduler, fence, metrics, self._stored)
+        self.old_jobs = OldJobs(store, self.scheduler, fence)
+        self.kept_pairs = KeptPairs(store, self.scheduler.interference, fence)
         self.links: dict[str, AgentLink] = {}
         self.wake = Event()
         self.ready = False
@@ -229,8 +224,8 @@
         self._spawn(self._plan_forever)
         self._spawn(self._watch_inbox)
         self._spawn(self._watch_agents)
-        self._spawn(self._forget_forever)
-        self._spawn(self._keep_learned_forever)
+        self._spawn(self.old_jobs.remove_forever)
+        self._spawn(self.kept_pairs.store_forever)
         if self.adviser is not None:
             self._spawn(partial(self._advise_forever, self.adviser))
 
@@ -240,7 +235,7 @@
             agents = self.store.list(AGENTS_PREFIX)
             inbox = self.store.list(INBOX_PREFIX)
             progress = self.store.list(PROGRESS_PREFIX)
-            learned = self.store.get(LEARNED_KEY)
+            self.kept_pairs.load()
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.warning("takeover waits for the store", extra={"error": str(error)})
             return False
@@ -249,8 +244,6 @@
         for item in agents.items:
             self._add_agent(item, until)
         self._load_jobs(inbox.items, progress.items)
-        if learned.revision:
-            self._load_learned(learned.value)
         self.agents_revision = agents.revision
         self.inbox_revision = inbox.revision
         logger.info(
@@ -265,12 +258,6 @@
         self.metrics.set("owner_epoch", self.record.epoch)
         return True
 
-    def _load_learned(self, data: bytes) -> None:
-        try:
-            self.scheduler.interference.restore(decode_learned(data))
-        except InvalidInput as error:
-            logger.error("learned pairs ignored", extra={"error": str(error)})
-
     def _load_jobs(self, inbox: list[Item], progress: list[Item]) -> None:
         stored = {item.key[len(PROGRESS_PREFIX) :]: item for item in progress}
         for item in inbox:
@@ -492,78 +479,3 @@
         )
         self.links[agent_id] = link
         self._spawn(link.run)
-
-    def _keep_learned_forever(self) -> None:
-        """Store what is known of pairs of images, for the next owner."""
-        kept = b""
-        while True:
-            gevent.sleep(LEARNED_SECONDS)
-            value = encode_learned(self.scheduler.interference.learned())
-            if value == kept:
-                continue
-            try:
-                self.store.commit({OWNER_KEY: self.fence}, {LEARNED_KEY: value})
-                kept = value
-            except AcaciastandError as error:
-                logger.info("learned pairs not stored", extra={"error": str(error)})
-
-    def _forget_forever(self) -> None:
-        while True:
-            gevent.sleep(FORGET_SECONDS)
-            self._forget_old()
-
-    def _forget_old(self) -> None:
-        limit = now_unix() - KEEP_ENDED_SECONDS
-        old = [
-            job
-            for job in self.scheduler.jobs.values()
-            if job.ended_unix and job.ended_unix < limit and job.durable_version == job.version
-        ]
-        for first in range(0, len(old), MAX_FORGOTTEN):
-            self._forget(old[first : first + MAX_FORGOTTEN])
-            gevent.sleep(FORGET_PAUSE_SECONDS)
-
-    def _forget(self, jobs: list[Job]) -> None:
-        if not jobs:
-            return
-        keys = [
-            prefix + job.job_id
-            for job in jobs
-            for prefix in (JOBS_PREFIX, CANCELS_PREFIX, PROGRESS_PREFIX)
-        ]
-        try:
-            self.store.commit({OWNER_KEY: self.fence}, {}, keys)
-        except AcaciastandError as error:
-            logger.warning("old jobs not removed", extra={"error": str(error)})
-            return
-        for job in jobs:
-            self.scheduler.forget(job.job_id)
-
-
-def claim(
-    store: TransactionalStore,
-    current: Item,
-    entry_id: str,
-    address: str,
-    remember: Callable[[OwnerRecord], None],
-) -> tuple[OwnerRecord, int] | None:
-    """Claim the ownership after what `current` shows; None if another entry was first.
-
-    `remember` is told the record before it is sent, to recognize a claim without an answer.
-
-    Raises
-    ------
-    StoreUnavailable, StoreAnswerLost
-        Whether the claim took effect is seen at the next look.
-    """
-    epoch = OwnerRecord.decode(current.value).epoch if current.value else 0
-    # A released key holds no epoch; revisions only rise, so they serve as well.
-    record = OwnerRecord(entry_id, address, max(epoch, current.revision) + 1, os.urandom(8))
-    remember(record)
-    try:
-        return record, store.commit({OWNER_KEY: current.revision}, {OWNER_KEY: record.encode()})
-    except CommitConflict as conflict:
-        found = conflict.current[OWNER_KEY]
-        if found.value == record.encode():
-            return record, found.revision
-        return None
