Tell when the store last confirmed the configuration of an entry, and why it was asked

The log had the version at each change only, so a configuration that was not in force in time could not be explained afterwards: a watch on a silent connection, a copy that reads in a loop and a change that the store did not deliver looked the same. An answer now has the age of the configuration beside its version, `configuration changed` the time without a confirmation before it, and configuration_calls counts reads by cause and watches by outcome. `explain` names the cause of a 404.

No change of behaviour.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -12,6 +12,7 @@
       | bbbbbbbbbbbbbbbb | 2     | store turned away: the store answered 503 |
       | cccccccccccccccc | 1     | no task has started                      |
       | eeeeeeeeeeeeeeee | 2     | store turned away: the store did not answer the last 4 commits |
+      | ffffffffffffffff | 1     | version 7 of the configuration has no such queue; the store had confirmed it 3.4 s before |
       | dddddddddddddddd | 0     | no line names                            |
 
   Scenario: A pipe that nobody reads stops neither the process nor grows its memory
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -10,7 +10,7 @@
 from acaciastand.programs.explain import cause, lines_of
 from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
 
-A, B, C, E = "a" * 16, "b" * 16, "c" * 16, "e" * 16
+A, B, C, E, F = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16
 LINES = (
     {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
     {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
@@ -31,6 +31,15 @@
     },
     {"time": "9", "message": "answered", "job": E, "method": "POST", "status": "503"},
     {"time": "7", "message": "answered", "job": C, "method": "POST", "status": "200"},
+    {
+        "time": "10",
+        "message": "answered",
+        "job": F,
+        "method": "POST",
+        "status": "404",
+        "config": 7,
+        "config_age_s": 3.4,
+    },
 )
 
 
--- a/features/steps/platform_contract_steps.py
+++ b/features/steps/platform_contract_steps.py
@@ -15,6 +15,7 @@
 from acaciastand.platform.kv import PlatformStore
 from acaciastand.platform.operator import decode_catalog, decode_job
 from acaciastand.platform.tasks import decode_announcement
+from acaciastand.telemetry.metrics import Metrics
 from acaciastand_standin.platform_store import PlatformStoreStandIn
 
 PAGE_JOB = {
@@ -246,7 +247,9 @@
 
 @given("an entry that uses configuration version {version:d}")
 def given_entry(context, version):
-    context.entry = CatalogCopy(MemoryTransactionalStore(lambda call: ""), lambda catalog: None)
+    context.entry = CatalogCopy(
+        MemoryTransactionalStore(lambda call: ""), lambda catalog: None, Metrics()
+    )
     offer(context, version)
 
 
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -360,7 +360,7 @@
 @given("an entry with version {version:d} of the configuration")
 def given_copy(context, version):
     store = MemoryTransactionalStore(lambda call: "")
-    context.copy, context.copies = CatalogCopy(store, lambda catalog: None), 0
+    context.copy, context.copies = CatalogCopy(store, lambda catalog: None, Metrics()), 0
     context.copy.adopt(stored_catalog(version), "store")
 
 
--- a/features/waiting.py
+++ b/features/waiting.py
@@ -6,12 +6,12 @@
 POLL_SECONDS = 0.005
 
 
-def wait_for(condition, what="the condition is met"):
+def wait_for(condition, what="the condition is met", seconds=WAIT_SECONDS):
     """Call `condition` until it returns a true value, and return that value.
 
-    Raises an AssertionError that names `what` after `WAIT_SECONDS`.
+    Raises an AssertionError that names `what` after `seconds`.
     """
-    with gevent.Timeout(WAIT_SECONDS, AssertionError(f"timed out waiting for: {what}")):
+    with gevent.Timeout(seconds, AssertionError(f"timed out waiting for: {what}")):
         while True:
             value = condition()
             if value:
--- a/src/acaciastand/cluster/callers.py
+++ b/src/acaciastand/cluster/callers.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 from typing import Any
 
 import falcon
 
+from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.job_api import RETRY_AFTER_SECONDS, JobApi
 from acaciastand.errors import AcaciastandError, InvalidInput, NotFound, Outcome
@@ -34,15 +34,13 @@
     ----------
     job_api
         Carries out the calls.
-    catalog
-        Returns the configuration in use; None before the first version.
+    configuration
+        Copy of the operators' configuration.
     """
 
-    def __init__(
-        self, job_api: JobApi, catalog: Callable[[], Catalog | None], metrics: Metrics
-    ) -> None:
+    def __init__(self, job_api: JobApi, configuration: CatalogCopy, metrics: Metrics) -> None:
         self.job_api = job_api
-        self.catalog = catalog
+        self.configuration = configuration
         self.metrics = metrics
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_parameters: Any) -> None:
@@ -55,7 +53,6 @@
         status = str(resp.status)[:3]
         self.metrics.observe("request_seconds", now() - received_at, req.method)
         self.metrics.count("requests", f"{req.method}.{status}")
-        catalog = self.catalog()
         logger.info(
             "answered",
             extra={
@@ -63,14 +60,15 @@
                 "method": req.method,
                 "status": status,
                 "ms": round((now() - received_at) * 1000, 1),
-                "config": catalog.version if catalog else None,
+                "config": self.configuration.version or None,
+                "config_age_s": round(self.configuration.age_seconds, 2),
             },
         )
 
     def _dispatch(
         self, request: falcon.Request, response: falcon.Response, deadline: float
     ) -> None:
-        catalog = self.catalog()
+        catalog = self.configuration.catalog
         if catalog is None:
             response.status = falcon.HTTP_503
             response.set_header("Retry-After", str(RETRY_AFTER_SECONDS))
--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -9,11 +9,13 @@
 
 import gevent
 
+from acaciastand.cluster.clock import now
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import HistoryDropped, TransactionalStore
 from acaciastand.errors import InvalidInput
 from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
+from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 
 WATCH_WAIT_SECONDS = 1.0  # Longest time that a watch waits for a change.
@@ -43,14 +45,21 @@
         The same version as stored, compressed with zlib, for other entries.
     is_fetching
         Whether a copy from another entry is on its way.
+    confirmed_at
+        When the store last answered a read or a watch of the configuration; before the first
+        answer, when the copy was created.
     """
 
-    def __init__(self, store: TransactionalStore, on_change: Callable[[Catalog], None]) -> None:
+    def __init__(
+        self, store: TransactionalStore, on_change: Callable[[Catalog], None], metrics: Metrics
+    ) -> None:
         self.store = store
         self.on_change = on_change
+        self.metrics = metrics
         self.catalog: Catalog | None = None
         self.compressed_catalog = b""
         self.is_fetching = False
+        self.confirmed_at = now()
         self.store_availability = StoreAvailability("configuration")
 
     @property
@@ -58,18 +67,26 @@
         """Version of the configuration; 0 before the first."""
         return self.catalog.version if self.catalog else 0
 
+    @property
+    def age_seconds(self) -> float:
+        """Seconds since the store last confirmed the copy."""
+        return now() - self.confirmed_at
+
     def follow_forever(self) -> None:
         """Adopt every change that is written to the store."""
         revision = 0  # Revision to watch from; 0 when the key must be read first.
+        cause = "start"
         while True:
             try:
-                revision = self._watch(revision) if revision else self._read()
+                revision = self._watch(revision) if revision else self._read(cause)
                 self.store_availability.record_success()
             except HistoryDropped:
-                revision = 0
+                self._count_call("watch.history_dropped")
+                revision, cause = 0, "history_dropped"
             except (StoreUnavailable, StoreAnswerLost) as error:
+                self._count_call("watch.failed" if revision else "read.failed")
                 self.store_availability.record_failure(error)
-                revision = 0
+                revision, cause = 0, "call_failed"
                 gevent.sleep(RETRY_SECONDS)
 
     def fetch(
@@ -132,15 +149,21 @@
                 "version": catalog.version,
                 "former": previous_version or None,
                 "source": source,
+                "unconfirmed_s": round(self.age_seconds, 2) if previous_version else None,
             },
         )
         self.on_change(catalog)
 
-    def _read(self) -> int:
-        """Read the configuration and return the revision to watch from."""
+    def _read(self, cause: str) -> int:
+        """Read the configuration and return the revision to watch from.
+
+        `cause` is the reason for the read in the metrics.
+        """
         item = self.store.get(CONFIG_KEY, READ_TIMEOUT_SECONDS)
         if item.revision:
             self.adopt(item.value, "store")
+        self.confirmed_at = now()
+        self._count_call(f"read.{cause}")
         return max(1, item.revision)
 
     def _watch(self, revision: int) -> int:
@@ -150,4 +173,9 @@
         for item in changes.items:
             if item.key == CONFIG_KEY:
                 self.adopt(item.value, "store")
+        self.confirmed_at = now()
+        self._count_call("watch.changed" if changes.items else "watch.unchanged")
         return changes.revision
+
+    def _count_call(self, outcome: str) -> None:
+        self.metrics.count("configuration_calls", outcome)
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -60,7 +60,8 @@
 # load balancer needs two checks, one second apart, to notice.
 UNREADY_NOTICE_SECONDS = 2.2
 MAX_DRAIN_SECONDS = 3.0  # Longest wait for calls in progress during a stop.
-LAG_INTERVAL_SECONDS = 0.5  # Length of the sleep whose delay is measured.
+# Interval between two measurements; the delay of the sleep is one of them.
+MEASURE_INTERVAL_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02  # Interval between checks whether calls are in progress.
 
 logger = logging.getLogger(__name__)
@@ -106,7 +107,7 @@
         self.store = store
         self.metrics = metrics
         self.advisor = advisor
-        self.configuration = CatalogCopy(store, self._apply_catalog)
+        self.configuration = CatalogCopy(store, self._apply_catalog, metrics)
         self.owner: Owner | None = None
         self.owner_record: OwnerRecord | None = None
         self.unconfirmed_claim: OwnerRecord | None = None
@@ -120,7 +121,7 @@
         self.relayed_store = RelayedStore(store, lambda: list(self.peers.values()), metrics)
         self.job_api = JobApi(self.relayed_store, lambda: self.owner, self.owner_link)
         app = falcon.App()
-        app.add_sink(CallerSink(self.job_api, lambda: self.configuration.catalog, metrics), "/")
+        app.add_sink(CallerSink(self.job_api, self.configuration, metrics), "/")
         self.http = CallerServer(settings.http_address, app)
         self.ready_server = WSGIServer(
             split_address(settings.ready_address), self._serve_readiness, log=None
@@ -139,7 +140,7 @@
                 self.configuration.follow_forever,
                 self._elect_forever,
                 self._follow_members,
-                self._measure_lag,
+                self._measure_forever,
             )
             for loop in loops:
                 stack.callback(gevent.spawn(supervised(loop, self.metrics)).kill)
@@ -181,13 +182,15 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _measure_lag(self) -> None:
+    def _measure_forever(self) -> None:
+        """Record the delay of timers and the age of the configuration."""
         while True:
             slept_at = now()
-            gevent.sleep(LAG_INTERVAL_SECONDS)
+            gevent.sleep(MEASURE_INTERVAL_SECONDS)
             self.metrics.observe(
-                "loop_lag_seconds", max(0.0, now() - slept_at - LAG_INTERVAL_SECONDS)
+                "loop_lag_seconds", max(0.0, now() - slept_at - MEASURE_INTERVAL_SECONDS)
             )
+            self.metrics.set("configuration_age_seconds", self.configuration.age_seconds)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         if self.owner is not None:
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -44,10 +44,8 @@
     if end_line is not None:
         return _cause_of_end(end_line, found)
     answer = _last(found, "answered")
-    if answer is not None and answer.content.get("method") == "POST":
-        status = str(answer.content.get("status"))
-        if status != "200":
-            return _cause_of_refusal(status, found)
+    if answer is not None and _is_refused_submission(answer.content):
+        return _cause_of_refusal(answer.content, found)
     if _last(found, "start") is None:
         return "accepted, and no task has started: look at waiting_tasks and the workers' room"
     return "not over: its tasks have started; the last line tells what it waits for"
@@ -77,7 +75,17 @@
 REFUSALS = ("store turned away", "commit unanswered")
 
 
-def _cause_of_refusal(status: str, found: list[LogLine]) -> str:
+def _is_refused_submission(answer: dict[str, Any]) -> bool:
+    return answer.get("method") == "POST" and str(answer.get("status")) != "200"
+
+
+def _cause_of_refusal(answer: dict[str, Any], found: list[LogLine]) -> str:
+    status = str(answer.get("status"))
+    if status == "404":
+        return (
+            f"answered with 404: version {answer.get('config')} of the configuration has no such "
+            f"queue; the store had confirmed it {answer.get('config_age_s')} s before"
+        )
     for message in REFUSALS:
         line = _last(found, message)
         if line is not None:
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -15,6 +15,10 @@
 COUNTERS = {
     "requests": ("outcome", "Calls of callers by kind of answer."),
     "store_calls": ("outcome", "Calls to the store, as call.outcome."),
+    "configuration_calls": (
+        "outcome",
+        "Calls to the store about the configuration: reads by cause, watches by outcome.",
+    ),
     "advice": ("outcome", "Questions to the placement service."),
     "store_relay_failed": ("call", "Store calls that another entry could not make either."),
     "worker_calls_failed": ("call", "Calls to the worker without a usable answer."),
@@ -36,6 +40,7 @@
 GAUGES = {
     "owner_epoch": ("", "Epoch of this entry as owner; 0 while it is not."),
     "configuration_version": ("", "Version of the configuration in use."),
+    "configuration_age_seconds": ("", "Time since the store last confirmed the configuration."),
     "waiting_tasks": ("", "Tasks that wait for room."),
 }
 MAX_LABEL_VALUES = 64  # of one metric; later values are counted as "other"
