Reproduce a change of the configuration that is not in force in time, and a copy that reads in a loop

After all open connections to the store went silent, a change is in force after 16.3 s with four idle connections (10.0 s with two), in place of 2 s: the watch is given up after 3.5 s, and each kept connection that the next read takes is silent for another 3 s. Once the store has dropped its history, a copy whose watch failed once reads the configuration again without a pause (43 calls in 2 s with 46 ms a call).

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -43,6 +43,21 @@
     wait_for(lambda: context.copy.version == 1)
 
 
+@when("{count:d} calls of this host leave their connections idle")
+def when_idle(context, count):
+    context.store.delay_seconds = 0.1
+    reads = [gevent.spawn(context.client.get, "control/owner") for _ in range(count)]
+    gevent.joinall(reads, raise_error=True)
+    context.store.delay_seconds = 0.0
+
+
+@when("all open connections to the store go silent just after a watch was sent")
+def when_silent(context):
+    before = context.store.calls
+    wait_for(lambda: context.store.calls > before)
+    context.proxy.mute()
+
+
 @when("the operators change the configuration")
 def when_changed(context):
     context.store.write(CONFIG_KEY, stored_configuration(context.copy.version + 1))
@@ -81,3 +96,25 @@
 @then("the metrics count failed calls")
 def then_failed_calls(context):
     assert calls(context, "read.failed") + calls(context, "watch.failed") >= 2
+
+
+@when("other keys are written and the store drops its history")
+def when_history_dropped(context):
+    for number in range(3):
+        context.store.write(f"servers/{number}", b"")
+    context.store.store.forget_history()
+
+
+@when("one call of the copy fails")
+def when_call_fails(context):
+    failed_before = calls(context, "watch.failed") + calls(context, "read.failed")
+    context.proxy.reset()
+    wait_for(lambda: calls(context, "watch.failed") + calls(context, "read.failed") > failed_before)
+
+
+@then("the copy makes at most {count:d} calls in {seconds:f} seconds")
+def then_few_calls(context, count, seconds):
+    before = context.store.calls
+    gevent.sleep(seconds)
+    made = context.store.calls - before
+    assert made <= count, made
--- a/src/acaciastand_lab/fault_proxy.py
+++ b/src/acaciastand_lab/fault_proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy on loopback whose connections can be delayed, reset, silenced or cut one way."""
+"""TCP proxy on loopback whose connections can be delayed, reset, silenced, muted or cut one way."""
 
 from __future__ import annotations
 
@@ -15,6 +15,28 @@
 READ_BYTES = 64 << 10
 
 
+class _Pair:
+    """A connection to the proxy and the one behind it.
+
+    Attributes
+    ----------
+    is_mute
+        Whether all further bytes are lost while both connections stay open.
+    """
+
+    __slots__ = ("near", "far", "is_mute")
+
+    def __init__(self, near: Any, far: Any) -> None:
+        self.near = near
+        self.far = far
+        self.is_mute = False
+
+    def close(self) -> None:
+        """Close both connections."""
+        self.near.close()
+        self.far.close()
+
+
 class FaultProxy:
     """Passes bytes to `target`.
 
@@ -33,7 +55,7 @@
         self.forward = Event()
         self.backward = Event()
         self.delay_seconds = 0.0
-        self.pairs: set[tuple[Any, Any]] = set()
+        self.pairs: set[_Pair] = set()
         self.server = StreamServer(("127.0.0.1", 0), self._accept)
         self.heal()
 
@@ -64,11 +86,15 @@
         if backward:
             self.backward.clear()
 
+    def mute(self) -> None:
+        """Lose all further bytes of the connections that are open now; new ones pass."""
+        for pair in self.pairs:
+            pair.is_mute = True
+
     def reset(self) -> None:
         """Break all open connections."""
         for pair in list(self.pairs):
-            for sock in pair:
-                sock.close()
+            pair.close()
 
     def _accept(self, near: Any, _address: Any) -> None:
         try:
@@ -79,22 +105,22 @@
         far.settimeout(None)
         for sock in (near, far):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pair = (near, far)
+        pair = _Pair(near, far)
         self.pairs.add(pair)
         loops = [
-            gevent.spawn(self._pass, near, far, self.forward),
-            gevent.spawn(self._pass, far, near, self.backward),
+            gevent.spawn(self._pass, pair, near, far, self.forward),
+            gevent.spawn(self._pass, pair, far, near, self.backward),
         ]
         gevent.joinall(loops, count=1)
         gevent.killall(loops, block=False)
         self.pairs.discard(pair)
-        near.close()
-        far.close()
+        pair.close()
 
-    def _pass(self, source: Any, sink: Any, gate: Event) -> None:
+    def _pass(self, pair: _Pair, source: Any, sink: Any, gate: Event) -> None:
         with suppress(OSError):
             while data := source.recv(READ_BYTES):
                 if self.delay_seconds:
                     gevent.sleep(self.delay_seconds)
                 gate.wait()
-                sink.sendall(data)
+                if not pair.is_mute:
+                    sink.sendall(data)
