Notice connections to the store that went silent within the time of a change

Cause: one timeout served two purposes. A watch waits 1.0 s, and the client gave its answer another 2.5 s, so that a large configuration fits through a thin link. A connection that went silent was noticed 3.5 s after the watch was sent, on all entries at once, so that no peer had the change either. The read that followed took a kept connection, which had gone silent too, for another 3 s each.

Change: the time until an answer begins is separate from the time between its parts, which stays at 2.5 s for thin links. A watch of the configuration waits 0.5 s, and its answer must begin within 1.0 s after that. Once a call has timed out, the idle connections are closed, since they may have gone silent together.

--- a/features/http_caller.feature
+++ b/features/http_caller.feature
@@ -30,6 +30,13 @@
 
   # A page of jobs took longer than the timeout over a link of 5 Mbit/s, so an owner there read it again
   # and again and never took over (reprise-ops-grown, trouble-1 and trouble-3: nothing was served).
+  # Connections go silent together. Each later call took another one of them and waited for its timeout.
+  Scenario: Idle connections are not used again once a call has timed out
+    Given a server that answers each connection once and then keeps silent
+    When 3 calls at the same time leave their connections idle
+    And another call times out
+    Then the next call is answered over a new connection
+
   Scenario: A large answer over a thin link is read as long as parts of it arrive
     Given a server that sends 6 of 6 parts, one each 0.2 seconds
     When a call with a timeout for each part is made
--- a/features/steps/http_caller_steps.py
+++ b/features/steps/http_caller_steps.py
@@ -53,12 +53,12 @@
     context.stack.callback(context.caller.close)
 
 
-def call(context, per_part=False):
+def call(context, part_seconds=None):
     """Make one call and keep its error."""
     try:
         context.error = None
         return context.caller.call(
-            "POST", "/v1/tasks", b"{}", timeout_seconds=0.5, per_part=per_part
+            "POST", "/v1/tasks", b"{}", timeout_seconds=0.5, part_seconds=part_seconds
         )
     except AcaciastandError as error:
         context.error = error
@@ -145,7 +145,7 @@
 @when("a call with a timeout for each part is made")
 def step_per_part(context):
     context.began = time.monotonic()
-    context.answer = call(context, per_part=True)
+    context.answer = call(context, part_seconds=0.5)
 
 
 @then("its whole answer of {total:d} parts arrives")
@@ -158,3 +158,38 @@
 def step_timed_out_within(context, seconds):
     step_timed_out(context)
     assert time.monotonic() - context.began < seconds
+
+
+@given("a server that answers each connection once and then keeps silent")
+def step_answers_once(context):
+    def handle(sock, _address):
+        if sock.recv(65536):
+            gevent.sleep(0.05)
+            sock.sendall(ANSWERS["whole"])
+        while sock.recv(65536):
+            pass
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    context.stack.callback(server.stop, 0.1)
+    context.caller = HttpCaller(f"http://127.0.0.1:{server.server_port}")
+    context.stack.callback(context.caller.close)
+
+
+@when("{count:d} calls at the same time leave their connections idle")
+def step_leave_idle(context, count):
+    calls = [gevent.spawn(call, context) for _ in range(count)]
+    gevent.joinall(calls, raise_error=True)
+    assert len(context.caller._idle) == count
+
+
+@when("another call times out")
+def step_another_times_out(context):
+    call(context)
+    assert isinstance(context.error, CallTimedOut), repr(context.error)
+
+
+@then("the next call is answered over a new connection")
+def step_answered_anew(context):
+    answer = call(context)
+    assert answer is not None and answer.body == b"ok", repr(context.error)
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -60,7 +60,7 @@
             raise StoreAnswerLost("the answer was lost", "read the keys")
         return revision
 
-    def get(self, key, seconds=None):
+    def get(self, key):
         """Read, unless the fault prevents it."""
         return self._read(lambda: self.store.get(key))
 
--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -18,9 +18,12 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 
-WATCH_WAIT_SECONDS = 1.0  # Longest time that a watch waits for a change.
-# A configuration of one megabyte takes two seconds over a link of 5 Mbit/s.
-READ_TIMEOUT_SECONDS = 3.0
+# Longest time that a watch waits for a change. A connection that has gone silent is noticed only
+# after it, and a change must be in force within two seconds.
+WATCH_WAIT_SECONDS = 0.5
+# Time to wait for the copy of another entry. A configuration of one megabyte takes two seconds over
+# a link of 5 Mbit/s.
+FETCH_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.15  # Pause after a failed call to the store.
 CATALOG_CALL = "catalog"  # Name of the call by which an entry reads the copy of another one.
 
@@ -115,7 +118,7 @@
             return
         self.is_fetching = True
         try:
-            data = call(CATALOG_CALL, {}, READ_TIMEOUT_SECONDS).get("zlib", b"")
+            data = call(CATALOG_CALL, {}, FETCH_TIMEOUT_SECONDS).get("zlib", b"")
         finally:
             self.is_fetching = False
         try:
@@ -159,7 +162,7 @@
 
         `cause` is the reason for the read in the metrics.
         """
-        item = self.store.get(CONFIG_KEY, READ_TIMEOUT_SECONDS)
+        item = self.store.get(CONFIG_KEY)
         if item.revision:
             self.adopt(item.value, "store")
         self.confirmed_at = now()
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -74,10 +74,10 @@
 
     # Calls of this entry
 
-    def get(self, key: str, seconds: float | None = None) -> Item:
+    def get(self, key: str) -> Item:
         """Return the item at `key`."""
         return self._read(
-            lambda: self.direct.get(key, seconds),
+            lambda: self.direct.get(key),
             lambda link: _item(
                 link.call(STORE_READ_CALL, {"key": key}, CALL_TIMEOUT_SECONDS)["item"]
             ),
--- a/src/acaciastand/coordination/transactions.py
+++ b/src/acaciastand/coordination/transactions.py
@@ -126,16 +126,13 @@
     """
 
     @abstractmethod
-    def get(self, key: str, seconds: float | None = None) -> Item:
+    def get(self, key: str) -> Item:
         """Return the item at a key.
 
         Parameters
         ----------
         key
             Key to read.
-        seconds
-            Longest time to wait for the response, for values that are known to be large; None
-            stands for the store's usual limit.
 
         Returns
         -------
@@ -256,7 +253,7 @@
         self.revision = 1
         self.dropped = 0
 
-    def get(self, key: str, seconds: float | None = None) -> Item:
+    def get(self, key: str) -> Item:
         """Return the item at `key`; see `TransactionalStore.get`."""
         self._raise_read_fault("get")
         return self.items.get(key, Item(key))
--- a/src/acaciastand/platform/http.py
+++ b/src/acaciastand/platform/http.py
@@ -95,15 +95,17 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_seconds: float = 2.0,
-        per_part: bool = False,
+        part_seconds: float | None = None,
     ) -> HttpAnswer:
         """Send one request, never twice, and return the whole answer.
 
         Parameters
         ----------
         timeout_seconds
-            Time for the whole call, or with `per_part` for each part of the answer, so that a large
-            answer may take long over a thin link while a silent connection is still noticed.
+            Time for the whole answer, or with `part_seconds` until the answer begins.
+        part_seconds
+            Time for each part of the answer once it has begun. A large answer may then take long
+            over a thin link, while a connection that has gone silent is noticed soon.
 
         Raises
         ------
@@ -113,16 +115,21 @@
             The call may have had its effect.
         """
         client = self._take()
-        whole, part = (None, timeout_seconds) if per_part else (timeout_seconds, None)
+        timeout = gevent.Timeout.start_new(timeout_seconds)
         try:
-            with gevent.Timeout(whole):
-                with gevent.Timeout(part):
-                    client.request(method, path, body or None, headers or {})
-                    response = client.getresponse()
-                answer = self._read_answer(response, part)
+            client.request(method, path, body or None, headers or {})
+            response = client.getresponse()
+            if part_seconds is not None:
+                timeout.close()
+            answer = self._read_answer(response, part_seconds)
         except BaseException as error:
             client.close()
+            if isinstance(error, gevent.Timeout | TimeoutError):
+                # The idle connections may have gone silent together with this one.
+                self.close()
             raise self._typed(error, timeout_seconds) from error
+        finally:
+            timeout.close()
         if len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append(client)
         else:
--- a/src/acaciastand/platform/kv.py
+++ b/src/acaciastand/platform/kv.py
@@ -26,9 +26,14 @@
     HttpCaller,
 )
 
-READ_SECONDS = 0.7  # for one read; several times the answer time of a store that is slow
+# Time until the answer to a read begins; several times that of a store that is slow.
+READ_SECONDS = 0.7
+# The same for a watch, beyond the time that it waits. On a thin link the answer to another call can
+# be ahead of it.
+WATCH_SECONDS = 1.0
+# Time for each further part of an answer on a thin link that other hosts fill as well.
+PART_SECONDS = 2.5
 COMMIT_SECONDS = 0.5
-WATCH_SECONDS = 2.5  # beyond the time a watch waits; its changes can be large
 MAX_PAGE_BYTES = 4 << 20  # a page can hold values of a megabyte, and a third more as base64
 NOT_DONE = frozenset({429, 503})
 CONFLICT = 412
@@ -60,10 +65,10 @@
         """Close the kept connections."""
         self.caller.close()
 
-    def get(self, key: str, seconds: float | None = None) -> Item:
+    def get(self, key: str) -> Item:
         """Return the item at `key`."""
         path = f"/kv-key?{urlencode({'key': key})}"
-        answer = self._read("get", path, seconds or self.read_seconds)
+        answer = self._read("get", path, self.read_seconds)
         return Item(key) if answer.status == NOT_FOUND else _item(_body(answer, "get"))
 
     def list(self, prefix: str, stale: bool = False) -> Listing:
@@ -130,8 +135,7 @@
         return revision
 
     def _read(self, call: str, path: str, seconds: float) -> HttpAnswer:
-        # A page or value of a megabyte takes two seconds over a link of 5 Mbit/s.
-        answer = self._call("GET", call, path, seconds, per_part=True)
+        answer = self._call("GET", call, path, seconds, part_seconds=PART_SECONDS)
         self.observe(call, "done" if answer.status < 500 else "failed")
         return answer
 
@@ -142,11 +146,11 @@
         path: str,
         seconds: float,
         body: Any = None,
-        per_part: bool = False,
+        part_seconds: float | None = None,
     ) -> HttpAnswer:
         data = b"" if body is None else json.dumps(body).encode()
         try:
-            answer = self.caller.call(method, path, data, JSON_HEADERS, seconds, per_part)
+            answer = self.caller.call(method, path, data, JSON_HEADERS, seconds, part_seconds)
         except CallNotSent as error:
             self.observe(call, "not_sent")
             raise StoreUnavailable(str(error), "try again later") from error
