Watch the configuration from the revision of the store, and pause once history was dropped

Cause: a copy of the configuration watched from the revision of the item. Once the store had dropped the history up to it, the watch failed at once, the copy read the item with the same revision again, and so on without a pause until the next change. It began after any failed call, since the copy then forgot how far it had watched.

Change: the copy is read with the store's revision and watched from there; a failed watch is repeated from the same revision and nothing is read again. After dropped history both the copy and the watches of the owner pause before they read. The owner's lists already continued from the store's revision, but would have gone round without a pause while the history is dropped again and again.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -21,7 +21,12 @@
 from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.cluster.worker_controller import WorkerController
 from acaciastand.coordination.store import StoreAnswerLost
-from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
+from acaciastand.coordination.transactions import (
+    HistoryDropped,
+    Item,
+    Listing,
+    MemoryTransactionalStore,
+)
 from acaciastand.errors import AcaciastandError, OutcomeUnknown
 from acaciastand.platform.http import CallNotSent, CallTimedOut
 from acaciastand.telemetry.metrics import Metrics
@@ -228,6 +233,29 @@
     assert job.stored_state.value == "cancelled"
 
 
+@when("each of its watches finds the history dropped for {seconds:f} seconds")
+def when_history_dropped(context, seconds):
+    def watch(prefix, after, wait_seconds):
+        gevent.sleep(0)
+        raise HistoryDropped(after)
+
+    def count_list(prefix, stale=False):
+        context.lists += 1
+        return Listing([], 1)
+
+    context.lists = 0
+    context.store.watch, context.store.list = watch, count_list
+    context.owner.inbox_revision = 1
+    following = gevent.spawn(context.owner._watch_inbox)
+    gevent.sleep(seconds)
+    following.kill()
+
+
+@then("it has listed the jobs at most {count:d} times")
+def then_few_lists(context, count):
+    assert 1 <= context.lists <= count, context.lists
+
+
 class FakeTaskClient:
     """Returns the results of polls from a list, or raises an error from it."""
 
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -56,6 +56,12 @@
     When the answer to its commit of a job is lost
     Then the next commits store the job without losing the ownership
 
+  # A loop without a pause fills the link of the owner and uses up the rate limit of the store.
+  Scenario: An owner pauses between lists while the store drops its history again and again
+    Given an owner whose last heartbeat was stored 0.1 seconds ago
+    When each of its watches finds the history dropped for 0.55 seconds
+    Then it has listed the jobs at most 6 times
+
   # The worker restarted while polls failed. The next poll acknowledged ends of the new incarnation, which
   # were lost, and their tasks ran again (soak seeds 27 and 30).
   Scenario: A poll after a failed one acknowledges nothing
--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -4,7 +4,7 @@
 
 import logging
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import gevent
@@ -12,7 +12,7 @@
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
-from acaciastand.coordination.transactions import HistoryDropped, TransactionalStore
+from acaciastand.coordination.transactions import HistoryDropped, Item, TransactionalStore
 from acaciastand.errors import InvalidInput
 from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
 from acaciastand.telemetry.metrics import Metrics
@@ -24,7 +24,8 @@
 # Time to wait for the copy of another entry. A configuration of one megabyte takes two seconds over
 # a link of 5 Mbit/s.
 FETCH_TIMEOUT_SECONDS = 3.0
-RETRY_SECONDS = 0.15  # Pause after a failed call to the store.
+# Pause after a failed call to the store, or one that found the history dropped.
+RETRY_SECONDS = 0.15
 CATALOG_CALL = "catalog"  # Name of the call by which an entry reads the copy of another one.
 
 logger = logging.getLogger(__name__)
@@ -77,20 +78,20 @@
 
     def follow_forever(self) -> None:
         """Adopt every change that is written to the store."""
-        revision = 0  # Revision to watch from; 0 when the key must be read first.
+        revision = 0  # Revision to watch from; 0 when the configuration must be read first.
         cause = "start"
         while True:
             try:
                 revision = self._watch(revision) if revision else self._read(cause)
                 self.store_availability.record_success()
+                continue
             except HistoryDropped:
                 self._count_call("watch.history_dropped")
                 revision, cause = 0, "history_dropped"
             except (StoreUnavailable, StoreAnswerLost) as error:
                 self._count_call("watch.failed" if revision else "read.failed")
                 self.store_availability.record_failure(error)
-                revision, cause = 0, "call_failed"
-                gevent.sleep(RETRY_SECONDS)
+            gevent.sleep(RETRY_SECONDS)
 
     def fetch(
         self, version: int, source: str, call: Callable[[str, dict[str, Any], float], Any]
@@ -162,23 +163,26 @@
 
         `cause` is the reason for the read in the metrics.
         """
-        item = self.store.get(CONFIG_KEY)
-        if item.revision:
-            self.adopt(item.value, "store")
+        listing = self.store.list(CONFIG_KEY)
+        self._adopt_items(listing.items)
         self.confirmed_at = now()
         self._count_call(f"read.{cause}")
-        return max(1, item.revision)
+        # The store may have dropped the history up to the last change already, but not up to now.
+        return listing.revision
 
     def _watch(self, revision: int) -> int:
         """Wait for a change after `revision` and return the revision to watch from next."""
         # A change carries the whole value, and a large one fills a slow link for a second.
         changes = self.store.watch(CONFIG_KEY, revision, WATCH_WAIT_SECONDS)
-        for item in changes.items:
-            if item.key == CONFIG_KEY:
-                self.adopt(item.value, "store")
+        self._adopt_items(changes.items)
         self.confirmed_at = now()
         self._count_call("watch.changed" if changes.items else "watch.unchanged")
         return changes.revision
 
+    def _adopt_items(self, items: Iterable[Item]) -> None:
+        for item in items:
+            if item.key == CONFIG_KEY:
+                self.adopt(item.value, "store")
+
     def _count_call(self, outcome: str) -> None:
         self.metrics.count("configuration_calls", outcome)
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -57,7 +57,8 @@
 MAX_PLAN_INTERVAL_SECONDS = 0.1  # Longest time between two rounds of scheduling.
 PLAN_DELAY_SECONDS = 0.004  # Events within this time are handled in one round of scheduling.
 WATCH_WAIT_SECONDS = 1.0  # Longest time that a watch of the inbox waits for a change.
-RETRY_SECONDS = 0.1  # Pause after a failed call to the store or the placement service.
+# Pause after a failed call to the store or the placement service, or once history was dropped.
+RETRY_SECONDS = 0.1
 LOAD_ATTEMPTS = 3  # Attempts to read the jobs before the takeover is left to another entry.
 ADVICE_POLL_SECONDS = 0.03  # Interval between checks for a step that needs advice.
 # Time to wait for the placement service beyond the time that it takes to decide.
@@ -500,6 +501,7 @@
                     changes = self.store.watch(prefix, revision, wait_seconds)
             except HistoryDropped:
                 must_list = True
+                gevent.sleep(RETRY_SECONDS)
                 continue
             except (StoreUnavailable, StoreAnswerLost):
                 gevent.sleep(RETRY_SECONDS)
