Do not hold back copies of the configuration for one that does not arrive

Found while looking elsewhere for the cause of the silent watches: an entry copies the configuration from one other entry at a time and waited up to 3 s for it. When the connection to that entry went silent, copies of all others were held back longer than the two seconds that a change may take.

Change: a copy that is awaited for a second no longer holds back the next one. Test: workflow_decisions 'A copy of the configuration that does not arrive is made from the next entry' failed before (version 5 not within 2 s) and passes; the scenario about eleven entries at once is unchanged and passes.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -8,6 +8,7 @@
 
 import gevent
 from behave import given, then, when
+from waiting import wait_for
 from workflow_support import step
 
 from acaciastand.cluster import worker_controller
@@ -413,6 +414,51 @@
         context.copy.fetch(version, "e", call)
 
 
+def count_copies(context, version, seconds):
+    """Return a call that delivers a copy after some seconds and counts those on their way."""
+
+    def call(name, payload, timeout_seconds):
+        context.copies += 1
+        context.most_copies = max(context.most_copies, context.copies)
+        gevent.sleep(seconds)
+        context.copies -= 1
+        return {"zlib": zlib.compress(stored_catalog(version))}
+
+    return call
+
+
+@when("an entry that announces version {version:d} to it sends its copy after {seconds:f} seconds")
+def when_copy_held_up(context, version, seconds):
+    context.most_copies = 0
+    context.stack.callback(
+        gevent.spawn(context.copy.fetch, version, "e", count_copies(context, version, seconds)).kill
+    )
+    gevent.sleep(0)
+
+
+@when("{count:d} other entries announce version {version:d} to it each {seconds:f} seconds")
+def when_announced_repeatedly(context, count, version, seconds):
+    call = count_copies(context, version, 0.05)
+
+    def announce():
+        while True:
+            context.copy.fetch(version, "e", call)
+            gevent.sleep(seconds)
+
+    for _ in range(count):
+        context.stack.callback(gevent.spawn(announce).kill)
+
+
+@then("the entry has version {version:d} within {seconds:f} seconds")
+def then_version_within(context, version, seconds):
+    wait_for(lambda: context.copy.version == version, f"version {version}", seconds)
+
+
+@then("at most {count:d} copies are on their way at the same time")
+def then_few_copies(context, count):
+    assert context.most_copies <= count, context.most_copies
+
+
 @when("another entry sends version {version:d}")
 def when_sent(context, version):
     context.copy.adopt(stored_catalog(version), "e")
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -107,6 +107,15 @@
     And 11 other entries announce version 5 to it at the same time
     Then 1 copy is made and the entry has version 5
 
+  # The copy of an entry whose connection had gone silent held up the copies of all others for 3 s, longer
+  # than the two seconds that a change may take.
+  Scenario: A copy of the configuration that does not arrive is made from the next entry
+    Given an entry with version 3 of the configuration
+    When an entry that announces version 5 to it sends its copy after 2.5 seconds
+    And 11 other entries announce version 5 to it each 0.5 seconds
+    Then the entry has version 5 within 2.0 seconds
+    And at most 2 copies are on their way at the same time
+
   # While the store reset its connections, every submission waited three seconds for a write that was
   # never answered.
   Scenario: Submissions are refused at once while the store is known to be unavailable
--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -24,6 +24,8 @@
 # Time to wait for the copy of another entry. A configuration of one megabyte takes two seconds over
 # a link of 5 Mbit/s.
 FETCH_TIMEOUT_SECONDS = 3.0
+# After this long, the copy of the next entry is no longer held back for one that is on its way.
+EXCLUSIVE_FETCH_SECONDS = 1.0
 # Pause after a failed call to the store, or one that found the history dropped.
 RETRY_SECONDS = 0.15
 CATALOG_CALL = "catalog"  # Name of the call by which an entry reads the copy of another one.
@@ -47,8 +49,8 @@
         Decoded configuration; None before the first version.
     compressed_catalog
         The same version as stored, compressed with zlib, for other entries.
-    is_fetching
-        Whether a copy from another entry is on its way.
+    fetching_since
+        When the last copy from another entry that is on its way was asked for; None if none is.
     confirmed_at
         When the store last answered a read or a watch of the configuration; before the first
         answer, when the copy was created.
@@ -62,7 +64,7 @@
         self.metrics = metrics
         self.catalog: Catalog | None = None
         self.compressed_catalog = b""
-        self.is_fetching = False
+        self.fetching_since: float | None = None
         self.confirmed_at = now()
         self.store_availability = StoreAvailability("configuration")
 
@@ -96,10 +98,11 @@
     def fetch(
         self, version: int, source: str, call: Callable[[str, dict[str, Any], float], Any]
     ) -> None:
-        """Copy the configuration of another entry if it is newer and no other copy is on its way.
+        """Copy the configuration of another entry if it is newer and no other copy is awaited.
 
-        Only one copy is fetched at a time, since simultaneous copies from all other entries fill a
-        slow link for seconds.
+        Copies are fetched one after the other, since simultaneous copies from all other entries
+        fill a slow link for seconds. One that does not arrive soon, because the connection to its
+        entry has gone silent, holds up the next one for `EXCLUSIVE_FETCH_SECONDS`.
 
         Parameters
         ----------
@@ -115,18 +118,24 @@
         Refused, OutcomeUnknown
             The other entry did not answer.
         """
-        if version <= self.version or self.is_fetching:
+        if version <= self.version or self._awaits_copy():
             return
-        self.is_fetching = True
+        began_at = self.fetching_since = now()
         try:
             data = call(CATALOG_CALL, {}, FETCH_TIMEOUT_SECONDS).get("zlib", b"")
         finally:
-            self.is_fetching = False
+            if self.fetching_since == began_at:
+                self.fetching_since = None
         try:
             self.adopt(zlib.decompress(bytes(data)), source)
         except zlib.error as error:
             logger.error("configuration ignored", extra={"error": str(error), "source": source})
 
+    def _awaits_copy(self) -> bool:
+        if self.fetching_since is None:
+            return False
+        return now() - self.fetching_since < EXCLUSIVE_FETCH_SECONDS
+
     def adopt(self, data: bytes, source: str) -> None:
         """Adopt a configuration if it is newer; one that cannot be decoded is logged and ignored.
 
