Tell which runs were on a worker when it crashed, and for how long

The log named the tasks of a lost worker one by one, without the time since their starts, so the task that crashed a worker could not be told from those that shared it. The agent beside the worker is the only one that sees the crash. It now keeps the start of each run, logs `worker crashed` with the run that had started last, counts worker_crashes, and has the list ready for the owner.

A restart of the worker, or an address that refuses connections until the lease is over, is a crash; silence, an announced departure, and runs that are there again are none. No change of behaviour. Tests: worker_crashes (the agent's scenarios).

--- /dev/null
+++ b/features/steps/crash_witness_steps.py
@@ -0,0 +1,129 @@
+"""Steps for what an agent knows of the runs on its worker when the worker crashes."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from acaciastand.cluster import worker_controller
+from acaciastand.cluster.worker_controller import WorkerController
+from acaciastand.errors import AcaciastandError
+from acaciastand.platform.http import CallNotSent, CallTimedOut
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.workflow.reports import (
+    ActiveRun,
+    PollResult,
+    StartCommand,
+    StartOutcome,
+    WorkerIdentity,
+)
+
+BORN_MS = 5_000
+OLD, NEW = "00000000000000aa.0.0.0", "00000000000000bb.0.0.0"
+REFUSED = CallNotSent("the worker refuses connections", "check that it is running")
+SILENT = CallTimedOut("no answer", "poll again")
+
+
+class ScriptedWorker:
+    """Task client whose worker answers as `born_ms`, `running` and `error` say."""
+
+    def __init__(self):
+        self.born_ms = BORN_MS
+        self.running = []
+        self.error = None
+
+    def poll(self, lease_ms, acknowledged, wait_seconds):
+        self._answer()
+        return PollResult(self.born_ms, 1.0, list(self.running), [])
+
+    def start(self, command, lease_ms):
+        self._answer()
+        self.running.append(ActiveRun(command.task, command.run))
+        return StartOutcome.STARTED
+
+    def _answer(self):
+        if self.error is not None:
+            raise self.error
+
+
+@given("an agent with a run of {old:f} seconds and one of {new:f} seconds on its worker")
+def given_agent(context, old, new):
+    context.now = 100.0
+    patch = mock.patch.object(worker_controller, "now", lambda: context.now)
+    context.stack.enter_context(patch)
+    context.worker = ScriptedWorker()
+    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics())
+    context.controller.client = context.worker
+    poll(context)
+    announce(context)
+    start(context, OLD)
+    context.now += old - new
+    poll(context)
+    start(context, NEW)
+    context.now += new
+
+
+def announce(context, draining=False):
+    identity = WorkerIdentity("w-1", context.worker.born_ms, "desk", "10.0.0.1:1")
+    identity.draining = draining
+    sequence = context.controller.announcement_sequence + 1
+    context.worker.incarnation_header = {}
+    context.controller.apply_announcement(identity, sequence)
+
+
+def start(context, task):
+    context.controller.grant_until = context.now + 4.0
+    outcome = context.controller.start(StartCommand(task, 1), context.now + 1.0, 1)
+    assert outcome is StartOutcome.STARTED
+
+
+def poll(context):
+    try:
+        context.controller._poll_once()
+    except AcaciastandError as error:
+        context.controller._poll_failed(error)
+
+
+@when("its worker {fault} for {seconds:f} seconds")
+def when_fault(context, fault, seconds):
+    context.worker.error = REFUSED if fault == "refuses connections" else SILENT
+    end = context.now + seconds
+    while context.now < end:
+        poll(context)
+        context.now += 0.1
+
+
+@when("its worker is there again in a new incarnation")
+def when_reborn(context):
+    context.worker.error = None
+    context.worker.born_ms += 1_000
+    context.worker.running = []
+    poll(context)
+
+
+@when("its worker is there again with its runs")
+def when_back(context):
+    context.worker.error = None
+    poll(context)
+
+
+@when("its worker announces that it leaves")
+def when_leaving(context):
+    announce(context, draining=True)
+
+
+@when("the consequences of the crash are stored")
+def when_stored(context):
+    context.controller.crash_witness.record_stored(BORN_MS)
+
+
+@then("it reports a crash under runs of {old:f} and {new:f} seconds")
+def then_reports_crash(context, old, new):
+    crash = context.controller.report().crash
+    assert crash is not None and crash.born_ms == BORN_MS, crash
+    ran = {run.task: round(run.ran_seconds, 2) for run in crash.runs}
+    assert ran == {OLD: old, NEW: new}, ran
+
+
+@then("it reports no crash")
+def then_no_crash(context):
+    assert context.controller.report().crash is None
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -13,6 +13,7 @@
 from acaciastand.platform.http import CallNotSent
 from acaciastand.platform.tasks import INCARNATION_HEADER, TaskClient, TokenRefused, WorkerChanged
 from acaciastand.telemetry.metrics import Metrics
+from acaciastand.workflow.crash_witness import CrashWitness
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
 from acaciastand.workflow.limits import CLOCK_DRIFT, RUN_LEASE_SECONDS
 from acaciastand.workflow.pacing import FULL_PERCENT, BatchCost, Pacer, RunLimits
@@ -96,6 +97,10 @@
         Number and result of the last successful poll.
     failed_polls
         Number of failed polls since the last successful one.
+    refuses_connections
+        Whether the last failed poll found that nothing listens at the worker's address.
+    crash_witness
+        Runs that are on the worker, and its last crash.
     acknowledged
         Number of the worker's last end whose effect is stored.
     ends_stored
@@ -147,6 +152,8 @@
         self.poll_number = 0
         self.last_poll: PollResult | None = None
         self.failed_polls = 0
+        self.refuses_connections = False
+        self.crash_witness = CrashWitness()
         self.acknowledged = 0
         self.ends_stored = Event()
         self.limits: dict[str, RunLimits] = {}
@@ -206,8 +213,11 @@
         result = self.last_poll
         unresponsive = self.failed_polls >= UNRESPONSIVE_POLLS
         expired = unresponsive and now() > self.lease_until
+        if expired and self.refuses_connections:
+            self._record_crash()
+        crash = self.crash_witness.crash
         if result is None or expired:
-            return AgentReport(self.identity, lapsed=expired, silent=True)
+            return AgentReport(self.identity, lapsed=expired, silent=True, crash=crash)
         settled = self.settled_poll > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
@@ -219,6 +229,7 @@
             settled,
             self.pace_percent,
             self.pacer.tail_share,
+            crash,
         )
 
     def tasks_without_limits(self) -> list[str]:
@@ -264,9 +275,12 @@
         self.limits[command.task] = RunLimits(command.target_ms, command.uses_leftover)
         key = (command.task, command.run)
         self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
+        self.crash_witness.record_start(command.task, command.run, now())
         outcome = self._send_start(command, not_after)
         if outcome != StartOutcome.UNKNOWN:
             self.unsettled_starts.pop(key, None)
+            if outcome != StartOutcome.STARTED:
+                self.crash_witness.discard_start(command.task, command.run)
         return outcome
 
     def _send_start(self, command: StartCommand, not_after: float) -> StartOutcome:
@@ -315,6 +329,7 @@
 
     def _poll_once(self) -> None:
         self.polls_begun += 1
+        began_at = now()
         poll_number = self.polls_begun
         is_settled = self._is_settled()
         wait_seconds = 0.0 if self._has_unstored_ends() else POLL_WAIT_SECONDS
@@ -340,6 +355,7 @@
         if self.failed_polls >= UNRESPONSIVE_POLLS:
             logger.info("worker regained", extra={"failed_polls": self.failed_polls})
         self.failed_polls = 0
+        self.crash_witness.record_poll(result.born_ms, result.running, began_at)
         self.worker_clock_ms = result.clock_ms
         self.worker_clock_read_at = now()
         newest = max((end.number for end in result.ended), default=0)
@@ -354,6 +370,8 @@
 
     def _poll_failed(self, error: AcaciastandError) -> None:
         self.failed_polls += 1
+        self.refuses_connections = isinstance(error, CallNotSent)
+        self.crash_witness.record_failure(now())
         self.metrics.count("worker_calls_failed", "look")
         if self.failed_polls == UNRESPONSIVE_POLLS:
             logger.warning("worker lost", extra={"error": str(error)})
@@ -388,6 +406,9 @@
 
     def _begin_incarnation(self, born_ms: int) -> None:
         logger.info("worker restarted", extra={"born_ms": born_ms, "former_ms": self.born_ms})
+        if self.born_ms and not self._was_leaving():
+            self._record_crash()
+        self.crash_witness.begin_incarnation(now())
         self.born_ms = born_ms
         self.identity = None  # The capacity may have changed; the next announcement states it.
         self.acknowledged = 0
@@ -398,6 +419,29 @@
         self.lease_end_ms = 0
         self.sent_paces.clear()
 
+    def _was_leaving(self) -> bool:
+        """Return whether the worker has announced that it leaves, so that its end is no crash."""
+        return self.has_left or (self.identity is not None and self.identity.draining)
+
+    def _record_crash(self) -> None:
+        """Record that the current incarnation of the worker has crashed."""
+        known = self.crash_witness.crash
+        crash = self.crash_witness.record_crash(self.born_ms, now())
+        if crash is known:
+            return
+        self.metrics.count("worker_crashes")
+        newest = min(crash.runs, key=lambda run: run.ran_seconds, default=None)
+        logger.warning(
+            "worker crashed",
+            extra={
+                "born_ms": crash.born_ms,
+                "runs": len(crash.runs),
+                "task": newest.task if newest else None,
+                "run": newest.run if newest else None,
+                "ran_s": round(newest.ran_seconds, 3) if newest else None,
+            },
+        )
+
     def _raise_token(self) -> None:
         self.client.token += TOKEN_STEP
         logger.warning("token refused", extra={"next_token": self.client.token})
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -22,6 +22,7 @@
     "advice": ("outcome", "Questions to the placement service."),
     "store_relay_failed": ("call", "Store calls that another entry could not make either."),
     "worker_calls_failed": ("call", "Calls to the worker without a usable answer."),
+    "worker_crashes": ("", "Crashes of the worker that this agent has seen."),
     "decisions": ("what", "Decisions of the owner of the jobs."),
     "announcements_ignored": ("why", "Announcements that name no worker."),
     "unexpected_errors": (
--- /dev/null
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -0,0 +1,87 @@
+"""Runs that an agent knows to be on its worker, in case the worker crashes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from acaciastand.workflow.reports import ActiveRun, CrashedRun, WorkerCrash
+
+# Age of a run that was on the worker before the agent started, which has not seen its start.
+UNSEEN_START_SECONDS = 3600.0
+
+
+class CrashWitness:
+    """Remembers which runs are on a worker and since when, and tells it once the worker crashed.
+
+    Only the agent beside a worker sees the crash itself. It tells each owner until the consequences
+    are stored, so that they outlive the owner. A crash together with the host is not told, since
+    the agent has ended as well.
+
+    Times are seconds on the agent's clock.
+
+    Attributes
+    ----------
+    started_at
+        When each run that may be on the worker was started, by task and run.
+    failed_at
+        When the first call of the present series of failed calls failed; None after an answer.
+    crash
+        Last crash whose consequences are not stored yet; None if there is none.
+    """
+
+    def __init__(self) -> None:
+        self.started_at: dict[tuple[str, int], float] = {}
+        self.failed_at: float | None = None
+        self.crash: WorkerCrash | None = None
+
+    def record_start(self, task: str, run: int, now: float) -> None:
+        """Record that a call to start a run is sent, unless it is a repetition."""
+        self.started_at.setdefault((task, run), now)
+
+    def discard_start(self, task: str, run: int) -> None:
+        """Record that a run has certainly not started."""
+        self.started_at.pop((task, run), None)
+
+    def record_poll(self, born_ms: int, running: Iterable[ActiveRun], began_at: float) -> None:
+        """Record the runs that a poll, begun at `began_at`, lists."""
+        self.failed_at = None
+        if self.crash is not None and self.crash.born_ms == born_ms:
+            self.crash = None  # The worker had not ended, but refused connections for a while.
+        listed = {(active_run.task, active_run.run) for active_run in running}
+        self.started_at = {
+            key: started_at
+            for key, started_at in self.started_at.items()
+            if key in listed or started_at >= began_at
+        }
+        for key in listed:
+            self.started_at.setdefault(key, began_at - UNSEEN_START_SECONDS)
+
+    def record_failure(self, now: float) -> None:
+        """Record a poll that was not answered."""
+        if self.failed_at is None:
+            self.failed_at = now
+
+    def record_crash(self, born_ms: int, now: float) -> WorkerCrash:
+        """Record the crash of an incarnation of the worker, unless it is known, and return it."""
+        if self.crash is None or self.crash.born_ms != born_ms:
+            crashed_at = now if self.failed_at is None else self.failed_at
+            runs = [
+                CrashedRun(task, run, crashed_at - started_at)
+                for (task, run), started_at in self.started_at.items()
+                if started_at <= crashed_at
+            ]
+            self.crash = WorkerCrash(born_ms, runs)
+        return self.crash
+
+    def begin_incarnation(self, now: float) -> None:
+        """Forget the runs that were started before the former incarnation of the worker ended."""
+        ended_at = now if self.failed_at is None else self.failed_at
+        self.started_at = {
+            key: started_at for key, started_at in self.started_at.items() if started_at > ended_at
+        }
+        self.failed_at = None
+
+    def record_stored(self, born_ms: int) -> None:
+        """Forget a crash whose consequences are stored."""
+        if self.crash is not None and self.crash.born_ms <= born_ms:
+            self.crash = None
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -112,6 +112,43 @@
         self.checkpoint = checkpoint
 
 
+class CrashedRun(Record):
+    """A run that was on a worker when the worker crashed.
+
+    Parameters
+    ----------
+    task, run
+        Key of the task and number of the run.
+    ran_seconds
+        Time from the start of the run to the crash, in seconds.
+    """
+
+    __slots__ = ("task", "run", "ran_seconds")
+
+    def __init__(self, task: str, run: int, ran_seconds: float) -> None:
+        self.task = task
+        self.run = run
+        self.ran_seconds = ran_seconds
+
+
+class WorkerCrash(Record):
+    """Crash of a worker, as the agent beside it has seen it.
+
+    Parameters
+    ----------
+    born_ms
+        Start time of the crashed incarnation in Unix milliseconds.
+    runs
+        Runs that were on the worker.
+    """
+
+    __slots__ = ("born_ms", "runs")
+
+    def __init__(self, born_ms: int, runs: list[CrashedRun]) -> None:
+        self.born_ms = born_ms
+        self.runs = runs
+
+
 class WorkerIdentity(Record):
     """Announcement of one incarnation of a worker.
 
@@ -267,6 +304,8 @@
         Lowest pace of a batch task at present, in percent of full speed.
     tail_share
         Largest tail latency of a continuous task, as a share of its latency target.
+    crash
+        Last crash of the worker; None if there was none, or once its consequences are stored.
     """
 
     __slots__ = (
@@ -279,6 +318,7 @@
         "settled",
         "pace_percent",
         "tail_share",
+        "crash",
     )
 
     def __init__(
@@ -292,6 +332,7 @@
         settled: bool = True,
         pace_percent: int = 100,
         tail_share: float = 0.0,
+        crash: WorkerCrash | None = None,
     ) -> None:
         self.identity = identity
         self.look = look
@@ -302,3 +343,4 @@
         self.settled = settled
         self.pace_percent = pace_percent
         self.tail_share = tail_share
+        self.crash = crash
