Give up tasks that crash each worker that starts them

Cause: only an end 'failed' counted against a task. A run that was lost with its worker was started again without limit and without a trace, and a worker that came back got all waiting tasks at once, the one that had crashed it among them. Ruled out: a count that is lost with the owner (there was none), and starts on the same worker only (they went everywhere).

Change: the agent reports the runs that were on a crashed worker, and how long each had run, until the consequences are stored. The owner suspects the tasks that had just started and those under which a worker crashed at the same point before. Suspects start again in isolation; a second crash at the same point, or four suspected ones, end the job as failed. Tasks that outlive the point are cleared. Crashes are stored with the progress of the job, so they are counted across owners, processes and lost answers.

Test: with the attribution switched off, 16 of the 17 new scenarios of worker_crashes fail (6 to 40 crashes under a task, which runs on), as does the new scenario of platform_processes (not failed within 30 s); all pass now.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -96,6 +96,18 @@
     And the owner is killed
     Then the first task starts at the other worker within 5 seconds
 
+  # Guards against a task that crashes server after server, and a count of crashes that is lost with the
+  # owner.
+  Scenario: A task that crashes each worker is given up although the owner is killed meanwhile
+    Given a site of 2 entries and 4 agents
+    When 6 jobs of 2 tasks of 1.0 seconds are submitted
+    And a job is submitted whose task takes each worker down for 2.0 seconds
+    And the owner is killed once a worker has crashed
+    Then that job is "failed" within 30 seconds at the other entry
+    And the jobs are "completed" within 20 seconds at the other entry
+    And at most 3 workers have crashed under it
+    And no promise is broken
+
   Scenario: Unknown ids, malformed bodies and paths outside all queues are refused
     Given a site of 1 entries and 1 agents
     Then a query for an unknown id is answered with 410
--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -100,6 +100,14 @@
     poll(context)
 
 
+@when("it hears of a new incarnation that refuses connections for {seconds:f} seconds")
+def when_announced_early(context, seconds):
+    context.worker.born_ms += 1_000
+    context.worker.running = []
+    announce(context)
+    when_fault(context, "refuses connections", seconds)
+
+
 @when("its worker is there again with its runs")
 def when_back(context):
     context.worker.error = None
@@ -118,12 +126,12 @@
 
 @then("it reports a crash under runs of {old:f} and {new:f} seconds")
 def then_reports_crash(context, old, new):
-    crash = context.controller.report().crash
-    assert crash is not None and crash.born_ms == BORN_MS, crash
+    (crash,) = context.controller.report().crashes
+    assert crash.born_ms == BORN_MS, crash
     ran = {run.task: round(run.ran_seconds, 2) for run in crash.runs}
     assert ran == {OLD: old, NEW: new}, ran
 
 
 @then("it reports no crash")
 def then_no_crash(context):
-    assert context.controller.report().crash is None
+    assert not context.controller.report().crashes
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -10,7 +10,7 @@
 from acaciastand.programs.explain import cause, lines_of
 from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
 
-A, B, C, E, F = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16
+A, B, C, E, F, G = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16, "1" * 16
 LINES = (
     {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
     {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
@@ -40,6 +40,9 @@
         "config": 7,
         "config_age_s": 3.4,
     },
+    {"time": "11", "message": "crash suspected", "subject": f"{G}.0.0.0", "run": 2, "ran_s": 0.01},
+    {"time": "12", "message": "job failed", "subject": G, "task": f"{G}.0.0.0", "crashes": 2},
+    {"time": "13", "message": "job over", "subject": G, "state": "failed"},
 )
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,6 +9,7 @@
 from acaciastand_lab.platform_site import Site, broken_promises, configuration
 
 REFUSED_JOB_ID = "00000000000000ff"
+CRASHING_JOB_ID = "00000000000000fe"
 
 
 def job_id(number):
@@ -277,3 +278,31 @@
 @then('the log of the entry has the lines "{first}" and "{second}"')
 def then_log_lines(context, first, second):
     assert first in entry_log(context) and second in entry_log(context)
+
+
+@when("a job is submitted whose task takes each worker down for {seconds:f} seconds")
+def when_crashing(context, seconds):
+    step = {"count": 1, "cpu": 500, "estimateMs": 1000}
+    entry = context.site.names("entry")[0]
+    assert context.site.submit(entry, CRASHING_JOB_ID, step, crash_seconds=seconds) == 200
+
+
+def crash_count(context):
+    return sum(worker.crashes for worker in context.site.workers)
+
+
+@when("the owner is killed once a worker has crashed")
+def when_owner_killed_after_crash(context):
+    context.site.wait(lambda: crash_count(context))
+    when_owner_killed(context)
+
+
+@then('that job is "{state}" within {seconds:d} seconds at the other entry')
+def then_crashing_job(context, state, seconds):
+    others = [entry for entry in context.site.names("entry") if entry != context.former_owner]
+    context.site.wait(lambda: context.site.state(CRASHING_JOB_ID, others) == state, float(seconds))
+
+
+@then("at most {count:d} workers have crashed under it")
+def then_few_crashes(context, count):
+    assert 1 <= crash_count(context) <= count, crash_count(context)
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -8,6 +8,8 @@
     Then it reports no crash
     When its worker refuses connections for 3.0 seconds
     Then it reports a crash under runs of 5.0 and 0.02 seconds
+    When it hears of a new incarnation that refuses connections for 1.0 seconds
+    Then it reports a crash under runs of 5.0 and 0.02 seconds
     When its worker is there again in a new incarnation
     Then it reports a crash under runs of 5.0 and 0.02 seconds
     When the consequences of the crash are stored
@@ -27,3 +29,68 @@
     When its worker announces that it leaves
     And its worker is there again in a new incarnation
     Then it reports no crash
+
+  # A run that was lost with its worker was started again without limit: one task crashed ten workers
+  # one after the other (bmfw-stand, deploy/days/deadly.toml --seed 13).
+  Scenario Outline: A task that crashes each worker <point> is given up
+    Given 8 workers with 3 services and 20 short tasks a second
+    When a job is submitted whose task crashes each worker <point>
+    Then the job is failed after at most <crashes> crashes
+    And no other job is failed, and lost runs start again within 3.0 seconds
+
+    Examples:
+      | point                       | crashes |
+      | 0.01 seconds after its start | 3       |
+      | 0.6 seconds after its start | 5       |
+      | 2.0 seconds after its start | 5       |
+
+  Scenario: Several tasks that crash their workers are given up, and no other
+    Given 8 workers with 3 services and 20 short tasks a second
+    When 4 such jobs are submitted whose tasks crash after 0.01 seconds
+    Then the jobs are failed after at most 3 crashes each
+    And no other job is failed, and lost runs start again within 3.0 seconds
+
+  Scenario Outline: A <kind> task that crashes each worker is given up
+    Given 8 workers with 3 services and 20 short tasks a second
+    When a job with a <kind> task is submitted that crashes each worker
+    Then the job is failed after at most <crashes> crashes
+
+    Examples:
+      | kind       | crashes |
+      | continuous | 3       |
+      | batch      | 3       |
+      | repeated   | 3       |
+      | gang       | 5       |
+
+  # The entry that gave the last order is killed while the worker is down.
+  Scenario: Crashes are counted across a change of the owner
+    Given 8 workers with 3 services and 20 short tasks a second
+    When a job is submitted whose task crashes each worker 0.01 seconds after its start
+    And the owner changes after each crash
+    Then the job is failed after at most 3 crashes
+
+  Scenario: No job is given up because workers crash by themselves
+    Given 8 workers with 3 services and 20 short tasks a second
+    When 2 of the workers crash by turns every 4 seconds for 60 seconds
+    Then no other job is failed, and lost runs start again within 3.0 seconds
+
+  Scenario: Tasks that only shared a crashed worker are cleared
+    Given 8 workers with 3 services and 20 short tasks a second
+    When a worker crashes just after 10 tasks of 4.0 seconds have started on it
+    Then these tasks run on within 1.5 seconds after the loss of their runs is known
+    And they are cleared within 2.0 seconds more
+
+  Scenario Outline: Random crashes and tasks that crash their workers, seed <seed>
+    Given 10 workers with 4 services and 20 short tasks a second
+    When workers crash under tasks and by themselves for 60 seconds by seed <seed>
+    Then each of these tasks is started fewer than three times after three crashes
+    And no other job is failed
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -6,8 +6,10 @@
 from acaciastand.workflow.reports import (
     ActiveRun,
     AgentReport,
+    CrashedRun,
     EndedRun,
     StartOutcome,
+    WorkerCrash,
     WorkerIdentity,
 )
 from acaciastand.workflow.scheduler import Scheduler
@@ -22,6 +24,11 @@
 )
 
 
+# A crashed worker loses its runs' lease and restarts after these times in seconds.
+LEASE_END_SECONDS = 3.2
+RESTART_SECONDS = 3.5
+
+
 class SimulatedWorker:
     """Simulated worker with its current runs and the numbered ends of its runs."""
 
@@ -34,6 +41,25 @@
         self.poll_number = 0
         self.drain_seconds = 0.0
         self.last_end_number = 0
+        self.started_at = {}
+        self.crash_report = None
+        self.crashed_at = None
+
+    def crash(self, crashed_at):
+        """End all runs without a list of their ends."""
+        runs = [
+            CrashedRun(key, run, crashed_at - self.started_at[key])
+            for key, run in self.running.items()
+        ]
+        self.crash_report = WorkerCrash(self.born_ms, runs)
+        self.crashed_at = crashed_at
+
+    def restart(self):
+        """Begin another incarnation."""
+        self.born_ms += 1_000
+        self.running, self.ended = {}, []
+        self.last_end_number = 0
+        self.crashed_at = None
 
     def identity(self):
         return WorkerIdentity(
@@ -58,7 +84,9 @@
     """A scheduler with simulated workers and a clock.
 
     Commands take effect at once, except starts at the agents in `unanswered` and stops at those in
-    `ignored_stops`.
+    `ignored_stops`. The tasks in `deadly` crash the worker that starts them after that many
+    seconds, and `crashes` tells how often they did. With `completes`, tasks are done after the
+    estimated time, and progress is stored at once.
     """
 
     def __init__(self, ranking=None, placement=None, has_reported=True, interference=None):
@@ -71,6 +99,9 @@
         self.stopped = []
         self.unanswered = set()
         self.ignored_stops = set()
+        self.deadly = {}
+        self.crashes = {}
+        self.completes = False
 
     @property
     def now_unix(self):
@@ -84,24 +115,71 @@
             self.report(agent_id)
         return worker
 
-    def submit(self, job_id, queue, *steps, certain=True):
-        job = Job(job_id, queue, WorkflowSpec("text", list(steps)), self.now_unix)
+    def submit(self, job_id, queue, *steps, certain=True, **repetition):
+        job = Job(job_id, queue, WorkflowSpec("text", list(steps), **repetition), self.now_unix)
         self.scheduler.add_job(job, certain)
         return job
 
     def report(self, agent_id, **changes):
         worker = self.workers[agent_id]
-        worker.poll_number += 1
+        view = self.scheduler.workers[agent_id]
+        if worker.crash_report is not None:
+            changes = self._crash_changes(worker, view, changes)
+        worker.poll_number += worker.crashed_at is None
         report = AgentReport(
             worker.identity(),
             worker.poll_number,
             [ActiveRun(key, run) for key, run in worker.running.items()],
             list(worker.ended),
         ).replace(**changes)
-        view = self.scheduler.workers[agent_id]
         self.scheduler.process_report(agent_id, report, self.now, self.now_unix)
         view.granted_until = max(view.granted_until, self.now + 4.0)
 
+    def _crash_changes(self, worker, view, changes):
+        """Return the fields by which the report differs after a crash of the worker."""
+        if worker.crashed_at is not None and self.now >= worker.crashed_at + RESTART_SECONDS:
+            worker.restart()
+        if worker.crashed_at is None:
+            if self.scheduler.stored_crash_ms(view) == worker.crash_report.born_ms:
+                worker.crash_report = None
+                return changes
+            return {"crashes": [worker.crash_report], **changes}
+        if self.now < worker.crashed_at + LEASE_END_SECONDS:
+            return {"silent": True, **changes}
+        lost = {"look": 0, "running": [], "ended": [], "lapsed": True, "silent": True}
+        return {**lost, "crashes": [worker.crash_report], **changes}
+
+    def _complete_runs(self):
+        for worker in self.workers.values():
+            if worker.crashed_at is not None:
+                continue
+            for key in list(worker.running):
+                step_spec = self.scheduler.jobs[key.partition(".")[0]].tasks[key].step
+                ran_seconds = self.now - worker.started_at[key]
+                if not step_spec.continuous and ran_seconds >= step_spec.estimate_seconds:
+                    worker.end(key, "done")
+
+    def crash(self, agent_id, seconds=0.05):
+        """Crash a worker for a reason of its own, some seconds after the last plan."""
+        if self.workers[agent_id].crashed_at is None:
+            self.workers[agent_id].crash(self.now + seconds)
+
+    def _crash_deadly(self):
+        """Crash the workers whose deadly tasks have run long enough."""
+        for worker in self.workers.values():
+            if worker.crashed_at is not None:
+                continue
+            due = [
+                (worker.started_at[key] + self.deadly[key], key)
+                for key in worker.running
+                if key in self.deadly
+                and worker.started_at[key] + self.deadly[key] <= self.now + 0.05
+            ]
+            if due:
+                crashed_at, key = min(due)
+                self.crashes[key] = self.crashes.get(key, 0) + 1
+                worker.crash(crashed_at)
+
     def report_all(self):
         for agent_id, view in self.scheduler.workers.items():
             if view.reachable:
@@ -111,6 +189,9 @@
         end = self.now + seconds
         while self.now < end - 1e-9:
             self.now += step
+            if self.completes:
+                self._complete_runs()
+                self.store_all()
             self.report_all()
             self.plan()
 
@@ -120,6 +201,7 @@
             self._start(start)
         for stop in stops:
             self._stop(stop)
+        self._crash_deadly()
         return starts
 
     def store_all(self):
@@ -137,10 +219,13 @@
     def _start(self, start):
         worker = self.workers[start.agent_id]
         self.started.append((start.command.task, start.command.run, start.agent_id))
-        if start.agent_id in self.unanswered:
+        if worker.crashed_at is not None:
+            outcome = StartOutcome.REFUSED
+        elif start.agent_id in self.unanswered:
             outcome = StartOutcome.UNKNOWN
         else:
             worker.running[start.command.task] = start.command.run
+            worker.started_at[start.command.task] = self.now
             outcome = StartOutcome.STARTED
         self.scheduler.process_start_result(
             start.task, start.command.run, outcome, worker.poll_number, self.now
@@ -149,7 +234,7 @@
     def _stop(self, stop):
         self.stopped.append((stop.task_key, stop.run, stop.agent_id))
         worker = self.workers[stop.agent_id]
-        if stop.agent_id in self.ignored_stops:
+        if stop.agent_id in self.ignored_stops or worker.crashed_at is not None:
             return
         if worker.running.get(stop.task_key) == stop.run:
             worker.end(stop.task_key, "stopped", "saved-at-stop")
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -205,6 +205,7 @@
         if grant.seconds > 0:
             self.controller.grant_until = max(self.controller.grant_until, sent_at + grant.seconds)
         self.controller.record_stored_ends(grant.born_ms, grant.acknowledged)
+        self.controller.crash_witness.record_stored(grant.stored_crash_ms)
         self.controller.costs = decode_batch_costs(grant.services, grant.batch_costs)
         for task, target_ms, uses_leftover in grant.limits:
             self.controller.limits[task] = RunLimits(target_ms, uses_leftover)
@@ -223,6 +224,10 @@
             report.settled,
             report.pace_percent,
             report.tail_share,
+            [
+                [crash.born_ms, [list(run.values()) for run in crash.runs]]
+                for crash in report.crashes
+            ],
         )
 
     # Registration
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -26,9 +26,11 @@
 from acaciastand.workflow.reports import (
     ActiveRun,
     AgentReport,
+    CrashedRun,
     EndedRun,
     StartCommand,
     StartOutcome,
+    WorkerCrash,
 )
 
 DIAL_TIMEOUT_SECONDS = 1.0
@@ -200,5 +202,9 @@
             message.settled,
             message.pace_percent,
             message.tail_share,
+            [
+                WorkerCrash(born_ms, [CrashedRun(*row) for row in runs])
+                for born_ms, runs in message.crashes
+            ],
         )
         return self.on_report(self, message, report)
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -445,6 +445,7 @@
             self._limit_rows(message.untold),
             services,
             batch_costs,
+            self.scheduler.stored_crash_ms(worker),
         )
 
     def _limit_rows(self, tasks: list[str]) -> list[list[Any]]:
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -215,9 +215,9 @@
         expired = unresponsive and now() > self.lease_until
         if expired and self.refuses_connections:
             self._record_crash()
-        crash = self.crash_witness.crash
+        crashes = self.crash_witness.crashes
         if result is None or expired:
-            return AgentReport(self.identity, lapsed=expired, silent=True, crash=crash)
+            return AgentReport(self.identity, lapsed=expired, silent=True, crashes=crashes)
         settled = self.settled_poll > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
@@ -229,7 +229,7 @@
             settled,
             self.pace_percent,
             self.pacer.tail_share,
-            crash,
+            crashes,
         )
 
     def tasks_without_limits(self) -> list[str]:
@@ -425,20 +425,19 @@
 
     def _record_crash(self) -> None:
         """Record that the current incarnation of the worker has crashed."""
-        known = self.crash_witness.crash
         crash = self.crash_witness.record_crash(self.born_ms, now())
-        if crash is known:
+        if crash is None:
             return
         self.metrics.count("worker_crashes")
-        newest = min(crash.runs, key=lambda run: run.ran_seconds, default=None)
+        newest = min(crash.runs, key=lambda run: run.ran_seconds)
         logger.warning(
             "worker crashed",
             extra={
                 "born_ms": crash.born_ms,
                 "runs": len(crash.runs),
-                "task": newest.task if newest else None,
-                "run": newest.run if newest else None,
-                "ran_s": round(newest.ran_seconds, 3) if newest else None,
+                "task": newest.task,
+                "run": newest.run,
+                "ran_s": round(newest.ran_seconds, 3),
             },
         )
 
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -61,13 +61,23 @@
         if message in TROUBLE:
             trouble[message] = trouble.get(message, 0) + 1
     listed = ", ".join(f"{count} x {what}" for what, count in sorted(trouble.items()))
-    return f"the job is {state}; on the way: {listed or 'nothing unusual'}"
+    given_up = _last(found, "job failed")
+    reason = f" ({_reason_for_giving_up(given_up.content)})" if given_up else ""
+    return f"the job is {state}{reason}; on the way: {listed or 'nothing unusual'}"
+
+
+def _reason_for_giving_up(line: dict[str, Any]) -> str:
+    task = line.get("task")
+    if "crashes" in line:
+        return f"{line['crashes']} workers crashed under {task}"
+    return f"{line.get('failures')} runs of {task} failed"
 
 
 TROUBLE = frozenset(
     {
         *("run failed", "run stopped", "run lapsed", "run lost", "run moved", "run overdue"),
         *("run missing", "start refused", "start unknown", "start unanswered", "run adopted"),
+        *("crash suspected", "suspicion cleared"),
     }
 )
 
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -73,6 +73,10 @@
         Lowest pace of a task on leftover processor time, in percent of full speed.
     tail_share
         Largest tail latency of a continuous task, as a share of its latency target.
+    crashes
+        Crashes of the worker whose consequences are not stored yet, the oldest first: rows of the
+        start time of the incarnation in Unix milliseconds, and a list of the runs that were on it,
+        with the fields of `acaciastand.workflow.reports.CrashedRun` in order.
     """
 
     __slots__ = (
@@ -87,6 +91,7 @@
         "settled",
         "pace_percent",
         "tail_share",
+        "crashes",
     )
     type_number = 21
 
@@ -103,6 +108,7 @@
         settled: bool = False,
         pace_percent: int = 100,
         tail_share: float = 0.0,
+        crashes: list[list[Any]] | None = None,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -115,6 +121,7 @@
         self.settled = settled
         self.pace_percent = pace_percent
         self.tail_share = tail_share
+        self.crashes = crashes or []
 
 
 class RunGrant(Message):
@@ -136,9 +143,20 @@
     batch_costs
         Rows of batch task, cores at full speed, and for each of `services` the thousandths of
         headroom that one core of the task takes; -1 where that is not known.
+    stored_crash_ms
+        Start time in Unix milliseconds of the newest crashed incarnation up to which the
+        consequences of all crashes are stored; 0 for none.
     """
 
-    __slots__ = ("seconds", "born_ms", "acknowledged", "limits", "services", "batch_costs")
+    __slots__ = (
+        "seconds",
+        "born_ms",
+        "acknowledged",
+        "limits",
+        "services",
+        "batch_costs",
+        "stored_crash_ms",
+    )
     type_number = 22
 
     def __init__(
@@ -149,6 +167,7 @@
         limits: list[list[Any]] | None = None,
         services: list[str] | None = None,
         batch_costs: list[list[Any]] | None = None,
+        stored_crash_ms: int = 0,
     ) -> None:
         self.seconds = seconds
         self.born_ms = born_ms
@@ -156,6 +175,7 @@
         self.limits = limits or []
         self.services = services or []
         self.batch_costs = batch_costs or []
+        self.stored_crash_ms = stored_crash_ms
 
 
 class EndsStored(Message):
--- a/src/acaciastand/workflow/crash_witness.py
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -8,6 +8,7 @@
 
 # Age of a run that was on the worker before the agent started, which has not seen its start.
 UNSEEN_START_SECONDS = 3600.0
+MAX_CRASHES = 8  # Crashes that are kept while their consequences are not stored.
 
 
 class CrashWitness:
@@ -25,14 +26,14 @@
         When each run that may be on the worker was started, by task and run.
     failed_at
         When the first call of the present series of failed calls failed; None after an answer.
-    crash
-        Last crash whose consequences are not stored yet; None if there is none.
+    crashes
+        Crashes whose consequences are not stored yet, the oldest first.
     """
 
     def __init__(self) -> None:
         self.started_at: dict[tuple[str, int], float] = {}
         self.failed_at: float | None = None
-        self.crash: WorkerCrash | None = None
+        self.crashes: list[WorkerCrash] = []
 
     def record_start(self, task: str, run: int, now: float) -> None:
         """Record that a call to start a run is sent, unless it is a repetition."""
@@ -45,8 +46,8 @@
     def record_poll(self, born_ms: int, running: Iterable[ActiveRun], began_at: float) -> None:
         """Record the runs that a poll, begun at `began_at`, lists."""
         self.failed_at = None
-        if self.crash is not None and self.crash.born_ms == born_ms:
-            self.crash = None  # The worker had not ended, but refused connections for a while.
+        # A worker that answers has not ended, but refused connections for a while.
+        self.crashes = [crash for crash in self.crashes if crash.born_ms != born_ms]
         listed = {(active_run.task, active_run.run) for active_run in running}
         self.started_at = {
             key: started_at
@@ -61,17 +62,25 @@
         if self.failed_at is None:
             self.failed_at = now
 
-    def record_crash(self, born_ms: int, now: float) -> WorkerCrash:
-        """Record the crash of an incarnation of the worker, unless it is known, and return it."""
-        if self.crash is None or self.crash.born_ms != born_ms:
-            crashed_at = now if self.failed_at is None else self.failed_at
-            runs = [
-                CrashedRun(task, run, crashed_at - started_at)
-                for (task, run), started_at in self.started_at.items()
-                if started_at <= crashed_at
-            ]
-            self.crash = WorkerCrash(born_ms, runs)
-        return self.crash
+    def record_crash(self, born_ms: int, now: float) -> WorkerCrash | None:
+        """Record the crash of an incarnation of the worker.
+
+        Returns
+        -------
+        WorkerCrash | None
+            The crash; None if it is recorded already or no run was on the worker.
+        """
+        crashed_at = now if self.failed_at is None else self.failed_at
+        runs = [
+            CrashedRun(task, run, crashed_at - started_at)
+            for (task, run), started_at in self.started_at.items()
+            if started_at <= crashed_at
+        ]
+        if not runs or any(crash.born_ms == born_ms for crash in self.crashes):
+            return None
+        crash = WorkerCrash(born_ms, runs)
+        self.crashes = [*self.crashes, crash][-MAX_CRASHES:]
+        return crash
 
     def begin_incarnation(self, now: float) -> None:
         """Forget the runs that were started before the former incarnation of the worker ended."""
@@ -82,6 +91,5 @@
         self.failed_at = None
 
     def record_stored(self, born_ms: int) -> None:
-        """Forget a crash whose consequences are stored."""
-        if self.crash is not None and self.crash.born_ms <= born_ms:
-            self.crash = None
+        """Forget the crashes whose consequences are stored, up to an incarnation."""
+        self.crashes = [crash for crash in self.crashes if crash.born_ms > born_ms]
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from acaciastand.record import Record
+from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.reports import TaskName
 from acaciastand.workflow.spec import StepSpec, WorkflowSpec, critical_path_seconds
 
@@ -76,6 +77,8 @@
         Duration of the latest run that ended, as far as it is known; 0 otherwise.
     overdue_restarts
         Number of runs that were stopped because they took too long.
+    crashes
+        Crashes of workers under the task since it last ran beyond the point of the former ones.
     """
 
     __slots__ = (
@@ -101,6 +104,7 @@
         "stop_sent_at",
         "last_run_seconds",
         "overdue_restarts",
+        "crashes",
     )
 
     def __init__(self, job: Job, name: TaskName) -> None:
@@ -126,6 +130,24 @@
         self.stop_sent_at = 0.0
         self.last_run_seconds = 0.0
         self.overdue_restarts = 0
+        self.crashes: list[TaskCrash] = []
+
+    def record_crash(self, crash: TaskCrash) -> None:
+        """Record the crash of a worker under a run, unless it is recorded already."""
+        if all(known.run != crash.run for known in self.crashes):
+            self.crashes.append(crash)
+
+    def withdraw_crash(self, run: int) -> None:
+        """Remove the crash under a run that has turned out to be on its worker still."""
+        self.crashes = [crash for crash in self.crashes if crash.run != run]
+
+    def to_row(self, number: int) -> list[Any]:
+        """Return the row of `JobProgress.tasks` for the task at position `number`."""
+        is_done = self.state == TaskState.DONE
+        row = [number, self.run, self.failures, is_done, self.checkpoint, sorted(self.ended_runs)]
+        if self.crashes:
+            row.append([list(crash.values()) for crash in self.crashes])
+        return row
 
 
 class JobProgress(Record):
@@ -139,7 +161,7 @@
         Unix time in seconds at which the job ended; 0 before.
     tasks
         Rows of task position, run, failures, done, checkpoint and ended runs, for the tasks that
-        have started.
+        have started. The fields of `TaskCrash` follow for each crash under the task, if any.
     """
 
     __slots__ = ("cancelled", "failed", "ended_unix", "tasks")
@@ -284,11 +306,7 @@
 
     def progress(self) -> JobProgress:
         """Return the progress to be stored."""
-        rows = [
-            [n, t.run, t.failures, t.state == TaskState.DONE, t.checkpoint, sorted(t.ended_runs)]
-            for n, t in enumerate(self.tasks.values())
-            if t.run
-        ]
+        rows = [task.to_row(n) for n, task in enumerate(self.tasks.values()) if task.run]
         return JobProgress(self.cancelled, self.failed, self.ended_unix, rows)
 
     def restore(self, progress: JobProgress) -> None:
@@ -297,12 +315,13 @@
         self.failed = progress.failed
         self.ended_unix = progress.ended_unix
         tasks = list(self.tasks.values())
-        for number, run, failures, done, checkpoint, ended_runs in progress.tasks:
+        for number, run, failures, done, checkpoint, ended_runs, *crashes in progress.tasks:
             task = tasks[number]
             task.run = run
             task.failures = failures
             task.checkpoint = checkpoint
             task.ended_runs = set(ended_runs)
+            task.crashes = [TaskCrash(*fields) for fields in crashes[0]] if crashes else []
             self.has_started = True
             if done:
                 self.mark_done(task)
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -304,8 +304,8 @@
         Lowest pace of a batch task at present, in percent of full speed.
     tail_share
         Largest tail latency of a continuous task, as a share of its latency target.
-    crash
-        Last crash of the worker; None if there was none, or once its consequences are stored.
+    crashes
+        Crashes of the worker whose consequences are not stored yet, the oldest first.
     """
 
     __slots__ = (
@@ -318,7 +318,7 @@
         "settled",
         "pace_percent",
         "tail_share",
-        "crash",
+        "crashes",
     )
 
     def __init__(
@@ -332,7 +332,7 @@
         settled: bool = True,
         pace_percent: int = 100,
         tail_share: float = 0.0,
-        crash: WorkerCrash | None = None,
+        crashes: list[WorkerCrash] | None = None,
     ) -> None:
         self.identity = identity
         self.look = look
@@ -343,4 +343,4 @@
         self.settled = settled
         self.pace_percent = pace_percent
         self.tail_share = tail_share
-        self.crash = crash
+        self.crashes = crashes or []
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import Any
 
-from acaciastand.workflow import quarantine
+from acaciastand.workflow import crashes, quarantine
 from acaciastand.workflow.advice import Advice, AdviceCache, AdviceRequest, has_advised_queue
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import DecisionRecord, StartDecision, StopDecision
@@ -20,6 +20,7 @@
     LearnedInterference,
     reference_cores,
 )
+from acaciastand.workflow.isolation import is_quiet
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.moves import (
@@ -35,10 +36,12 @@
 from acaciastand.workflow.reports import (
     ActiveRun,
     AgentReport,
+    CrashedRun,
     EndedRun,
     RunEnd,
     StartCommand,
     StartOutcome,
+    WorkerCrash,
 )
 from acaciastand.workflow.starts import StartPlanner
 from acaciastand.workflow.worker import WorkerView, services_by_step
@@ -53,6 +56,7 @@
 # A worker that rejected a start for lack of capacity gets no other start for this long.
 NO_CAPACITY_PAUSE_SECONDS = 0.5
 START_RETRY_SECONDS = 0.15  # Time from a refused start of a task to its next start.
+START_SECONDS = 0.5  # Longest usual time from the decision to start a run to the worker's answer.
 
 
 class Scheduler:
@@ -215,6 +219,9 @@
         worker.worker_unresponsive = report.silent
         worker.pace_percent = report.pace_percent
         worker.tail_share = report.tail_share
+        for crash in report.crashes:
+            if crash.born_ms > worker.crash_ms:
+                self._process_crash(worker, crash, now, now_unix)
         if report.lapsed:
             self._mark_all_lost(worker, now, "lease of the runs expired")
             worker.has_reported = True
@@ -287,6 +294,21 @@
             worker.acknowledged = number
         return worker.acknowledged
 
+    def stored_crash_ms(self, worker: WorkerView) -> int:
+        """Return the incarnation up to which the consequences of crashes are stored.
+
+        Returns
+        -------
+        int
+            Start time of the incarnation in Unix milliseconds; 0 while some are not stored.
+        """
+        worker.crash_versions = {
+            job_id: version
+            for job_id, version in worker.crash_versions.items()
+            if (job := self.jobs.get(job_id)) and job.stored_version < version
+        }
+        return 0 if worker.crash_versions else worker.crash_ms
+
     def process_start_result(
         self, task: Task, run: int, outcome: StartOutcome, poll_number: int, now: float
     ) -> None:
@@ -314,6 +336,8 @@
             if task.state == TaskState.STARTING:
                 task.state = TaskState.RUNNING
                 task.started_at = now
+                if worker.observed_task == task.key:
+                    worker.observe(task, now + crashes.observation_seconds(task.crashes))
         else:
             self._record_decision(
                 "start refused", task.key, run=run, agent=task.agent_id, why=outcome.value
@@ -390,7 +414,12 @@
         task.missed_polls = 0
         task.stop_confirmed_at = 0.0
         task.percent = 0.0 if task.step.continuous else 100.0
+        is_isolated = is_quiet(worker, now)
+        worker.last_start_at = now
         worker.assign(task)
+        if is_isolated and crashes.is_suspect(task.crashes):
+            seconds = START_SECONDS + crashes.observation_seconds(task.crashes)
+            worker.observe(task, now + seconds)
         if task.step.uses_leftover:
             worker.leftover_started_at = now
         task.job.has_started = True
@@ -435,6 +464,9 @@
                 self._release(task)
             return
         is_current = task.agent_id == worker.agent_id and task.run == end.run
+        task.withdraw_crash(end.run)
+        if end.how in (RunEnd.DONE, RunEnd.FAILED):
+            task.crashes.clear()
         task.ended_runs.add(end.run)
         task.run = max(task.run, end.run)
         if end.checkpoint:
@@ -501,12 +533,16 @@
         members = task.job.siblings(task) if task.step.gang else [task]
         failures = sum(member.failures for member in members)
         if end.how == RunEnd.FAILED and not task.step.continuous and failures >= max_failures:
-            task.job.failed = True
-            self._record_decision("job failed", task.job.job_id, task=task.key, failures=failures)
-            self._end_job(task.job, now, now_unix)
+            self._fail_job(task, now, now_unix, failures=failures)
         elif task.state not in ON_WORKER and task.state != TaskState.UNCERTAIN:
             self._make_waiting(task)
 
+    def _fail_job(self, task: Task, now: float, now_unix: float, **reason: Any) -> None:
+        """End the job of a task that is given up; `reason` goes into the log."""
+        task.job.failed = True
+        self._record_decision("job failed", task.job.job_id, task=task.key, **reason)
+        self._end_job(task.job, now, now_unix)
+
     def _end_job(self, job: Job, now: float, now_unix: float) -> None:
         job.ended_unix = now_unix
         self.advice.remove_job(job.job_id)
@@ -520,6 +556,61 @@
         took_s = round(now_unix - job.accepted_unix, 2)
         self._record_decision("job over", job.job_id, state=job.state.value, took_s=took_s)
 
+    # Crashes of workers
+
+    def _process_crash(
+        self, worker: WorkerView, crash: WorkerCrash, now: float, now_unix: float
+    ) -> None:
+        """Attribute a crash that was not reported before, and give up tasks that crash workers."""
+        worker.crash_ms = crash.born_ms
+        worker.crashed_at = now
+        affected = [(run, task) for run in crash.runs if (task := self._lost_in_crash(run))]
+        former = {
+            task.key: [known for known in task.crashes if known.run != run.run]
+            for run, task in affected
+        }
+        suspects = crashes.find_suspects(crash, former)
+        self._record_decision(
+            "worker crashed",
+            worker.agent_id,
+            born_ms=crash.born_ms,
+            runs=len(crash.runs),
+            suspects=len(suspects.tasks),
+            isolated=suspects.isolated,
+        )
+        for run, task in affected:
+            self._record_task_crash(task, run, suspects, worker.agent_id)
+            if crashes.crashes_workers(task.crashes) and not task.job.has_ended:
+                self._fail_job(task, now, now_unix, crashes=len(task.crashes))
+            worker.crash_versions[task.job.job_id] = task.job.version
+
+    def _lost_in_crash(self, run: CrashedRun) -> Task | None:
+        """Return the task of a run that a crash has ended, or None if it does not matter."""
+        task = self._find_task(run.task)
+        is_over = task is None or task.job.has_ended or run.run in task.ended_runs
+        return None if is_over else task
+
+    def _record_task_crash(
+        self, task: Task, run: CrashedRun, suspects: crashes.Suspects, agent_id: str
+    ) -> None:
+        is_suspected = task.key in suspects.tasks
+        task.run = max(task.run, run.run)
+        task.record_crash(
+            crashes.TaskCrash(
+                run.run, run.ran_seconds, is_suspected, is_suspected and suspects.isolated
+            )
+        )
+        self._mark_changed(task.job)
+        if is_suspected:
+            self._record_decision(
+                "crash suspected",
+                task.key,
+                run=run.run,
+                agent=agent_id,
+                ran_s=round(run.ran_seconds, 3),
+                crashes=len(task.crashes),
+            )
+
     # Comparison of the assigned runs with the runs that workers list
 
     def _compare_with_report(self, worker: WorkerView, report: AgentReport, now: float) -> None:
@@ -543,6 +634,8 @@
                     StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
                 )
             return
+        if not worker.worker_unresponsive:
+            task.withdraw_crash(active_run.run)
         if task.state == TaskState.UNCERTAIN and active_run.run not in task.ended_runs:
             self._adopt_run(worker, task, active_run, now)
         is_current = task.agent_id == worker.agent_id and task.run == active_run.run
@@ -555,6 +648,16 @@
             self._set_checkpoint(task, active_run.checkpoint)
         task.percent = active_run.percent
         task.measurement = active_run.measurement
+        # An agent repeats its last poll while the worker does not answer.
+        if task.crashes and not worker.worker_unresponsive:
+            self._check_cleared(task, now)
+
+    def _check_cleared(self, task: Task, now: float) -> None:
+        """Clear a task of crashes once it has run beyond the point of the former ones."""
+        if crashes.is_cleared(task.crashes, now - task.started_at - MAX_POLL_AGE_SECONDS):
+            self._record_decision("suspicion cleared", task.key, run=task.run, agent=task.agent_id)
+            task.crashes.clear()
+            self._mark_changed(task.job)
 
     def _adopt_run(self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float) -> None:
         """Make a run that a former owner started the current run of its task."""
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -6,8 +6,10 @@
 
 from acaciastand.workflow.advice import AdviceCache
 from acaciastand.workflow.catalog import Catalog, Queue
+from acaciastand.workflow.crashes import is_suspect
 from acaciastand.workflow.decisions import StartDecision
 from acaciastand.workflow.gang import place_gang
+from acaciastand.workflow.isolation import IsolatedPlacement
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import Placement
@@ -35,6 +37,7 @@
     def __init__(self, ranking: RankingPolicy, placement: Placement, advice: AdviceCache) -> None:
         self.ranking = ranking
         self.placement = placement
+        self.isolated_placement = IsolatedPlacement(placement)
         self.advice = advice
 
     def plan_starts(
@@ -78,14 +81,19 @@
         if not available:
             return []
         starts: list[StartDecision] = []
-        # Job, step and avoided agent of the tasks of which no further one can be placed now.
-        exhausted: set[tuple[str, int, str]] = set()
+        # Job, step, avoided agent and suspicion of the tasks of which no further one can be placed.
+        exhausted: set[tuple[str, int, str, bool]] = set()
         for task, queue in self.tasks_by_rank(waiting.values(), catalog, now, now_unix):
-            group = (task.job.job_id, task.name.step, task.avoided_agent_id)
+            is_suspected = is_suspect(task.crashes)
+            group = (task.job.job_id, task.name.step, task.avoided_agent_id, is_suspected)
             if group in exhausted:
                 continue
             candidates = [
-                w for w in available if w.identity and w.identity.service == queue.service
+                w
+                for w in available
+                if w.identity
+                and w.identity.service == queue.service
+                and w.takes_starts(now, is_suspected)
             ]
             if queue.advised:
                 candidates = [w for w in candidates if self.advice.find_ticket(task, w, now)]
@@ -93,7 +101,8 @@
                 exhausted.add(group)  # All tasks of a gang are placed at once, or none.
                 starts += self._start_gang(task, waiting, candidates, start, now)
                 continue
-            worker = self.placement.choose(task, candidates, now, _is_starving(task, now))
+            placement = self.isolated_placement if is_suspected else self.placement
+            worker = placement.choose(task, candidates, now, _is_starving(task, now))
             if worker is None:
                 exhausted.add(group)
                 continue
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -70,6 +70,19 @@
         Number of quarantines since the last success.
     full_until
         Time until which the worker gets no starts, because it rejected one for lack of capacity.
+    last_start_at
+        When a task was last assigned.
+    reserved_until
+        Time until which only tasks that are suspected of a crash may start.
+    observed_task, observed_until
+        Key of the suspect that was last started in isolation, empty without one, and the time
+        until which nothing else starts on the worker.
+    crashed_at
+        When the last crash of the worker was reported.
+    crash_ms
+        Start time in Unix milliseconds of the incarnation that crashed last, by the reports.
+    crash_versions
+        Versions of jobs that must be stored before the crashes are acknowledged, by job id.
     """
 
     __slots__ = (
@@ -100,6 +113,13 @@
         "quarantined_until",
         "quarantine_count",
         "full_until",
+        "last_start_at",
+        "reserved_until",
+        "observed_task",
+        "observed_until",
+        "crashed_at",
+        "crash_ms",
+        "crash_versions",
     )
 
     def __init__(self, agent_id: str) -> None:
@@ -130,6 +150,13 @@
         self.quarantined_until = 0.0
         self.quarantine_count = 0
         self.full_until = 0.0
+        self.last_start_at = float("-inf")
+        self.reserved_until = 0.0
+        self.observed_task = ""
+        self.observed_until = 0.0
+        self.crashed_at = float("-inf")
+        self.crash_ms = 0
+        self.crash_versions: dict[str, int] = {}
 
     @property
     def born_ms(self) -> int:
@@ -152,6 +179,22 @@
         """Remove a task and release its resources, if it is assigned."""
         if self.tasks.pop(task.key, None) is not None:
             self._add_to_sums(task, -1)
+        if self.observed_task == task.key:
+            self.end_observation()
+
+    def takes_starts(self, now: float, suspected: bool) -> bool:
+        """Return whether a task may start in view of crashes; `suspected` tells of the task."""
+        return now >= self.observed_until and (suspected or now >= self.reserved_until)
+
+    def observe(self, task: Task, until: float) -> None:
+        """Let nothing else start until `until`, so that a crash before is certainly the task's."""
+        self.observed_task = task.key
+        self.observed_until = until
+
+    def end_observation(self) -> None:
+        """Let other tasks start again."""
+        self.observed_task = ""
+        self.observed_until = 0.0
 
     def has_capacity(self, size: Resources) -> bool:
         """Return whether the resources that are not reserved cover `size`."""
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -1,7 +1,7 @@
 """Stand-in for a worker with the platform's task interface.
 
-The payload of a task is a JSON object: ``seconds`` it runs and ``failures``, the number of its
-first attempts that fail.
+The payload of a task is a JSON object: ``seconds`` it runs, ``failures``, the number of its first
+attempts that fail, and ``crash_seconds``, for which each start takes the worker down.
 """
 
 from __future__ import annotations
@@ -65,6 +65,8 @@
         Whether it announces itself no more, and whether it answers no more calls.
     unanswered_share
         Share of the starts that are carried out and not answered.
+    crashes
+        Number of crashes under a task that takes the worker down.
     """
 
     def __init__(
@@ -82,13 +84,14 @@
         self.cores = cores
         self.random = random.Random(seed)
         self.unanswered_share = 0.0
+        self.crashes = 0
         self.history: list[Run] = []
         self.failures: dict[str, int] = {}
         self.tickets: AdviceStandIn | None = None  # checks the tickets of all starts
         self.draining = False
         self.heartbeats_stopped = False
         self.gone = False
-        self.server = WSGIServer(split_address(address), self._serve, log=None, error_log=None)
+        self.server = self._build_server(address)
         self._begin_incarnation()
 
     @property
@@ -107,6 +110,24 @@
         self.caller.close()
         self.server.stop(0.1)
 
+    def go_down(self, seconds: float) -> None:
+        """Crash, and refuse connections for some seconds before another incarnation begins."""
+        address = self.address
+        self.crash()
+        self.heartbeats_stopped = True
+        self.server.stop(0.0)
+
+        def come_back() -> None:
+            self._begin_incarnation()
+            self.server = self._build_server(address)
+            self.server.start()
+            self.heartbeats_stopped = False
+
+        self.greenlets.append(gevent.spawn_later(seconds, come_back))
+
+    def _build_server(self, address: str) -> WSGIServer:
+        return WSGIServer(split_address(address), self._serve, log=None, error_log=None)
+
     def crash(self) -> None:
         """Lose everything that runs and begin another life under the same id."""
         for run in self.running.values():
@@ -242,6 +263,9 @@
         self.highest[task] = run
         self.running[task] = begun
         self.history.append(begun)
+        if payload.get("crash_seconds"):
+            self.crashes += 1
+            gevent.spawn(self.go_down, payload["crash_seconds"])
         return 200, {}
 
     def _stop(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
