Start the runs of a restarted worker again at its first poll

Callers of jobs that shared a crashed worker waited 2 to 3 s longer than needed. A worker is announced again before its first poll, and the owner then took its former runs over into the new incarnation, since a start may have reached it. The next polls did not list them: they were taken for missing, stopped, and counted as lost after the stop timeout (in the timeline of tasks-that-crash-workers: restart seen before 15.5 s, next start after 17.3 s).

Change: a confirmed run of a former incarnation that the first poll of the new one does not list is lost at once. Starts that are not answered yet are treated as before.

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -486,3 +486,24 @@
 @then("2 of its tasks have started")
 def then_two_of_job(context):
     assert len(starts_of(context, JOB)) == 2, starts_of(context, JOB)
+
+
+@when("the worker of the task is announced in a new incarnation before its first poll")
+def when_announced_again(context):
+    world = context.world
+    world.advance(0.2)
+    context.agent_id = world.running()[TASK]
+    worker = world.workers[context.agent_id]
+    worker.born_ms += 1_000
+    context.former_run = worker.running.pop(TASK)
+    world.report(context.agent_id, look=0, running=[], silent=True)
+    world.plan()
+
+
+@when("the first poll of the new incarnation lists {what}")
+def when_first_poll(context, what):
+    worker = context.world.workers[context.agent_id]
+    if what == "the run":
+        worker.running[TASK] = context.former_run
+    context.world.report(context.agent_id)
+    context.world.plan()
--- a/features/workflow.feature
+++ b/features/workflow.feature
@@ -90,6 +90,22 @@
     When the worker restarts
     Then its task has started 2 times
 
+  # A worker is announced again before its first poll. Its runs were then taken for missing and stopped,
+  # and started again 2 to 3 s later than the restart had shown that they were gone.
+  Scenario: The runs of a restarted worker start again after its first poll
+    Given 2 workers of 16 cores
+    And a job of 1 task in a queue with max_attempts 3
+    When the worker of the task is announced in a new incarnation before its first poll
+    And the first poll of the new incarnation lists no run
+    Then its task has started 2 times
+
+  Scenario: A run that reached the new incarnation of a worker goes on there
+    Given 2 workers of 16 cores
+    And a job of 1 task in a queue with max_attempts 3
+    When the worker of the task is announced in a new incarnation before its first poll
+    And the first poll of the new incarnation lists the run
+    Then its task has started 1 times
+
   Scenario: The runs of an unresponsive agent are lost once its grant has expired
     Given 2 workers of 16 cores
     And a job of 1 task in a queue with max_attempts 3
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -622,6 +622,7 @@
             listed_run = listed.get(task.key)
             if listed_run is not None and listed_run.run == task.run:
                 task.missed_polls = 0
+                task.born_ms = worker.born_ms
             elif report.look > task.after_poll and (task.key, task.run) not in ended:
                 self._handle_missed_poll(task, now)
 
@@ -674,7 +675,10 @@
         self._record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
 
     def _handle_missed_poll(self, task: Task, now: float) -> None:
-        if task.state == TaskState.STOPPING and task.stop_confirmed_at:
+        former_incarnation = task.born_ms != self.workers[task.agent_id].born_ms
+        if task.state == TaskState.RUNNING and former_incarnation:
+            self._mark_lost(task, now, "worker restarted")
+        elif task.state == TaskState.STOPPING and task.stop_confirmed_at:
             # A run that is being stopped is listed neither as running nor as ended.
             if now - task.stop_confirmed_at > self.stop_seconds + MAX_POLL_AGE_SECONDS:
                 self._mark_lost(task, now, "stopped before it began")
@@ -694,12 +698,10 @@
         listed = {(active_run.task, active_run.run) for active_run in report.running}
         for task in list(worker.tasks.values()):
             # A start command that was on its way may have reached the new incarnation. Its reply
-            # shows whether the run started.
+            # or the next poll shows whether the run started.
             is_settled = task.state != TaskState.STARTING and report.look > task.after_poll
             if is_settled and (task.key, task.run) not in listed:
                 self._mark_lost(task, now, "worker restarted")
-            else:
-                task.born_ms = report.identity.born_ms
 
     def _check_grants(self, now: float) -> None:
         for worker in self.workers.values():
