Count runs that are being stopped against the capacity of their worker, whoever started them

A worker that does not guard its capacity would have been taken beyond it: the run of a cancelled job that a new owner finds and stops was not counted, so its room was given away before its end was listed.

Change: a listed run that is not the current run of its task reserves its size until its end is listed, or until it has not been listed for the stop timeout and the age of a poll. Announced changes of the capacity are logged. Test: workflow 'A run that is stopped for a former owner counts until its end is listed' failed before (the start came at once). Two more scenarios hold before and after: a capacity that shrinks and grows is followed, and tasks that no longer fit run on while nothing is added.

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from workflow_support import BORN_MS, WorkflowWorld, step
 
+from acaciastand.resources import Resources
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.spec import WorkflowSpec
 
@@ -507,3 +508,53 @@
         worker.running[TASK] = context.former_run
     context.world.report(context.agent_id)
     context.world.plan()
+
+
+@when("the capacity of the worker shrinks to {cores:d} cores")
+@when("the capacity of the worker grows to {cores:d} cores")
+def when_capacity_changes(context, cores):
+    context.world.workers["1"].capacity = Resources(float(cores), 64_000, 0)
+    context.world.advance(0.2)
+
+
+@given("{jobs:d} jobs of 1 task of {cores:f} cores are submitted")
+@when("{jobs:d} jobs of 1 task of {cores:f} cores are submitted")
+def when_jobs_of_cores(context, jobs, cores):
+    context.job_count = getattr(context, "job_count", 0)
+    for _ in range(jobs):
+        context.job_count += 1
+        context.world.submit(f"{context.job_count:016x}", "checks", step(cores=cores, seconds=60.0))
+    context.world.advance(0.2)
+
+
+@when("one of the tasks is done")
+def when_one_done(context):
+    context.world.end(next(iter(context.world.running())))
+    context.world.advance(0.2)
+
+
+@then("{count:d} tasks run on the worker")
+def then_running(context, count):
+    assert len(context.world.running()) == count, context.world.running()
+
+
+@given("a cancelled job whose run of {cores:f} cores goes on at the other agent")
+def given_cancelled_run(context, cores):
+    world = context.world
+    job = world.submit(JOB, "checks", step(cores=cores), certain=False)
+    world.scheduler.cancel_job(JOB, world.now, world.now_unix)
+    assert job.state is JobState.CANCELLED
+    world.workers["1"].running[TASK] = 1
+    world.workers["1"].started_at[TASK] = world.now
+
+
+@given("the stops at the other agent take effect late")
+def given_late_stops(context):
+    context.world.ignored_stops.add("1")
+    context.world.advance(0.1)
+
+
+@when("a job of 1 task of {cores:f} cores is accepted after the takeover")
+def when_large_job(context, cores):
+    context.world.submit("00000000000000ab", "checks", step(cores=cores))
+    context.world.advance(0.3)
--- a/features/workflow.feature
+++ b/features/workflow.feature
@@ -211,3 +211,32 @@
     Then 1 occurrences have started
     When 4.0 seconds pass
     Then 3 occurrences have started
+
+  Scenario: A worker whose capacity shrinks gets only what fits, and more once it grows again
+    Given 1 worker of 16 cores
+    When the capacity of the worker shrinks to 4 cores
+    And 6 jobs of 1 task of 2.0 cores are submitted
+    Then 2 tasks run on the worker
+    When the capacity of the worker grows to 10 cores
+    Then 5 tasks run on the worker
+
+  Scenario: Tasks that no longer fit a worker run on, and nothing is added
+    Given 1 worker of 16 cores
+    And 6 jobs of 1 task of 2.0 cores are submitted
+    When the capacity of the worker shrinks to 4 cores
+    And one of the tasks is done
+    Then 5 tasks run on the worker
+    When 1 jobs of 1 task of 2.0 cores are submitted
+    Then 5 tasks run on the worker
+
+  # A new owner has the runs of a cancelled job stopped. Their room was given away at once, so that a
+  # worker that does not guard its capacity was taken beyond it.
+  Scenario: A run that is stopped for a former owner counts until its end is listed
+    Given a new owner to which 1 of 2 agents has not reported
+    And a cancelled job whose run of 12.0 cores goes on at the other agent
+    And the stops at the other agent take effect late
+    When a job of 1 task of 12.0 cores is accepted after the takeover
+    Then nothing has started
+    When the worker lists the stopped run as ended
+    And the scheduler plans for 1 second
+    Then 1 task has started
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -182,7 +182,11 @@
             self._begin_incarnation(identity.born_ms)
         elif sequence < self.announcement_sequence:
             return False
-        if self.identity is None or identity.draining != self.identity.draining:
+        if (
+            self.identity is None
+            or identity.draining != self.identity.draining
+            or identity.capacity != self.identity.capacity
+        ):
             logger.info(
                 "worker announced",
                 extra={
@@ -190,6 +194,7 @@
                     "born_ms": identity.born_ms,
                     "draining": identity.draining,
                     "remaining_s": identity.remaining_seconds,
+                    "capacity": list(identity.capacity.values()),
                 },
             )
         self.announcement_sequence = sequence
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -44,7 +44,7 @@
     WorkerCrash,
 )
 from acaciastand.workflow.starts import StartPlanner
-from acaciastand.workflow.worker import WorkerView, services_by_step
+from acaciastand.workflow.worker import LeavingRun, WorkerView, services_by_step
 
 # Longest time that a worker takes to stop a run, unless the settings give another.
 DEFAULT_STOP_SECONDS = 1.0
@@ -618,6 +618,7 @@
         for active_run in report.running:
             self._process_active_run(worker, active_run, now)
         ended = {(end.task, end.run) for end in report.ended}
+        worker.forget_ended(ended, now)
         for task in list(worker.tasks.values()):
             listed_run = listed.get(task.key)
             if listed_run is not None and listed_run.run == task.run:
@@ -631,9 +632,7 @@
         task = self._find_task(active_run.task)
         if task is None or task.job.has_ended:
             if task is None or task.key not in worker.tasks:
-                self.pending_stops.append(
-                    StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
-                )
+                self._stop_untracked(worker, task, active_run, now)
             return
         if not worker.worker_unresponsive:
             task.withdraw_crash(active_run.run)
@@ -641,9 +640,7 @@
             self._adopt_run(worker, task, active_run, now)
         is_current = task.agent_id == worker.agent_id and task.run == active_run.run
         if not is_current:
-            self.pending_stops.append(
-                StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
-            )
+            self._stop_untracked(worker, task, active_run, now)
             return
         if active_run.checkpoint:
             self._set_checkpoint(task, active_run.checkpoint)
@@ -653,6 +650,18 @@
         if task.crashes and not worker.worker_unresponsive:
             self._check_cleared(task, now)
 
+    def _stop_untracked(
+        self, worker: WorkerView, task: Task | None, active_run: ActiveRun, now: float
+    ) -> None:
+        """Stop a run that is not the current run of its task; its resources stay reserved."""
+        self.pending_stops.append(
+            StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
+        )
+        if task is not None:
+            until = now + self.stop_seconds + MAX_POLL_AGE_SECONDS
+            key = (active_run.task, active_run.run)
+            worker.leaving_runs[key] = LeavingRun(task.step.reserved, until)
+
     def _check_cleared(self, task: Task, now: float) -> None:
         """Clear a task of crashes once it has run beyond the point of the former ones."""
         if crashes.is_cleared(task.crashes, now - task.started_at - MAX_POLL_AGE_SECONDS):
@@ -694,6 +703,7 @@
         worker.acknowledged = 0
         worker.recently_failed_jobs.clear()
         worker.quarantined_until = 0.0
+        worker.leaving_runs.clear()
         assert report.identity is not None
         listed = {(active_run.task, active_run.run) for active_run in report.running}
         for task in list(worker.tasks.values()):
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+from acaciastand.record import Record
 from acaciastand.resources import Resources
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.reports import WorkerIdentity
@@ -11,6 +14,24 @@
 ROUNDING_TOLERANCE_CORES = 1e-6  # Sums of fractions of cores are inexact.
 
 
+class LeavingRun(Record):
+    """A run that is being stopped without being the current run of a task.
+
+    Parameters
+    ----------
+    size
+        Resources that it reserves.
+    until
+        Time on the owner's clock at which it has certainly ended unless it is listed again.
+    """
+
+    __slots__ = ("size", "until")
+
+    def __init__(self, size: Resources, until: float) -> None:
+        self.size = size
+        self.until = until
+
+
 class WorkerView:
     """State of one worker and its agent as the owner knows it.
 
@@ -33,6 +54,8 @@
         Whether the worker does not answer its agent, by the last report.
     tasks
         Tasks whose current run is assigned to the worker, by key.
+    leaving_runs
+        Runs that are being stopped although no assigned task has them, by task and run.
     reserved_cores, reserved_memory_mb, reserved_accelerators
         Resources that the assigned tasks reserve.
     expected_cores
@@ -94,6 +117,7 @@
         "reachable",
         "worker_unresponsive",
         "tasks",
+        "leaving_runs",
         "reserved_cores",
         "reserved_memory_mb",
         "reserved_accelerators",
@@ -131,6 +155,7 @@
         self.reachable = False
         self.worker_unresponsive = False
         self.tasks: dict[str, Task] = {}
+        self.leaving_runs: dict[tuple[str, int], LeavingRun] = {}
         self.reserved_cores = 0.0
         self.reserved_memory_mb = 0
         self.reserved_accelerators = 0
@@ -200,12 +225,23 @@
         """Return whether the resources that are not reserved cover `size`."""
         assert self.identity is not None
         capacity = self.identity.capacity
+        for leaving in self.leaving_runs.values():
+            size = size.plus(leaving.size)
         return (
             self.reserved_cores + size.cores <= capacity.cores + ROUNDING_TOLERANCE_CORES
             and self.reserved_memory_mb + size.memory_mb <= capacity.memory_mb
             and self.reserved_accelerators + size.accelerators <= capacity.accelerators
         )
 
+    def forget_ended(self, ended: Collection[tuple[str, int]], now: float) -> None:
+        """Release the resources of leaving runs that have ended."""
+        if self.leaving_runs:
+            self.leaving_runs = {
+                key: leaving
+                for key, leaving in self.leaving_runs.items()
+                if key not in ended and now <= leaving.until
+            }
+
     def leftover_cores(self) -> float:
         """Return the cores that the assigned tasks are expected to leave unused."""
         assert self.identity is not None
