Split the scheduler: shared state, reports of agents, crashes of workers, decisions

SchedulerState keeps jobs, tasks and workers and the transitions of a task; ReportProcessor and CrashProcessor bring it up to date with what agents report; Scheduler decides. No change of behaviour: the scenarios of workflow, worker_crashes, sharing, workflow_decisions, robustness, advice and platform_processes pass as before (141).

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -206,7 +206,7 @@
 @when("its run is stopped and the worker lists it nowhere for 0.3 seconds")
 def when_stopping(context):
     world = context.world
-    world.scheduler._request_stop(context.job.tasks[TASK], world.now)
+    world.scheduler.request_stop(context.job.tasks[TASK], world.now)
     del world.workers["1"].running[TASK]  # A stop that arrives takes the run off the list.
     world.advance(0.3)
 
--- /dev/null
+++ b/src/acaciastand/workflow/report_processing.py
@@ -0,0 +1,267 @@
+"""Effects of the agents' reports: ends, progress and losses of runs, and restarts of workers."""
+
+from __future__ import annotations
+
+from acaciastand.workflow import crashes, quarantine
+from acaciastand.workflow.crash_processing import CrashProcessor
+from acaciastand.workflow.decisions import StopDecision
+from acaciastand.workflow.job import ON_WORKER, Task, TaskState
+from acaciastand.workflow.moves import runs_outlasting_drain
+from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, RunEnd
+from acaciastand.workflow.scheduler_state import SchedulerState
+from acaciastand.workflow.worker import LeavingRun, WorkerView
+
+MAX_POLL_AGE_SECONDS = 0.6  # A poll that is reported now was made at most this long ago.
+MAX_MISSED_POLLS = 2  # A run that this many polls in a row do not list is stopped.
+
+
+class ReportProcessor:
+    """Brings the state of the scheduler up to date with what agents report.
+
+    Parameters
+    ----------
+    state
+        State of the scheduler.
+
+    Attributes
+    ----------
+    crash_processor
+        Effects of crashes of workers.
+    """
+
+    def __init__(self, state: SchedulerState) -> None:
+        self.state = state
+        self.crash_processor = CrashProcessor(state)
+
+    def process(self, agent_id: str, report: AgentReport, now: float, now_unix: float) -> None:
+        """Update the worker of an agent and its runs from a report."""
+        worker = self.state.workers[agent_id]
+        worker.last_report_at = now
+        worker.worker_unresponsive = report.silent
+        worker.pace_percent = report.pace_percent
+        worker.tail_share = report.tail_share
+        for crash in report.crashes:
+            if crash.born_ms > worker.crash_ms:
+                self.crash_processor.process(worker, crash, now, now_unix)
+        if report.lapsed:
+            self.state.mark_all_lost(worker, "lease of the runs expired")
+            worker.has_reported = True
+        if report.identity is None:
+            return
+        if worker.born_ms and worker.born_ms != report.identity.born_ms:
+            self._begin_incarnation(worker, report)
+        began_draining = report.identity.draining and not (
+            worker.identity and worker.identity.draining
+        )
+        worker.identity = report.identity
+        if began_draining:
+            self.state.record_decision(
+                "worker draining", agent_id, remaining_s=report.identity.remaining_seconds
+            )
+        if not report.look:
+            return
+        worker.has_reported = worker.has_reported or report.settled
+        pending = {number for number, _, _ in worker.pending_ends}
+        for end in report.ended:
+            if end.number > worker.acknowledged and end.number not in pending:
+                self._process_end(worker, end, now, now_unix)
+        self._compare_with_report(worker, report, now)
+        if report.look != worker.measured_poll:
+            worker.measured_poll = report.look
+            worker.update_measurements(now)
+            self.state.interference.observe(worker, now)
+        if report.identity.draining:
+            for task in runs_outlasting_drain(worker, now):
+                self.state.request_stop(task, now)
+
+    def _process_end(self, worker: WorkerView, end: EndedRun, now: float, now_unix: float) -> None:
+        """Process the end of a run and keep it until it may be acknowledged.
+
+        An end that was processed before or that no longer matters is only acknowledged.
+        """
+        task = self.state.find_task(end.task)
+        is_processed = task is not None and end.run in task.ended_runs and end.how != RunEnd.DONE
+        if task is None or task.job.has_ended or is_processed or task.state == TaskState.DONE:
+            job_id = task.job.job_id if task else ""
+            version = task.job.version if task else 0
+            worker.pending_ends.append((end.number, job_id, version))
+            if task is not None and task.run == end.run and task.state in ON_WORKER:
+                self.state.release(task)
+            return
+        is_current = task.agent_id == worker.agent_id and task.run == end.run
+        task.withdraw_crash(end.run)
+        if end.how in (RunEnd.DONE, RunEnd.FAILED):
+            task.crashes.clear()
+        task.ended_runs.add(end.run)
+        task.run = max(task.run, end.run)
+        if end.checkpoint:
+            self.state.set_checkpoint(task, end.checkpoint)
+        self.state.record_decision(
+            "run ended",
+            task.key,
+            run=end.run,
+            agent=worker.agent_id,
+            how=end.how,
+            ran_s=round(now - task.started_at, 2) if is_current else None,
+            estimate_s=task.step.estimate_seconds,
+        )
+        if is_current and task.state in ON_WORKER:
+            task.last_run_seconds = now - task.started_at
+            self.state.release(task)
+        if end.how == RunEnd.DONE and not task.step.continuous:
+            self._handle_done(worker, task, now, now_unix)
+        else:
+            self._handle_not_done(worker, task, end, now, now_unix)
+        self.state.mark_changed(task.job)
+        worker.pending_ends.append((end.number, task.job.job_id, task.job.version))
+
+    def _handle_done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
+        quarantine.record_success(worker)
+        job = task.job
+        # The end of one member of a gang stands for all members.
+        for member in job.siblings(task) if task.step.gang else [task]:
+            self._mark_done(member)
+        if job.is_complete:
+            self.state.end_job(job, now, now_unix)
+        elif not job.open_task_counts[(task.name.occurrence, task.name.step)]:
+            for other in job.tasks.values():
+                if other.state == TaskState.WAITING:
+                    self.state.make_waiting(other)
+
+    def _mark_done(self, task: Task) -> None:
+        if task.state == TaskState.DONE:
+            return
+        if task.state in ON_WORKER:
+            if not task.step.gang:  # An earlier run was done after all.
+                self.state.pending_stops.append(StopDecision(task.agent_id, task.key, task.run))
+            self.state.release(task)
+        self.state.waiting.pop(task.key, None)
+        self.state.uncertain.pop(task.key, None)
+        task.job.mark_done(task)
+
+    def _handle_not_done(
+        self, worker: WorkerView, task: Task, end: EndedRun, now: float, now_unix: float
+    ) -> None:
+        if end.how == RunEnd.FAILED:
+            task.failures += 1
+            task.avoided_agent_id = worker.agent_id
+            quarantine_seconds = quarantine.record_failure(
+                worker, task.job.job_id, self.state.workers.values(), now
+            )
+            if quarantine_seconds:
+                jobs = worker.recently_failed_jobs[:]
+                self.state.record_decision(
+                    "worker set aside", worker.agent_id, failed_jobs=jobs, for_s=quarantine_seconds
+                )
+        queue = self.state.catalog.by_name(task.job.queue)
+        max_failures = queue.max_attempts if queue else 1
+        members = task.job.siblings(task) if task.step.gang else [task]
+        failures = sum(member.failures for member in members)
+        if end.how == RunEnd.FAILED and not task.step.continuous and failures >= max_failures:
+            self.state.fail_job(task, now, now_unix, failures=failures)
+        elif task.state not in ON_WORKER and task.state != TaskState.UNCERTAIN:
+            self.state.make_waiting(task)
+
+    def _compare_with_report(self, worker: WorkerView, report: AgentReport, now: float) -> None:
+        listed = {active_run.task: active_run for active_run in report.running}
+        for active_run in report.running:
+            self._process_active_run(worker, active_run, now)
+        ended = {(end.task, end.run) for end in report.ended}
+        worker.forget_ended(ended, now)
+        for task in list(worker.tasks.values()):
+            listed_run = listed.get(task.key)
+            if listed_run is not None and listed_run.run == task.run:
+                task.missed_polls = 0
+                task.born_ms = worker.born_ms
+            elif report.look > task.after_poll and (task.key, task.run) not in ended:
+                self._handle_missed_poll(task, now)
+
+    def _process_active_run(self, worker: WorkerView, active_run: ActiveRun, now: float) -> None:
+        """Update the task of a run that a worker lists, or stop the run if it must not go on."""
+        task = self.state.find_task(active_run.task)
+        if task is None or task.job.has_ended:
+            if task is None or task.key not in worker.tasks:
+                self._stop_untracked(worker, task, active_run, now)
+            return
+        if not worker.worker_unresponsive:
+            task.withdraw_crash(active_run.run)
+        if task.state == TaskState.UNCERTAIN and active_run.run not in task.ended_runs:
+            self._adopt_run(worker, task, active_run, now)
+        is_current = task.agent_id == worker.agent_id and task.run == active_run.run
+        if not is_current:
+            self._stop_untracked(worker, task, active_run, now)
+            return
+        if active_run.checkpoint:
+            self.state.set_checkpoint(task, active_run.checkpoint)
+        task.percent = active_run.percent
+        task.measurement = active_run.measurement
+        # An agent repeats its last poll while the worker does not answer.
+        if task.crashes and not worker.worker_unresponsive:
+            self._check_cleared(task, now)
+
+    def _stop_untracked(
+        self, worker: WorkerView, task: Task | None, active_run: ActiveRun, now: float
+    ) -> None:
+        """Stop a run that is not the current run of its task; its resources stay reserved."""
+        self.state.pending_stops.append(
+            StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
+        )
+        if task is not None:
+            until = now + self.state.stop_seconds + MAX_POLL_AGE_SECONDS
+            key = (active_run.task, active_run.run)
+            worker.leaving_runs[key] = LeavingRun(task.step.reserved, until)
+
+    def _check_cleared(self, task: Task, now: float) -> None:
+        """Clear a task of crashes once it has run beyond the point of the former ones."""
+        if crashes.is_cleared(task.crashes, now - task.started_at - MAX_POLL_AGE_SECONDS):
+            self.state.record_decision(
+                "suspicion cleared", task.key, run=task.run, agent=task.agent_id
+            )
+            task.crashes.clear()
+            self.state.mark_changed(task.job)
+
+    def _adopt_run(self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float) -> None:
+        """Make a run that a former owner started the current run of its task."""
+        self.state.uncertain.pop(task.key, None)
+        task.run = active_run.run
+        task.state = TaskState.RUNNING
+        task.agent_id = worker.agent_id
+        task.born_ms = worker.born_ms
+        task.started_at = now
+        task.missed_polls = 0
+        task.job.has_started = True
+        worker.assign(task)
+        self.state.mark_changed(task.job)
+        self.state.record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
+
+    def _handle_missed_poll(self, task: Task, now: float) -> None:
+        former_incarnation = task.born_ms != self.state.workers[task.agent_id].born_ms
+        if task.state == TaskState.RUNNING and former_incarnation:
+            self.state.mark_lost(task, "worker restarted")
+        elif task.state == TaskState.STOPPING and task.stop_confirmed_at:
+            # A run that is being stopped is listed neither as running nor as ended.
+            if now - task.stop_confirmed_at > self.state.stop_seconds + MAX_POLL_AGE_SECONDS:
+                self.state.mark_lost(task, "stopped before it began")
+        elif task.state == TaskState.RUNNING:
+            task.missed_polls += 1
+            if task.missed_polls >= MAX_MISSED_POLLS:
+                self.state.record_decision(
+                    "run missing", task.key, run=task.run, agent=task.agent_id
+                )
+                self.state.request_stop(task, now)
+
+    def _begin_incarnation(self, worker: WorkerView, report: AgentReport) -> None:
+        """Reset a worker that has restarted; runs that it no longer lists are lost."""
+        worker.pending_ends.clear()
+        worker.acknowledged = 0
+        worker.recently_failed_jobs.clear()
+        worker.quarantined_until = 0.0
+        worker.leaving_runs.clear()
+        assert report.identity is not None
+        listed = {(active_run.task, active_run.run) for active_run in report.running}
+        for task in list(worker.tasks.values()):
+            # A start command that was on its way may have reached the new incarnation. Its reply
+            # or the next poll shows whether the run started.
+            is_settled = task.state != TaskState.STARTING and report.look > task.after_poll
+            if is_settled and (task.key, task.run) not in listed:
+                self.state.mark_lost(task, "worker restarted")
--- /dev/null
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -0,0 +1,155 @@
+"""Jobs, tasks and workers of the scheduler, and the transitions of a task between its states."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from acaciastand.workflow.advice import AdviceCache
+from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.decisions import DecisionRecord, StopDecision
+from acaciastand.workflow.interference import Interference
+from acaciastand.workflow.job import Job, Task, TaskState
+from acaciastand.workflow.worker import WorkerView
+
+
+class SchedulerState:
+    """State that the parts of the scheduler share.
+
+    Parameters
+    ----------
+    stop_seconds
+        Longest time that a worker takes to stop a run.
+    interference
+        Model of the interference between images that share a worker.
+
+    Attributes
+    ----------
+    advice
+        Advice of the placement service.
+    catalog
+        Version of the operators' configuration that is in use.
+    jobs
+        Jobs by id, ended ones included.
+    workers
+        Workers by the id of their agent.
+    waiting
+        Tasks of eligible steps that wait for a start, by key.
+    not_yet_due
+        Tasks of repeated jobs that wait for the due time of their occurrence, by key.
+    uncertain
+        Tasks that a former owner may have started, by key.
+    dirty
+        Jobs with changes that are not stored, by id.
+    pending_stops
+        Decisions to stop runs that the next plan returns.
+    decisions
+        Decisions to be logged; the owner empties the list.
+    last_check_at
+        When the time limits were last checked.
+    event_count
+        Number of changes so far that call for a new plan.
+    """
+
+    def __init__(self, stop_seconds: float, interference: Interference) -> None:
+        self.stop_seconds = stop_seconds
+        self.interference = interference
+        self.advice = AdviceCache()
+        self.catalog = Catalog()
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, WorkerView] = {}
+        self.waiting: dict[str, Task] = {}
+        self.not_yet_due: dict[str, Task] = {}
+        self.uncertain: dict[str, Task] = {}
+        self.dirty: dict[str, Job] = {}
+        self.pending_stops: list[StopDecision] = []
+        self.decisions: list[DecisionRecord] = []
+        self.last_check_at = float("-inf")
+        self.event_count = 0
+
+    def find_task(self, key: str) -> Task | None:
+        """Return the task with a key, or None if its job is not known."""
+        job = self.jobs.get(key.partition(".")[0])
+        return job.tasks.get(key) if job else None
+
+    def record_decision(self, what: str, subject: str, **inputs: Any) -> None:
+        """Keep a decision and its inputs for the log."""
+        self.decisions.append(DecisionRecord(what, subject, inputs))
+
+    def mark_changed(self, job: Job) -> None:
+        """Record that a job has changes to be stored."""
+        job.version += 1
+        self.event_count += 1
+        self.dirty[job.job_id] = job
+
+    def make_waiting(self, task: Task, is_due: bool = False) -> None:
+        """Let a task wait for its next start, unless its job has ended or its step is not eligible.
+
+        If it belongs to a gang, the runs of the other members are stopped. `is_due` tells that the
+        occurrence of a repeated job is due.
+        """
+        task.state = TaskState.WAITING
+        self.event_count += 1
+        job = task.job
+        if job.has_ended or not job.is_step_eligible(task.name.occurrence, task.step):
+            return
+        if task.step.gang:
+            for member in job.siblings(task):
+                if member.state in (TaskState.STARTING, TaskState.RUNNING):
+                    self.request_stop(member, self.last_check_at)
+        if job.spec.repeats and not is_due:
+            self.not_yet_due[task.key] = task
+        else:
+            self.waiting[task.key] = task
+
+    def release(self, task: Task) -> None:
+        """Take a task off its worker."""
+        worker = self.workers.get(task.agent_id)
+        if worker is not None:
+            worker.remove(task)
+            self.event_count += 1
+        task.state = TaskState.WAITING
+        task.agent_id = ""
+
+    def set_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Set the checkpoint of a task. All members of a gang resume from the same checkpoint."""
+        for member in task.job.siblings(task) if task.step.gang else [task]:
+            member.checkpoint = checkpoint
+
+    def request_stop(self, task: Task, now: float) -> None:
+        """Have the current run of a task stopped; each plan repeats the command."""
+        if task.state != TaskState.STOPPING:
+            self.event_count += 1
+            task.state = TaskState.STOPPING
+            task.stop_sent_at = float("-inf")
+            task.stop_confirmed_at = 0.0
+
+    def mark_lost(self, task: Task, why: str) -> None:
+        """Let a task whose run is certainly gone wait for its next start."""
+        self.record_decision("run lost", task.key, run=task.run, agent=task.agent_id, why=why)
+        self.release(task)
+        self.make_waiting(task)
+
+    def mark_all_lost(self, worker: WorkerView, why: str) -> None:
+        """Let all tasks on a worker wait, since their runs are certainly gone."""
+        for task in list(worker.tasks.values()):
+            self.mark_lost(task, why)
+
+    def fail_job(self, task: Task, now: float, now_unix: float, **reason: Any) -> None:
+        """End the job of a task that is given up; `reason` goes into the log."""
+        task.job.failed = True
+        self.record_decision("job failed", task.job.job_id, task=task.key, **reason)
+        self.end_job(task.job, now, now_unix)
+
+    def end_job(self, job: Job, now: float, now_unix: float) -> None:
+        """End a job that is complete, cancelled or failed, and stop its runs."""
+        job.ended_unix = now_unix
+        self.advice.remove_job(job.job_id)
+        for task in job.tasks.values():
+            self.waiting.pop(task.key, None)
+            self.not_yet_due.pop(task.key, None)
+            self.uncertain.pop(task.key, None)
+            if task.state in (TaskState.STARTING, TaskState.RUNNING):
+                self.request_stop(task, now)
+        self.mark_changed(job)
+        took_s = round(now_unix - job.accepted_unix, 2)
+        self.record_decision("job over", job.job_id, state=job.state.value, took_s=took_s)
