Let repeated stops of a run share their calls to the worker

Cause: the owner repeats a stop each 0.4 s, and the agent retried every command by itself each 50 ms for 1.5 s, so several series of calls ran for each run. Change: commands for a run wait for the calls of the first; the pause between these doubles up to 0.4 s, and one line a series is logged. Test: worker_crashes 'Repeated stops of a run share their calls ...' failed before.

--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -1,7 +1,9 @@
 """Steps for what an agent knows of the runs on its worker when the worker crashes."""
 
+import time
 from unittest import mock
 
+import gevent
 from behave import given, then, when
 
 from acaciastand.cluster import worker_controller
@@ -30,6 +32,11 @@
         self.born_ms = BORN_MS
         self.running = []
         self.error = None
+        self.stop_calls = 0
+
+    def stop(self, task, run):
+        self.stop_calls += 1
+        self._answer()
 
     def poll(self, lease_ms, acknowledged, wait_seconds):
         self._answer()
@@ -135,3 +142,36 @@
 @then("it reports no crash")
 def then_no_crash(context):
     assert not context.controller.report().crashes
+
+
+@when(
+    "its worker refuses connections and the owner repeats a stop {count:d} times "
+    "within {seconds:f} seconds"
+)
+def when_stops_repeated(context, count, seconds):
+    context.worker.error = REFUSED
+    began = time.monotonic()
+
+    def command():
+        not_after = worker_controller.now() + 1.5
+        return context.controller.stop(OLD, 1, not_after)
+
+    with mock.patch.object(
+        worker_controller, "now", lambda: context.now + time.monotonic() - began
+    ):
+        commands = []
+        for _ in range(count):
+            commands.append(gevent.spawn(command))
+            gevent.sleep(seconds / count)
+        gevent.joinall(commands, raise_error=True)
+    context.accepted = [greenlet.value for greenlet in commands]
+
+
+@then("at most {count:d} stops are sent")
+def then_few_stops(context, count):
+    assert 1 <= context.worker.stop_calls <= count, context.worker.stop_calls
+
+
+@then("all commands are answered as not accepted")
+def then_not_accepted(context):
+    assert context.accepted == [False] * len(context.accepted), context.accepted
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -30,6 +30,14 @@
     And its worker is there again in a new incarnation
     Then it reports no crash
 
+  # The owner repeats a stop each 0.4 s, and each command was retried every 50 ms: a worker that refused
+  # connections got thousands of calls, and the agent's log as many lines.
+  Scenario: Repeated stops of a run share their calls to a worker that refuses connections
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When its worker refuses connections and the owner repeats a stop 4 times within 1.2 seconds
+    Then at most 8 stops are sent
+    And all commands are answered as not accepted
+
   # A run that was lost with its worker was started again without limit: one task crashed ten workers
   # one after the other (bmfw-stand, deploy/days/deadly.toml --seed 13).
   Scenario Outline: A task that crashes each worker <point> is given up
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import gevent
-from gevent.event import Event
+from gevent.event import AsyncResult, Event
 
 from acaciastand.cluster.clock import now
 from acaciastand.errors import AcaciastandError
@@ -31,6 +31,7 @@
 UNRESPONSIVE_POLLS = 2  # Failed polls in a row after which the worker counts as unresponsive.
 TOKEN_STEP = 10_000_000  # Increment of a fencing token that the worker refused.
 RETRY_PAUSE_SECONDS = 0.05  # Pause before a failed start or stop is repeated.
+MAX_RETRY_PAUSE_SECONDS = 0.4  # Pauses between stops of one run double up to this.
 # Longest delay after which an unanswered call can still take effect.
 MAX_CALL_DELAY_SECONDS = 13.0
 # Interval at which a pace is repeated while an unanswered earlier call may still override it.
@@ -118,6 +119,8 @@
     unsettled_starts
         Starts that may still take effect, by task and run, with the epoch of their owner and the
         time after which the worker rejects them as too late.
+    stops
+        Results of the stops in progress, by task and run.
     epoch
         Highest epoch of an owner that this agent has accepted.
     epoch_began_at_poll
@@ -163,6 +166,7 @@
         self.costs: dict[str, BatchCost] = {}
         self.pace_percent = FULL_PERCENT
         self.unsettled_starts: dict[tuple[str, int], tuple[int, float]] = {}
+        self.stops: dict[tuple[str, int], AsyncResult] = {}
         self.epoch = 0
         self.settled_poll = 0
         self.epoch_began_at_poll = 0
@@ -315,8 +319,23 @@
     def stop(self, task: str, run: int, not_after: float) -> bool:
         """Stop a run, repeating an unanswered call, and return whether the worker accepted it.
 
-        No call is begun after `not_after`.
+        No call is begun after `not_after`. The owner repeats its command meanwhile; all commands
+        for one run share the calls of the first.
         """
+        key = (task, run)
+        if key in self.stops:
+            return bool(self.stops[key].get())
+        result = self.stops[key] = AsyncResult()
+        accepted = False
+        try:
+            accepted = self._send_stop(task, run, not_after)
+        finally:
+            del self.stops[key]
+            result.set(accepted)
+        return accepted
+
+    def _send_stop(self, task: str, run: int, not_after: float) -> bool:
+        pause = RETRY_PAUSE_SECONDS
         while now() < not_after:
             try:
                 self.client.stop(task, run)
@@ -326,10 +345,12 @@
                 self._raise_token()
             except AcaciastandError as error:
                 self.metrics.count("worker_calls_failed", "stop")
-                logger.warning(
-                    "stop unanswered", extra={"task": task, "run": run, "error": str(error)}
-                )
-                gevent.sleep(RETRY_PAUSE_SECONDS)
+                if pause == RETRY_PAUSE_SECONDS:
+                    logger.warning(
+                        "stop unanswered", extra={"task": task, "run": run, "error": str(error)}
+                    )
+                gevent.sleep(pause)
+                pause = min(2 * pause, MAX_RETRY_PAUSE_SECONDS)
         return False
 
     def _poll_once(self) -> None:
