Ask for a third crash before a task is given up that crashes workers later than at once

Change: two crashes are enough only within a quarter of a second after the starts; later points take three.

--- a/src/acaciastand/workflow/crashes.py
+++ b/src/acaciastand/workflow/crashes.py
@@ -27,8 +27,9 @@
 # Two starts on a worker are apart if this much time lies between them.
 QUIET_SECONDS = 0.3
 # Numbers of crashes under a task at which it is given up: at the same point of its runs, the last
-# one after a start apart from others, and of suspected ones of any kind.
-SIMILAR_CRASHES_TO_GIVE_UP = 2
+# one after a start apart from others, immediately or later; and of suspected ones of any kind.
+IMMEDIATE_CRASHES_TO_GIVE_UP = 2
+SIMILAR_CRASHES_TO_GIVE_UP = 3
 SUSPECTED_CRASHES_TO_GIVE_UP = 4
 # A suspect is cleared once it has run for this long beyond the point of the former crashes.
 OBSERVATION_MARGIN_SECONDS = 0.3
@@ -149,8 +150,9 @@
     if not suspected or not suspected[-1].isolated:
         return False
     last = suspected[-1].ran_seconds
-    similar = sum(_is_similar(crash.ran_seconds, last) for crash in suspected)
-    return similar >= SIMILAR_CRASHES_TO_GIVE_UP
+    is_immediate = last <= IMMEDIATE_SECONDS
+    limit = IMMEDIATE_CRASHES_TO_GIVE_UP if is_immediate else SIMILAR_CRASHES_TO_GIVE_UP
+    return sum(_is_similar(crash.ran_seconds, last) for crash in crashes) >= limit
 
 
 def _is_similar(first_seconds: float, second_seconds: float) -> bool:
