Let the soak silence connections, and see a change in force right after all of them went silent

SOAK=--extended adds connections that go silent for good to the random faults. At the end of a run all open connections go silent, the configuration changes, and each entry must serve the added route within two seconds.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 SEED ?= 1
 RUNS ?= 1
 STEPS ?= 2000
+SOAK ?=
 NAME ?= routing
 FIRM ?= maison-reprise
 
@@ -43,9 +44,9 @@
 experiment: $(STAMP)
 	$(BIN)/python -m acaciastand_lab.experiment $(NAME)
 
-# Real programs under random faults; RUNS seeds from SEED on.
+# Real programs under random faults; RUNS seeds from SEED on. SOAK=--extended adds silent connections.
 soak: $(STAMP)
-	$(BIN)/python -m acaciastand_lab.soak --seed $(SEED) --runs $(RUNS)
+	$(BIN)/python -m acaciastand_lab.soak --seed $(SEED) --runs $(RUNS) $(SOAK)
 
 fuzz: $(STAMP)
 	$(BIN)/python -m acaciastand_lab.fuzz --seed $(SEED) --steps $(STEPS)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,3 +10,11 @@
       | seed |
       | 1    |
       | 11   |
+
+  Scenario Outline: A short run of seed <seed> with silent connections
+    When the soak plays seed <seed> with 6 seconds of faults, silent connections among them
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 2    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,6 +5,14 @@
 from acaciastand_lab.soak import Soak
 
 
+@when(
+    "the soak plays seed {seed:d} with {seconds:d} seconds of faults, silent connections among them"
+)
+def when_extended(context, seed, seconds):
+    context.soak = Soak(seed, float(seconds), extended=True)
+    context.problems = context.soak.run()
+
+
 @when("the soak plays seed {seed:d} with {seconds:d} seconds of faults")
 def when_plays(context, seed, seconds):
     context.soak = Soak(seed, float(seconds))
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -108,18 +108,24 @@
         """Return the processes of a kind."""
         return [name for name in self.settings if name.startswith(kind)]
 
-    def call(self, entry: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+    def call(
+        self, entry: str, method: str, path: str, body: Any = None, prefix: str = PREFIX
+    ) -> tuple[int, Any]:
         """Make a caller's call; status 0 means that no answer came."""
         caller = HttpCaller(f"http://{self.callers[entry]}")
         data = b"" if body is None else json.dumps(body).encode()
         try:
-            answer = caller.call(method, PREFIX + path, data, {"Host": HOST}, CALL_SECONDS)
+            answer = caller.call(method, prefix + path, data, {"Host": HOST}, CALL_SECONDS)
             return answer.status, json.loads(answer.body) if answer.body else None
         except (AcaciastandError, ValueError):
             return 0, None
         finally:
             caller.close()
 
+    def is_in_force(self, entry: str, version: int) -> bool:
+        """Return whether an entry serves the route that a version of the configuration adds."""
+        return self.call(entry, "GET", "", prefix=version_prefix(version))[0] == 200
+
     def submit(self, entry: str, job_id: str, *steps: dict[str, Any], **payload: Any) -> int:
         """Submit a job whose tasks run as `payload` says."""
         text = json.dumps({"seconds": 0.1, **payload})
@@ -227,8 +233,16 @@
             process.wait()
 
 
+def version_prefix(version: int) -> str:
+    """Return the prefix of the queue that only this version of the configuration has."""
+    return f"/version-{version}/"
+
+
 def configuration(version: int, advised: bool = False) -> bytes:
-    """Return a configuration in the operators' form, whose queue may be advised."""
+    """Return a configuration in the operators' form, whose queue may be advised.
+
+    It has a second queue, whose prefix tells the version.
+    """
     route: dict[str, Any] = {
         "name": "jobs",
         "host": HOST,
@@ -242,7 +256,8 @@
     if advised:
         route["advice"] = {"decideMs": 20, "perWorkerMs": 2, "validityMs": 2000}
     service = {"name": "desk", "rejectsOverload": True}
-    fields = {"version": version, "routes": [route], "services": [service], "limits": {}}
+    marker = {**route, "name": f"version-{version}", "prefix": version_prefix(version)}
+    fields = {"version": version, "routes": [route, marker], "services": [service], "limits": {}}
     return json.dumps(fields).encode()
 
 
--- a/src/acaciastand_lab/soak.py
+++ b/src/acaciastand_lab/soak.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import random
+import shutil
 import signal
 import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Annotated, Any
 
 import gevent
@@ -30,6 +32,11 @@
 REPEATED_SHARE = 0.2
 
 
+# Time after the last fault in which all connections are made again.
+CALM_SECONDS = 4.0
+CONFIGURATION_SECONDS = 2.0  # A change of the configuration is in force after this time.
+
+
 class Submission:
     """What a caller knows of one job."""
 
@@ -43,10 +50,28 @@
 
 
 class Soak:
-    """One run of one seed."""
-
-    def __init__(self, seed: int, seconds: float = FAULT_SECONDS) -> None:
+    """One run of one seed.
+
+    Parameters
+    ----------
+    seed, seconds
+        Seed of the faults, and how long they go on.
+    extended
+        Whether the faults include silent connections. Without them a seed plays as it always did.
+    logs_folder
+        Folder that gets the logs and settings of all processes if a promise is broken.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float = FAULT_SECONDS,
+        extended: bool = False,
+        logs_folder: Path | None = None,
+    ) -> None:
         self.random = random.Random(seed)
+        self.extended = extended
+        self.logs_folder = logs_folder
         self.seconds = seconds
         self.site = Site(ENTRIES, AGENTS, seed, proxies=True)
         self.jobs: list[Submission] = []
@@ -67,7 +92,11 @@
                 gevent.sleep(self.random.uniform(0.1, 1.2))
             callers.kill()
             self._repair()
+            if self.extended:
+                self._check_configuration()
             self._check_all()
+            if self.problems and self.logs_folder is not None:
+                shutil.copytree(self.site.folder, self.logs_folder, dirs_exist_ok=True)
         finally:
             self.site.close()
         return self.problems
@@ -75,8 +104,10 @@
     # Faults
 
     def _inject(self) -> None:
+        extension = (self._mute,) if self.extended else ()
         fault = self.random.choice(
             (
+                *extension,
                 self._kill,
                 self._pause,
                 self._stop,
@@ -141,6 +172,9 @@
     def _reset(self) -> None:
         self._proxy().reset()
 
+    def _mute(self) -> None:
+        self._proxy().mute()
+
     def _delay(self) -> None:
         proxy = self._proxy()
         proxy.delay_seconds = self.random.uniform(0.02, 0.5)
@@ -251,6 +285,17 @@
             self.problems.append(f"{job.job_id}: {state} without cause")
         return state in ("completed", "cancelled", "failed", "unknown")
 
+    def _check_configuration(self) -> None:
+        """Change the configuration just after all connections went silent, and see it in force."""
+        gevent.sleep(CALM_SECONDS)
+        for proxy in self.site.proxies:
+            proxy.mute()
+        self._configure()
+        gevent.sleep(CONFIGURATION_SECONDS)
+        for entry in self.site.names("entry"):
+            if not self.site.is_in_force(entry, self.version):
+                self.problems.append(f"{entry}: version {self.version} is not in force in time")
+
     def _check_order(self, history: list[Any]) -> None:
         done: dict[tuple[str, int], list[float]] = {}
         for run in history:
@@ -284,11 +329,15 @@
     seed: Annotated[int, typer.Option(help="First seed.")] = 1,
     runs: Annotated[int, typer.Option(min=1, help="Number of seeds.")] = 1,
     seconds: Annotated[float, typer.Option(help="Time with faults, in seconds.")] = FAULT_SECONDS,
+    extended: Annotated[bool, typer.Option(help="Add silent connections.")] = False,
+    logs: Annotated[
+        Path | None, typer.Option(help="Folder for the logs of failed seeds, one folder each.")
+    ] = None,
 ) -> None:
     """Play seeds and print the broken promises of each."""
     failed = 0
     for number in range(seed, seed + runs):
-        soak = Soak(number, seconds)
+        soak = Soak(number, seconds, extended, logs / str(number) if logs else None)
         problems = soak.run()
         failed += bool(problems)
         accepted = sum(job.accepted for job in soak.jobs)
