Let the soak's check know ends that count as not taken note of, and workers that are down

Trace: its agent was stopped at 52.63 s, 0.2 s after the start; the run was done at about 52.8 s; the lease of the worker, 3 s, lapsed before the agent was back; the grant expired at 57.91 s and run 2 started. The end of run 1 was noted later. The users' rules allow that: an end is taken note of 'unless the worker's lease lapsed between the two'. The check is narrowed to the rule: a worker remembers which ends were listed when its lease lapsed.

The stand-in for a worker that is down answers nobody, also on connections that are still open.

--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -40,6 +40,7 @@
         "how",
         "percent",
         "acknowledged",
+        "lease_lapsed",
     )
 
     def __init__(self, task: str, run: int, worker: str, began: float, ends: float) -> None:
@@ -52,6 +53,7 @@
         self.how = ""
         self.percent = 100
         self.acknowledged = False  # whether the system has taken note of its end
+        self.lease_lapsed = False  # whether the worker's lease has lapsed since its end
 
 
 class PlatformWorkerStandIn:
@@ -67,6 +69,8 @@
         Share of the starts that are carried out and not answered.
     crashes
         Number of crashes under a task that takes the worker down.
+    is_down
+        Whether it has crashed and not begun another incarnation yet.
     """
 
     def __init__(
@@ -85,6 +89,7 @@
         self.random = random.Random(seed)
         self.unanswered_share = 0.0
         self.crashes = 0
+        self.is_down = False
         self.history: list[Run] = []
         self.failures: dict[str, int] = {}
         self.tickets: AdviceStandIn | None = None  # checks the tickets of all starts
@@ -112,16 +117,19 @@
 
     def go_down(self, seconds: float) -> None:
         """Crash, and refuse connections for some seconds before another incarnation begins."""
+        if self.is_down:
+            return
+        self.is_down = True
         address = self.address
-        self.crash()
         self.heartbeats_stopped = True
         self.server.stop(0.0)
+        self.crash()
 
         def come_back() -> None:
             self._begin_incarnation()
             self.server = self._build_server(address)
             self.server.start()
-            self.heartbeats_stopped = False
+            self.heartbeats_stopped = self.is_down = False
 
         self.greenlets.append(gevent.spawn_later(seconds, come_back))
 
@@ -192,6 +200,8 @@
             gevent.sleep(TICK_SECONDS)
             now = time.monotonic()
             expired = self.lease_ms <= self._clock_ms()
+            for run in self.unacknowledged.values():
+                run.lease_lapsed = run.lease_lapsed or expired
             for run in list(self.running.values()):
                 if run.how == "stopping":
                     if now >= run.ends:
@@ -213,7 +223,7 @@
         self.ends.append([self.ends_count, run.task, run.run, how, ""])
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
-        if self.gone:
+        if self.gone or self.is_down:
             raise GreenletExit  # the connection closes without an answer
         fields = json.loads(environ["wsgi.input"].read())
         answer: dict[str, Any] = {}
