--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 experiment: $(STAMP)
 	$(BIN)/python -m acaciastand_lab.experiment $(NAME)
 
-# Real programs under random faults; RUNS seeds from SEED on. SOAK=--extended adds silent connections.
+# Real programs under random faults; RUNS seeds from SEED on. SOAK=--extended adds more kinds of faults.
 soak: $(STAMP)
 	$(BIN)/python -m acaciastand_lab.soak --seed $(SEED) --runs $(RUNS) $(SOAK)
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,8 +11,8 @@
       | 1    |
       | 11   |
 
-  Scenario Outline: A short run of seed <seed> with silent connections
-    When the soak plays seed <seed> with 6 seconds of faults, silent connections among them
+  Scenario Outline: A short run of seed <seed> with silent connections and workers that go down
+    When the soak plays seed <seed> with 6 seconds of faults, crashes of workers among them
     Then no promise was broken
 
     Examples:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,7 +6,7 @@
 
 
 @when(
-    "the soak plays seed {seed:d} with {seconds:d} seconds of faults, silent connections among them"
+    "the soak plays seed {seed:d} with {seconds:d} seconds of faults, crashes of workers among them"
 )
 def when_extended(context, seed, seconds):
     context.soak = Soak(seed, float(seconds), extended=True)
