Report and count a crash once while the worker stays down

Found in the review of the change: once the owner had stored a crash, an agent whose worker stayed down recorded it anew with each report, logged it and counted it again. The owner ignored the repetition. An incarnation is recorded as crashed once, unless it answers again. Test: worker_crashes 'A crash is told once ...' failed before.

--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -58,7 +58,8 @@
     patch = mock.patch.object(worker_controller, "now", lambda: context.now)
     context.stack.enter_context(patch)
     context.worker = ScriptedWorker()
-    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics())
+    context.metrics = Metrics()
+    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, context.metrics)
     context.controller.client = context.worker
     poll(context)
     announce(context)
@@ -175,3 +176,9 @@
 @then("all commands are answered as not accepted")
 def then_not_accepted(context):
     assert context.accepted == [False] * len(context.accepted), context.accepted
+
+
+@then("it has counted {count:d} crash")
+def then_counted(context, count):
+    value = context.metrics.registry.get_sample_value("acaciastand_worker_crashes_total")
+    assert value == count, value
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -15,6 +15,17 @@
     When the consequences of the crash are stored
     Then it reports no crash
 
+  # Once the owner had stored a crash, an agent whose worker stayed down logged and counted it again
+  # with each report.
+  Scenario: A crash is told once although the worker stays down
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When its worker refuses connections for 4.0 seconds
+    Then it reports a crash under runs of 5.0 and 0.02 seconds
+    When the consequences of the crash are stored
+    And its worker refuses connections for 2.0 seconds
+    Then it reports no crash
+    And it has counted 1 crash
+
   Scenario: A worker that does not answer for a while and has its runs has not crashed
     Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
     When its worker keeps silent for 4.0 seconds
--- a/src/acaciastand/workflow/crash_witness.py
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -12,11 +12,11 @@
 
 
 class CrashWitness:
-    """Remembers which runs are on a worker and since when, and tells it once the worker crashed.
+    """Remembers which runs are on a worker and since when, for the report of a crash.
 
-    Only the agent beside a worker sees the crash itself. It tells each owner until the consequences
-    are stored, so that they outlive the owner. A crash together with the host is not told, since
-    the agent has ended as well.
+    Only the agent beside a worker sees the crash itself. It reports the crash to each owner until
+    the consequences are stored, so that they outlive the owner. A crash together with the host is
+    not reported, since the agent has ended as well.
 
     Times are seconds on the agent's clock.
 
@@ -28,12 +28,15 @@
         When the first call of the present series of failed calls failed; None after an answer.
     crashes
         Crashes whose consequences are not stored yet, the oldest first.
+    crashed_ms
+        Start time in Unix milliseconds of the incarnation that crashed last; 0 if none did.
     """
 
     def __init__(self) -> None:
         self.started_at: dict[tuple[str, int], float] = {}
         self.failed_at: float | None = None
         self.crashes: list[WorkerCrash] = []
+        self.crashed_ms = 0
 
     def record_start(self, task: str, run: int, now: float) -> None:
         """Record that a call to start a run is sent, unless it is a repetition."""
@@ -46,8 +49,8 @@
     def record_poll(self, born_ms: int, running: Iterable[ActiveRun], began_at: float) -> None:
         """Record the runs that a poll, begun at `began_at`, lists."""
         self.failed_at = None
-        # A worker that answers has not ended, but refused connections for a while.
-        self.crashes = [crash for crash in self.crashes if crash.born_ms != born_ms]
+        if born_ms == self.crashed_ms:
+            self._withdraw_crash(born_ms)
         listed = {(active_run.task, active_run.run) for active_run in running}
         self.started_at = {
             key: started_at
@@ -76,12 +79,18 @@
             for (task, run), started_at in self.started_at.items()
             if started_at <= crashed_at
         ]
-        if not runs or any(crash.born_ms == born_ms for crash in self.crashes):
+        if not runs or born_ms == self.crashed_ms:
             return None
+        self.crashed_ms = born_ms
         crash = WorkerCrash(born_ms, runs)
         self.crashes = [*self.crashes, crash][-MAX_CRASHES:]
         return crash
 
+    def _withdraw_crash(self, born_ms: int) -> None:
+        """Forget the crash of a worker that answers again, since it only refused connections."""
+        self.crashed_ms = 0
+        self.crashes = [crash for crash in self.crashes if crash.born_ms != born_ms]
+
     def begin_incarnation(self, now: float) -> None:
         """Forget the runs that were started before the former incarnation of the worker ended."""
         ended_at = now if self.failed_at is None else self.failed_at
--- a/src/acaciastand/workflow/isolation.py
+++ b/src/acaciastand/workflow/isolation.py
@@ -17,7 +17,7 @@
 MAX_RESERVED_SHARE = 0.34
 
 
-class IsolatedPlacement:
+class IsolatedPlacement(Placement):
     """Placement of suspects on quiet workers, where a crash is certainly theirs.
 
     Under load no worker is quiet by itself, so one is reserved for a suspect that waits. Workers
