Move the paces of tasks, watches of prefixes and requests for advice out of large modules

PaceSender sends and repeats paces, follow_prefix watches a prefix across failures, advise_forever asks the placement service, load_job reads a job with its progress for the owner and for queries.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -11,7 +11,7 @@
 from waiting import wait_for
 from workflow_support import step
 
-from acaciastand.cluster import worker_controller
+from acaciastand.cluster import pace_sender, worker_controller
 from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import OwnershipLost
@@ -366,7 +366,10 @@
 @when("a change of pace is not answered and the next one is")
 def when_pace_lost(context):
     context.now = 100.0
-    with mock.patch.object(worker_controller, "now", lambda: context.now):
+    with (
+        mock.patch.object(worker_controller, "now", lambda: context.now),
+        mock.patch.object(pace_sender, "now", lambda: context.now),
+    ):
         while context.now < 120.0:
             context.controller._update_paces(context.poll_result)
             gevent.sleep(0)
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -17,10 +17,9 @@
     CANCELS_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
-    decode_job,
     encode_fields,
     encode_job,
-    restore_progress,
+    load_job,
 )
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PeerLink
@@ -241,10 +240,8 @@
             return None
         if self.store.get(CANCELS_PREFIX + job_id).revision:
             return JobState.CANCELLED
-        job = decode_job(job_id, submission.value)
         progress = self.store.get(PROGRESS_PREFIX + job_id)
-        if progress.revision:
-            restore_progress(job, progress)
+        job = load_job(job_id, submission, progress if progress.revision else None)
         return job.state
 
 
--- a/src/acaciastand/cluster/keys.py
+++ b/src/acaciastand/cluster/keys.py
@@ -114,6 +114,21 @@
     job.revision = item.revision
 
 
+def load_job(job_id: str, submission: Item, progress: Item | None) -> Job:
+    """Return a job with its stored progress.
+
+    Raises
+    ------
+    StoredItemUnreadable
+        One of the items cannot be decoded. Without its progress the job must not start, since its
+        tasks may have run already.
+    """
+    job = decode_job(job_id, submission.value)
+    if progress is not None:
+        restore_progress(job, progress)
+    return job
+
+
 def _unreadable(key: str, error: Exception) -> StoredItemUnreadable:
     return StoredItemUnreadable(
         f"{key} cannot be decoded: {error!r}", "remove the key or store it again"
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -5,11 +5,11 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import Any
 
 import gevent
 from gevent.event import Event
 
+from acaciastand.cluster.advice_loop import advise_forever
 from acaciastand.cluster.agent_link import AgentLink
 from acaciastand.cluster.batch_costs import encode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
@@ -30,16 +30,14 @@
     decode_address,
     decode_job,
     encode_fields,
-    restore_progress,
+    load_job,
 )
+from acaciastand.cluster.prefix_watch import follow_prefix
 from acaciastand.cluster.supervision import supervised
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
-    Changes,
     CommitConflict,
-    HistoryDropped,
     Item,
-    Listing,
     TransactionalStore,
 )
 from acaciastand.errors import AcaciastandError
@@ -51,18 +49,16 @@
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
 from acaciastand.workflow.ranking import objective_seconds
-from acaciastand.workflow.reports import AgentReport, StartOutcome, TaskName
+from acaciastand.workflow.reports import AgentReport, StartOutcome
 from acaciastand.workflow.scheduler import Scheduler
 
 MAX_PLAN_INTERVAL_SECONDS = 0.1  # Longest time between two rounds of scheduling.
 PLAN_DELAY_SECONDS = 0.004  # Events within this time are handled in one round of scheduling.
-WATCH_WAIT_SECONDS = 1.0  # Longest time that a watch of the inbox waits for a change.
-# Pause after a failed call to the store or the placement service, or once history was dropped.
-RETRY_SECONDS = 0.1
+# Longest times that the watches of the inbox and of the agents wait for a change.
+INBOX_WAIT_SECONDS = 1.0
+AGENTS_WAIT_SECONDS = 2.0
+RETRY_SECONDS = 0.1  # Pause after a failed call to the store.
 LOAD_ATTEMPTS = 3  # Attempts to read the jobs before the takeover is left to another entry.
-ADVICE_POLL_SECONDS = 0.03  # Interval between checks for a step that needs advice.
-# Time to wait for the placement service beyond the time that it takes to decide.
-ADVICE_MARGIN_SECONDS = 1.0
 
 logger = logging.getLogger(__name__)
 decision_logger = logging.getLogger("acaciastand.decisions")
@@ -262,7 +258,9 @@
         self._spawn(self.job_retention.remove_forever)
         self._spawn(self.interference_store.store_forever)
         if self.advisor is not None:
-            self._spawn(partial(self._advise_forever, self.advisor))
+            self._spawn(
+                partial(advise_forever, self.advisor, self.scheduler, self.metrics, self.plan_due)
+            )
 
     def _load(self) -> bool:
         """Read agents and jobs from the store and return whether that succeeded."""
@@ -304,7 +302,7 @@
                 continue
             job_id = item.key[len(JOBS_PREFIX) :]
             try:
-                job = _load_job(job_id, item, stored.get(job_id))
+                job = load_job(job_id, item, stored.get(job_id))
             except StoredItemUnreadable as error:
                 self._ignore_item(JOBS_PREFIX, error)
                 continue
@@ -378,24 +376,9 @@
         self._log_decisions()
         self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
 
-    def _advise_forever(self, advisor: PlacementAdvisor) -> None:
-        while True:
-            request = self.scheduler.next_advice_request(now(), now_unix())
-            if request is None:
-                gevent.sleep(ADVICE_POLL_SECONDS)
-                continue
-            requested_at = now()
-            seconds = request.response_seconds + ADVICE_MARGIN_SECONDS
-            try:
-                advice = advisor.advise(request.step, request.worker_ids, seconds)
-            except AcaciastandError as error:
-                self.metrics.count("advice", "failed")
-                logger.warning("no advice", extra={"step": request.step, "error": str(error)})
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            self.metrics.count("advice", "answered")
-            self.scheduler.record_advice(request, advice, requested_at)
-            self.plan_due.set()
+    def _follow_advice(self) -> None:
+        assert self.advisor is not None
+        advise_forever(self.advisor, self.scheduler, self.metrics, self.plan_due)
 
     def _log_decisions(self) -> None:
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
@@ -442,23 +425,15 @@
             seconds,
             worker.born_ms,
             self.scheduler.acknowledge_stored_ends(worker),
-            self._limit_rows(message.untold),
+            [
+                [task, limits.target_ms, limits.uses_leftover]
+                for task, limits in self.scheduler.limits_of(message.untold).items()
+            ],
             services,
             batch_costs,
             self.scheduler.stored_crash_ms(worker),
         )
 
-    def _limit_rows(self, tasks: list[str]) -> list[list[Any]]:
-        """Return the rows of `RunGrant.limits` for those of `tasks` that exist."""
-        rows = []
-        for key in tasks:
-            name = TaskName.parse(key)
-            job = self.scheduler.jobs.get(name.job_id) if name else None
-            task = job.tasks.get(key) if job else None
-            if task is not None:
-                rows.append([key, task.step.target_ms, task.step.uses_leftover])
-        return rows
-
     def _handle_stored_jobs(self, jobs: list[Job]) -> None:
         """Measure the jobs that ended and acknowledge the ends of runs that are stored now."""
         for job in jobs:
@@ -476,40 +451,18 @@
                     )
 
     def _watch_inbox(self) -> None:
-        self._follow(INBOX_PREFIX, self.inbox_revision, WATCH_WAIT_SECONDS, self._apply_inbox_items)
+        follow_prefix(
+            self.store,
+            INBOX_PREFIX,
+            self.inbox_revision,
+            INBOX_WAIT_SECONDS,
+            self._apply_inbox_items,
+        )
 
     def _watch_agents(self) -> None:
-        self._follow(AGENTS_PREFIX, self.agents_revision, 2 * WATCH_WAIT_SECONDS, self._add_agents)
-
-    def _follow(
-        self,
-        prefix: str,
-        revision: int,
-        wait_seconds: float,
-        on_items: Callable[[list[Item]], None],
-    ) -> None:
-        """Call `on_items` with each change below a prefix after `revision`.
-
-        It is called with all items again if the store has dropped the history of the changes.
-        """
-        must_list = False
-        while True:
-            try:
-                if must_list:
-                    changes: Changes | Listing = self.store.list(prefix)
-                    logger.warning("history dropped; listed again", extra={"prefix": prefix})
-                else:
-                    changes = self.store.watch(prefix, revision, wait_seconds)
-            except HistoryDropped:
-                must_list = True
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            except (StoreUnavailable, StoreAnswerLost):
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            must_list = False
-            revision = changes.revision
-            on_items(changes.items)
+        follow_prefix(
+            self.store, AGENTS_PREFIX, self.agents_revision, AGENTS_WAIT_SECONDS, self._add_agents
+        )
 
     def _apply_inbox_items(self, items: list[Item]) -> None:
         for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
@@ -551,18 +504,3 @@
         )
         self.links[agent_id] = link
         self._spawn(link.run)
-
-
-def _load_job(job_id: str, item: Item, progress: Item | None) -> Job:
-    """Return a job with its stored progress.
-
-    Raises
-    ------
-    StoredItemUnreadable
-        One of the items cannot be decoded. Without its progress the job must not start, since its
-        tasks may have run already.
-    """
-    job = decode_job(job_id, item.value)
-    if progress is not None:
-        restore_progress(job, progress)
-    return job
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -9,6 +9,7 @@
 from gevent.event import AsyncResult, Event
 
 from acaciastand.cluster.clock import now
+from acaciastand.cluster.pace_sender import PaceSender
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import CallNotSent
 from acaciastand.platform.tasks import INCARNATION_HEADER, TaskClient, TokenRefused, WorkerChanged
@@ -32,32 +33,10 @@
 TOKEN_STEP = 10_000_000  # Increment of a fencing token that the worker refused.
 RETRY_PAUSE_SECONDS = 0.05  # Pause before a failed start or stop is repeated.
 MAX_RETRY_PAUSE_SECONDS = 0.4  # Pauses between stops of one run double up to this.
-# Longest delay after which an unanswered call can still take effect.
-MAX_CALL_DELAY_SECONDS = 13.0
-# Interval at which a pace is repeated while an unanswered earlier call may still override it.
-PACE_REPEAT_INTERVAL_SECONDS = 1.0
 
 logger = logging.getLogger(__name__)
 
 
-class UnconfirmedPace:
-    """Unanswered change of pace, which may take effect after later changes.
-
-    Attributes
-    ----------
-    repeat_at
-        When the current pace is sent again.
-    settled_at
-        When the unanswered call can no longer take effect.
-    """
-
-    __slots__ = ("repeat_at", "settled_at")
-
-    def __init__(self, sent_at: float) -> None:
-        self.repeat_at = sent_at + PACE_REPEAT_INTERVAL_SECONDS
-        self.settled_at = sent_at + MAX_CALL_DELAY_SECONDS
-
-
 class WorkerController:
     """Runs tasks on one worker for as long as the owner grants.
 
@@ -110,10 +89,6 @@
         Highest number of an end that a poll has returned.
     limits
         Latency target of each task and whether it uses leftover processor time.
-    sent_paces
-        Pace in percent that was last sent for each task and run.
-    unconfirmed_paces
-        Last unanswered change of pace of each task and run.
     costs
         What the batch tasks take from the services on this worker, by the owner's last grant.
     unsettled_starts
@@ -160,8 +135,7 @@
         self.acknowledged = 0
         self.ends_stored = Event()
         self.limits: dict[str, RunLimits] = {}
-        self.sent_paces: dict[tuple[str, int], int] = {}
-        self.unconfirmed_paces: dict[tuple[str, int], UnconfirmedPace] = {}
+        self.pace_sender = PaceSender(self._send_pace)
         self.last_end_number = 0
         self.costs: dict[str, BatchCost] = {}
         self.pace_percent = FULL_PERCENT
@@ -443,7 +417,7 @@
         self.last_poll = None
         self.worker_clock_read_at = 0.0
         self.lease_end_ms = 0
-        self.sent_paces.clear()
+        self.pace_sender.clear()
 
     def _was_leaving(self) -> bool:
         """Return whether the worker has announced that it leaves, so that its end is no crash."""
@@ -475,41 +449,12 @@
         """Decide on the pace of the running batch tasks and send what has changed."""
         paces = self.pacer.update(result.running, self.limits, self.costs, now())
         self.pace_percent = min(paces.values(), default=FULL_PERCENT)
-        running = {(run.task, run.run) for run in result.running}
-        self.sent_paces = {key: value for key, value in self.sent_paces.items() if key in running}
-        self.unconfirmed_paces = {
-            k: value for k, value in self.unconfirmed_paces.items() if k in running
-        }
         self.limits = {
             task: value
             for task, value in self.limits.items()
             if any(run.task == task for run in result.running) or len(self.limits) < 512
         }
-        for run in result.running:
-            if run.task not in paces:
-                continue
-            key = (run.task, run.run)
-            percent = paces[run.task]
-            if self.sent_paces.get(key, FULL_PERCENT) != percent or self._must_repeat_pace(key):
-                gevent.spawn(self._send_pace, run.task, run.run, percent)
-                self.sent_paces[key] = percent
-
-    def _must_repeat_pace(self, key: tuple[str, int]) -> bool:
-        """Return whether the pace is due to be sent again after an unanswered change."""
-        unconfirmed = self.unconfirmed_paces.get(key)
-        if unconfirmed is None or now() < unconfirmed.repeat_at:
-            return False
-        if now() >= unconfirmed.settled_at:
-            del self.unconfirmed_paces[key]
-        else:
-            unconfirmed.repeat_at = now() + PACE_REPEAT_INTERVAL_SECONDS
-        return True
+        self.pace_sender.send(result.running, paces)
 
     def _send_pace(self, task: str, run: int, percent: int) -> None:
-        try:
-            self.client.pace(task, run, percent)
-            logger.info("pace set", extra={"task": task, "run": run, "percent": percent})
-        except AcaciastandError as error:
-            self.sent_paces.pop((task, run), None)  # The pace is sent again after the next poll.
-            self.unconfirmed_paces[(task, run)] = UnconfirmedPace(now())
-            logger.warning("pace not set", extra={"task": task, "error": str(error)})
+        self.client.pace(task, run, percent)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import partial
 
 from acaciastand.workflow import crashes
@@ -23,7 +24,7 @@
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.moves import WaitingCores, runs_to_move, slowed_runs
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
-from acaciastand.workflow.pacing import BatchCost
+from acaciastand.workflow.pacing import BatchCost, RunLimits
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
 from acaciastand.workflow.ranking import LeastSlackFirst, RankingPolicy
 from acaciastand.workflow.report_processing import ReportProcessor
@@ -166,6 +167,11 @@
         """Update the worker of an agent and its runs from a report."""
         self.report_processor.process(agent_id, report, now, now_unix)
 
+    def limits_of(self, keys: Iterable[str]) -> dict[str, RunLimits]:
+        """Return the limits of the tasks with these keys, as far as they are known."""
+        tasks = [task for key in keys if (task := self.find_task(key))]
+        return {task.key: RunLimits(task.step.target_ms, task.step.uses_leftover) for task in tasks}
+
     def batch_costs(self, worker: WorkerView) -> dict[str, BatchCost]:
         """Return what each batch task on a worker takes from the services there.
 
