--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -281,6 +281,7 @@
     play
         Called with the deployment and whether the disruption is wanted; returns what broke the rule.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # The processes are ended all the same.
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=trouble)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -33,7 +33,8 @@
         self.stopped_at = 0.0  # When the order to stop arrived.
         self.ended = 0.0
         self.how = ""
-        self.noted = False
+        self.noted = False  # Whether `lastSeen` reached its end before the lease lapsed.
+        self.lease_lapsed = False
 
     def result(self, now: float) -> str:
         """Return how the run ends now; empty while it goes on."""
@@ -146,6 +147,8 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             lapsed = self.deadline_ms <= self.clock_ms
+            for _, ended in self.ends if lapsed else []:
+                ended.lease_lapsed = True
             for run in list(self.running.values()):
                 how = run.result(now) or ("lapsed" if lapsed else "")
                 if how:
@@ -214,7 +217,7 @@
         life = self.life
         last_seen = fields["lastSeen"]
         for number, run in self.ends:
-            run.noted = run.noted or number <= last_seen
+            run.noted = run.noted or (number <= last_seen and not run.lease_lapsed)
         self.ends = [row for row in self.ends if row[0] > last_seen]
         end = time.monotonic() + min(2_000, fields.get("waitMs", 0)) / 1000
         while not self.ends and time.monotonic() < end:
