Compare polls of different incarnations of an agent by incarnation, not by number

Cause: an agent counts its polls from 1 after each start. The owner compared the numbers of two incarnations and ignored the reports of the new one until it had made as many polls as the former. Change: reports and replies carry the incarnation of the agent, a random number; a poll of another incarnation counts as later. Why this works: a new incarnation polls after the former has ended, so its polls show everything that was answered before. Related path: the time limits of commands use the agent's clock of its last report, which restarts with the host; it is forgotten with the connection. The owner logs restarts of agents and workers.

--- /dev/null
+++ b/features/restarts.feature
@@ -0,0 +1,29 @@
+Feature: Restarts of workers and agents
+
+  # The owner compared the number of a poll with one of the agent's former life, and ignored what the
+  # restarted agent reported until it had made as many polls again. The runs that were lost with the
+  # worker were not started again meanwhile.
+  Scenario Outline: Runs of a worker that restarts <when> its agent are started again at once
+    Given 2 workers of 16 cores
+    And a service of 4 tasks that is started after 20 seconds
+    When one worker restarts <when> its agent
+    Then all 4 tasks run within 1.0 seconds
+
+    Examples:
+      | when            |
+      | together with   |
+      | 1 second after  |
+
+  # The stop of a run was confirmed to the former incarnation of the agent.
+  Scenario: A run whose agent restarts after it was stopped starts again
+    Given 2 workers of 16 cores
+    And a service of 4 tasks that is started after 20 seconds
+    When a run is stopped before it began and the agent of its worker restarts
+    Then all 4 tasks run within 2.0 seconds
+
+  # After the restart of a host its clock begins at zero. Until the first report the owner gave commands
+  # a time limit on the clock of the former boot.
+  Scenario: A command to a restarted agent has no time limit of its former boot
+    Given the owner's connection to an agent whose clock shows 5000 seconds
+    When the connection is made again and the agent has not reported
+    Then a command that is sent is refused by an agent whose clock shows 3 seconds
--- a/features/shared_workers.py
+++ b/features/shared_workers.py
@@ -13,6 +13,7 @@
     ActiveRun,
     AgentReport,
     EndedRun,
+    PollPosition,
     StartOutcome,
     WorkerIdentity,
 )
@@ -73,6 +74,10 @@
         self.ended = []
         self.end_count = 0
 
+    @property
+    def position(self):
+        return PollPosition(1, self.poll_number)
+
 
 class SharedWorkersWorld:
     """A scheduler, its workers and callers that submit services and then batch jobs.
@@ -230,7 +235,7 @@
         paces = list(getattr(worker.pacer, "paces", {}).values())
         report = AgentReport(
             worker.identity,
-            worker.poll_number,
+            worker.position,
             self._active_runs(worker),
             list(worker.ended),
             pace_percent=min(paces, default=100),
@@ -249,15 +254,13 @@
             if start.command.checkpoint:
                 run.work_seconds = float(start.command.checkpoint)
             self.scheduler.process_start_result(
-                start.task, run.number, StartOutcome.STARTED, worker.poll_number, self.now
+                start.task, run.number, StartOutcome.STARTED, worker.position, self.now
             )
         for stop in stops:
             worker = self.workers[stop.agent_id]
             if stop.task_key in worker.runs:
                 self._end(worker, worker.runs[stop.task_key], "stopped")
-            self.scheduler.process_stop_result(
-                stop.task_key, stop.run, worker.poll_number, self.now
-            )
+            self.scheduler.process_stop_result(stop.task_key, stop.run, worker.position, self.now)
         self._store_all()
 
     def _store_all(self):
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -5,7 +5,7 @@
 
 from acaciastand.workflow.advice import Advice
 from acaciastand.workflow.catalog import Catalog, Queue
-from acaciastand.workflow.reports import StartOutcome
+from acaciastand.workflow.reports import PollPosition, StartOutcome
 
 VALID_SECONDS = 3.0
 SECOND_AGENT = "a-2"
@@ -100,7 +100,9 @@
     world = context.world
     [start] = world.scheduler.plan(world.now, world.now_unix)[0]
     refused = StartOutcome.NO_TICKET
-    world.scheduler.process_start_result(start.task, start.command.run, refused, 0, world.now)
+    world.scheduler.process_start_result(
+        start.task, start.command.run, refused, PollPosition(), world.now
+    )
     world.now += 0.2  # More than the pause after a refused start.
     world.report_all()
     assert not world.plan()
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,94 @@
+"""Steps for restarts of workers and agents."""
+
+from behave import given, then, when
+from workflow_support import step
+
+from acaciastand.cluster.agent_link import AgentLink
+from acaciastand.wire.connection import Listener
+from acaciastand.wire.messages import (
+    OwnerHello,
+    OwnerHelloReply,
+    RunGrant,
+    RunReply,
+    StartRun,
+)
+from acaciastand.workflow.reports import StartCommand, StartOutcome
+
+SERVICE = "00000000000000b1"
+
+
+@given("a service of {count:d} tasks that is started after {seconds:d} seconds")
+def given_service(context, count, seconds):
+    context.world.advance(float(seconds))
+    context.world.submit(
+        SERVICE, "watchers", step(count, cores=2.0, continuous=True, max_per_worker=4)
+    )
+    context.world.advance(0.5)
+    assert len(context.world.running()) == count
+
+
+@when("one worker restarts together with its agent")
+def when_both_restart(context):
+    worker = context.world.workers["1"]
+    worker.restart()
+    worker.restart_agent()
+
+
+@when("one worker restarts 1 second after its agent")
+def when_worker_restarts_later(context):
+    worker = context.world.workers["1"]
+    worker.restart_agent()
+    context.world.advance(1.0)
+    worker.restart()
+
+
+@when("a run is stopped before it began and the agent of its worker restarts")
+def when_stopped_before(context):
+    world = context.world
+    task = next(iter(world.scheduler.workers["1"].tasks.values()))
+    world.scheduler.request_stop(task, world.now)
+    del world.workers["1"].running[task.key]
+    world.plan()
+    assert task.stop_confirmed_at
+    world.workers["1"].restart_agent()
+
+
+@then("all {count:d} tasks run within {seconds:f} seconds")
+def then_all_run(context, count, seconds):
+    context.world.advance(seconds)
+    assert len(context.world.running()) == count, context.world.running()
+
+
+@given("the owner's connection to an agent whose clock shows {seconds:d} seconds")
+def given_link(context, seconds):
+    context.received = []
+
+    def answer(_connection, message):
+        if isinstance(message, OwnerHello):
+            return OwnerHelloReply("agent-1", True, message.epoch)
+        context.received.append(message)
+        return RunReply(StartOutcome.REFUSED.value)
+
+    listener = Listener("127.0.0.1:0", answer)
+    listener.start()
+    context.stack.callback(listener.close)
+    context.link = AgentLink(
+        "agent-1", listener.address, "entry-1", 1, lambda *_: RunGrant(), lambda _: None
+    )
+    context.link._connect()
+    context.link.agent_clock = float(seconds)
+
+
+@when("the connection is made again and the agent has not reported")
+def when_connected_again(context):
+    context.link._disconnect("closed")
+    context.link._connect()
+    context.stack.callback(lambda: context.link.connection.close())
+
+
+@then("a command that is sent is refused by an agent whose clock shows {seconds:d} seconds")
+def then_refused(context, seconds):
+    context.link.start_run(5_000, StartCommand(f"{SERVICE}.0.0.0", 1))
+    (message,) = context.received
+    assert isinstance(message, StartRun)
+    assert message.not_after < seconds, message.not_after
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -5,6 +5,7 @@
 
 from acaciastand.resources import Resources
 from acaciastand.workflow.job import Job, JobState
+from acaciastand.workflow.reports import PollPosition
 from acaciastand.workflow.spec import WorkflowSpec
 
 JOB = "00000000000000aa"
@@ -497,7 +498,7 @@
     worker = world.workers[context.agent_id]
     worker.born_ms += 1_000
     context.former_run = worker.running.pop(TASK)
-    world.report(context.agent_id, look=0, running=[], silent=True)
+    world.report(context.agent_id, position=PollPosition(), running=[], silent=True)
     world.plan()
 
 
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -8,6 +8,7 @@
     AgentReport,
     CrashedRun,
     EndedRun,
+    PollPosition,
     StartOutcome,
     WorkerCrash,
     WorkerIdentity,
@@ -38,6 +39,7 @@
         self.born_ms = BORN_MS
         self.running = {}
         self.ended = []
+        self.agent_incarnation = 1
         self.poll_number = 0
         self.drain_seconds = 0.0
         self.last_end_number = 0
@@ -61,6 +63,15 @@
         self.last_end_number = 0
         self.crashed_at = None
 
+    def restart_agent(self):
+        """Begin another incarnation of the agent, which counts its polls anew."""
+        self.agent_incarnation += 1
+        self.poll_number = 0
+
+    @property
+    def position(self):
+        return PollPosition(self.agent_incarnation, self.poll_number)
+
     def identity(self):
         return WorkerIdentity(
             f"w-{self.agent_id}",
@@ -128,7 +139,7 @@
         worker.poll_number += worker.crashed_at is None
         report = AgentReport(
             worker.identity(),
-            worker.poll_number,
+            worker.position,
             [ActiveRun(key, run) for key, run in worker.running.items()],
             list(worker.ended),
         ).replace(**changes)
@@ -146,7 +157,13 @@
             return {"crashes": [worker.crash_report], **changes}
         if self.now < worker.crashed_at + LEASE_END_SECONDS:
             return {"silent": True, **changes}
-        lost = {"look": 0, "running": [], "ended": [], "lapsed": True, "silent": True}
+        lost = {
+            "position": PollPosition(),
+            "running": [],
+            "ended": [],
+            "lapsed": True,
+            "silent": True,
+        }
         return {**lost, "crashes": [worker.crash_report], **changes}
 
     def _complete_runs(self):
@@ -228,7 +245,7 @@
             worker.started_at[start.command.task] = self.now
             outcome = StartOutcome.STARTED
         self.scheduler.process_start_result(
-            start.task, start.command.run, outcome, worker.poll_number, self.now
+            start.task, start.command.run, outcome, worker.position, self.now
         )
 
     def _stop(self, stop):
@@ -238,7 +255,7 @@
             return
         if worker.running.get(stop.task_key) == stop.run:
             worker.end(stop.task_key, "stopped", "saved-at-stop")
-        self.scheduler.process_stop_result(stop.task_key, stop.run, worker.poll_number, self.now)
+        self.scheduler.process_stop_result(stop.task_key, stop.run, worker.position, self.now)
 
 
 def step(count=1, cores=1.0, memory_mb=100, seconds=1.0, **fields):
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -120,7 +120,7 @@
         if isinstance(message, OwnerHello):
             return self._handle_hello(connection, message)
         if connection is not self.owner_connection:
-            return RunReply(StartOutcome.REFUSED.value, self.controller.polls_begun)
+            return self._reply(StartOutcome.REFUSED)
         if isinstance(message, StartRun):
             return self._handle_start(message)
         if isinstance(message, StopRun):
@@ -168,15 +168,19 @@
                 "outcome": outcome.value,
             },
         )
-        return RunReply(outcome.value, self.controller.polls_begun)
+        return self._reply(outcome)
 
     def _handle_stop(self, message: StopRun) -> RunReply:
         if self._is_too_late(message.not_after):
-            return RunReply(StartOutcome.REFUSED.value, self.controller.polls_begun)
+            return self._reply(StartOutcome.REFUSED)
         stopped = self.controller.stop(message.task, message.run, message.not_after)
         logger.info("stop", extra={"task": message.task, "run": message.run, "taken": stopped})
         outcome = StartOutcome.STARTED if stopped else StartOutcome.UNKNOWN
-        return RunReply(outcome.value, self.controller.polls_begun)
+        return self._reply(outcome)
+
+    def _reply(self, outcome: StartOutcome) -> RunReply:
+        controller = self.controller
+        return RunReply(outcome.value, controller.polls_begun, controller.agent_incarnation)
 
     def _is_too_late(self, not_after: float) -> bool:
         """Return whether a command has expired, or the grant that it needs."""
@@ -215,7 +219,7 @@
         return RunReport(
             sent_at,
             identity_to_plain(report.identity),
-            report.look,
+            report.position.number,
             [list(row.values()) for row in report.running],
             [list(row.values()) for row in report.ended],
             report.lapsed,
@@ -228,6 +232,7 @@
                 [crash.born_ms, [list(run.values()) for run in crash.runs]]
                 for crash in report.crashes
             ],
+            report.position.agent_incarnation,
         )
 
     # Registration
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -28,6 +28,7 @@
     AgentReport,
     CrashedRun,
     EndedRun,
+    PollPosition,
     StartCommand,
     StartOutcome,
     WorkerCrash,
@@ -67,7 +68,8 @@
     reported_at
         When the last report arrived, or else the connection was made.
     agent_clock
-        The agent's clock in seconds when it sent its last report.
+        The agent's clock in seconds when it sent its last report over the present connection;
+        minus infinity before the first, so that the agent refuses all commands.
     """
 
     def __init__(
@@ -87,7 +89,7 @@
         self.on_superseded = on_superseded
         self.connection: Connection | None = None
         self.reported_at = float("-inf")
-        self.agent_clock = 0.0
+        self.agent_clock = float("-inf")
 
     def run(self) -> None:
         """Dial, watch the reports and dial again until the greenlet is killed."""
@@ -104,28 +106,28 @@
             if self.connection is not None:
                 self.connection.close()
 
-    def start_run(self, born_ms: int, command: StartCommand) -> tuple[StartOutcome, int]:
+    def start_run(self, born_ms: int, command: StartCommand) -> tuple[StartOutcome, PollPosition]:
         """Send a command to start a run on the worker's incarnation `born_ms`.
 
         Returns
         -------
-        tuple[StartOutcome, int]
-            The outcome, and the number of polls that the agent had begun when it replied; 0 without
-            a reply.
+        tuple[StartOutcome, PollPosition]
+            The outcome, and the position of the last poll that the agent had begun when it replied;
+            number 0 without a reply.
         """
         message = StartRun(
             self.epoch, self.agent_clock + COMMAND_SECONDS, born_ms, list(command.values())
         )
         return self._send_command(message)
 
-    def stop_run(self, task: str, run: int) -> tuple[StartOutcome, int]:
+    def stop_run(self, task: str, run: int) -> tuple[StartOutcome, PollPosition]:
         """Send a command to stop a run.
 
         Returns
         -------
-        tuple[StartOutcome, int]
-            STARTED if the worker accepted the stop, and the number of polls that the agent had
-            begun when it replied; 0 without a reply.
+        tuple[StartOutcome, PollPosition]
+            STARTED if the worker accepted the stop, and the position of the last poll that the
+            agent had begun when it replied; number 0 without a reply.
         """
         return self._send_command(
             StopRun(self.epoch, self.agent_clock + COMMAND_SECONDS, task, run)
@@ -143,24 +145,26 @@
         except AcaciastandError as error:
             logger.debug("stored ends not sent", extra={"error": str(error)})
 
-    def _send_command(self, message: Message) -> tuple[StartOutcome, int]:
+    def _send_command(self, message: Message) -> tuple[StartOutcome, PollPosition]:
         connection = self.connection
         if connection is None:
-            return StartOutcome.REFUSED, 0
+            return StartOutcome.REFUSED, PollPosition()
         try:
             reply = connection.request(message, COMMAND_TIMEOUT_SECONDS)
         except NotSent:
-            return StartOutcome.REFUSED, 0
+            return StartOutcome.REFUSED, PollPosition()
         except AcaciastandError as error:
             logger.warning(
                 "command unanswered", extra={"agent_id": self.agent_id, "error": str(error)}
             )
-            return StartOutcome.UNKNOWN, 0
+            return StartOutcome.UNKNOWN, PollPosition()
         assert isinstance(reply, RunReply)
-        return StartOutcome(reply.outcome), reply.look
+        return StartOutcome(reply.outcome), PollPosition(reply.agent_incarnation, reply.look)
 
     def _connect(self) -> None:
         connection = None
+        # The host may have been restarted, and its clock with it.
+        self.agent_clock = float("-inf")
         try:
             with gevent.Timeout(
                 DIAL_TIMEOUT_SECONDS, TimeoutError("the connection was not made in time")
@@ -194,7 +198,7 @@
         self.agent_clock = message.sent_at
         report = AgentReport(
             identity_from_plain(message.identity),
-            message.look,
+            PollPosition(message.agent_incarnation, message.look),
             [ActiveRun(*row) for row in message.running],
             [EndedRun(*row) for row in message.ended],
             message.lapsed,
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -49,7 +49,7 @@
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
 from acaciastand.workflow.ranking import objective_seconds
-from acaciastand.workflow.reports import AgentReport, StartOutcome
+from acaciastand.workflow.reports import AgentReport, PollPosition, StartOutcome
 from acaciastand.workflow.scheduler import Scheduler
 
 MAX_PLAN_INTERVAL_SECONDS = 0.1  # Longest time between two rounds of scheduling.
@@ -395,19 +395,19 @@
         run = start.command.run
         link = self.links[start.agent_id]
         if self.is_lost or self.is_releasing or self.authority_seconds <= 0:
-            outcome, poll_number = StartOutcome.REFUSED, 0
+            outcome, position = StartOutcome.REFUSED, PollPosition()
         else:
-            outcome, poll_number = link.start_run(worker.born_ms, start.command)
+            outcome, position = link.start_run(worker.born_ms, start.command)
         self.metrics.observe("start_seconds", now() - decided_at)
-        self.scheduler.process_start_result(start.task, run, outcome, poll_number, now())
+        self.scheduler.process_start_result(start.task, run, outcome, position, now())
         self.plan_due.set()
 
     def _send_stop(self, stop: StopDecision) -> None:
         if self.is_lost or self.authority_seconds <= 0:
             return
-        outcome, poll_number = self.links[stop.agent_id].stop_run(stop.task_key, stop.run)
+        outcome, position = self.links[stop.agent_id].stop_run(stop.task_key, stop.run)
         if outcome == StartOutcome.STARTED and stop.is_tracked:
-            self.scheduler.process_stop_result(stop.task_key, stop.run, poll_number, now())
+            self.scheduler.process_stop_result(stop.task_key, stop.run, position, now())
 
     def _handle_report(self, link: AgentLink, message: RunReport, report: AgentReport) -> RunGrant:
         """Apply the report of an agent and return the grant that answers it."""
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from collections.abc import Callable
 
 import gevent
@@ -20,6 +21,7 @@
 from acaciastand.workflow.pacing import FULL_PERCENT, BatchCost, Pacer, RunLimits
 from acaciastand.workflow.reports import (
     AgentReport,
+    PollPosition,
     PollResult,
     StartCommand,
     StartOutcome,
@@ -33,6 +35,7 @@
 TOKEN_STEP = 10_000_000  # Increment of a fencing token that the worker refused.
 RETRY_PAUSE_SECONDS = 0.05  # Pause before a failed start or stop is repeated.
 MAX_RETRY_PAUSE_SECONDS = 0.4  # Pauses between stops of one run double up to this.
+INCARNATION_BITS = 53  # Size of the random number of an incarnation of the agent.
 
 logger = logging.getLogger(__name__)
 
@@ -71,6 +74,8 @@
         Last reading of the worker's clock in milliseconds, and when it arrived; 0 before the first.
     born_ms
         Start time of the worker in Unix milliseconds; identifies its incarnation.
+    agent_incarnation
+        Random number that identifies this incarnation of the agent.
     polls_begun
         Number of polls that have begun.
     poll_number, last_poll
@@ -126,6 +131,7 @@
         self.worker_clock_ms = 0.0
         self.worker_clock_read_at = 0.0
         self.born_ms = 0
+        self.agent_incarnation = secrets.randbits(INCARNATION_BITS)
         self.polls_begun = 0
         self.poll_number = 0
         self.last_poll: PollResult | None = None
@@ -194,6 +200,7 @@
     def report(self) -> AgentReport:
         """Return the report for the owner: worker, runs, ends, pace and state of the lease."""
         result = self.last_poll
+        position = PollPosition(self.agent_incarnation, self.poll_number)
         unresponsive = self.failed_polls >= UNRESPONSIVE_POLLS
         expired = unresponsive and now() > self.lease_until
         if expired and self.refuses_connections:
@@ -204,7 +211,7 @@
         settled = self.settled_poll > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
-            self.poll_number,
+            position,
             result.running,
             result.ended,
             expired,
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -77,6 +77,8 @@
         Crashes of the worker whose consequences are not stored yet, the oldest first: rows of the
         start time of the incarnation in Unix milliseconds, and a list of the runs that were on it,
         with the fields of `acaciastand.workflow.reports.CrashedRun` in order.
+    agent_incarnation
+        Identifies the incarnation of the agent, which counts the polls of `look`.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "pace_percent",
         "tail_share",
         "crashes",
+        "agent_incarnation",
     )
     type_number = 21
 
@@ -109,6 +112,7 @@
         pace_percent: int = 100,
         tail_share: float = 0.0,
         crashes: list[list[Any]] | None = None,
+        agent_incarnation: int = 0,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -122,6 +126,7 @@
         self.pace_percent = pace_percent
         self.tail_share = tail_share
         self.crashes = crashes or []
+        self.agent_incarnation = agent_incarnation
 
 
 class RunGrant(Message):
@@ -262,11 +267,14 @@
         Value of `acaciastand.workflow.reports.StartOutcome`; ``started`` for an accepted stop.
     look
         Number of polls of the worker that had begun by then.
+    agent_incarnation
+        Identifies the incarnation of the agent, which counts the polls.
     """
 
-    __slots__ = ("outcome", "look")
+    __slots__ = ("outcome", "look", "agent_incarnation")
     type_number = 26
 
-    def __init__(self, outcome: str = "", look: int = 0) -> None:
+    def __init__(self, outcome: str = "", look: int = 0, agent_incarnation: int = 0) -> None:
         self.outcome = outcome
         self.look = look
+        self.agent_incarnation = agent_incarnation
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -8,7 +8,7 @@
 
 from acaciastand.record import Record
 from acaciastand.workflow.crashes import TaskCrash
-from acaciastand.workflow.reports import TaskName
+from acaciastand.workflow.reports import PollPosition, TaskName
 from acaciastand.workflow.spec import StepSpec, WorkflowSpec, critical_path_seconds
 
 
@@ -68,7 +68,7 @@
     ended_runs
         Numbers of the runs whose ends have been processed.
     after_poll
-        Number of the last poll that may not show the effect of the latest start or stop yet.
+        Position of the last poll that may not show the effect of the latest start or stop yet.
     stop_confirmed_at
         When the worker accepted the command to stop; 0 before.
     stop_sent_at
@@ -125,7 +125,7 @@
         self.avoided_agent_id = ""
         self.started_at = 0.0
         self.ended_runs: set[int] = set()
-        self.after_poll = 0
+        self.after_poll = PollPosition()
         self.stop_confirmed_at = 0.0
         self.stop_sent_at = 0.0
         self.last_run_seconds = 0.0
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -58,16 +58,19 @@
             self.state.record_decision(
                 "worker draining", agent_id, remaining_s=report.identity.remaining_seconds
             )
-        if not report.look:
+        if not report.position.number:
             return
+        former_agent = worker.measured_poll.agent_incarnation
+        if former_agent and former_agent != report.position.agent_incarnation:
+            self.state.record_decision("agent restarted", agent_id, runs=len(worker.tasks))
         worker.has_reported = worker.has_reported or report.settled
         pending = {number for number, _, _ in worker.pending_ends}
         for end in report.ended:
             if end.number > worker.acknowledged and end.number not in pending:
                 self._process_end(worker, end, now, now_unix)
         self._compare_with_report(worker, report, now)
-        if report.look != worker.measured_poll:
-            worker.measured_poll = report.look
+        if report.position != worker.measured_poll:
+            worker.measured_poll = report.position
             worker.update_measurements(now)
             self.state.interference.observe(worker, now)
         if report.identity.draining:
@@ -173,7 +176,7 @@
             if listed_run is not None and listed_run.run == task.run:
                 task.missed_polls = 0
                 task.born_ms = worker.born_ms
-            elif report.look > task.after_poll and (task.key, task.run) not in ended:
+            elif report.position.is_after(task.after_poll) and (task.key, task.run) not in ended:
                 self._handle_missed_poll(task, now)
 
     def _process_active_run(self, worker: WorkerView, active_run: ActiveRun, now: float) -> None:
@@ -258,10 +261,18 @@
         worker.quarantined_until = 0.0
         worker.leaving_runs.clear()
         assert report.identity is not None
+        self.state.record_decision(
+            "worker restarted",
+            worker.agent_id,
+            born_ms=report.identity.born_ms,
+            runs=len(worker.tasks),
+        )
         listed = {(active_run.task, active_run.run) for active_run in report.running}
         for task in list(worker.tasks.values()):
             # A start command that was on its way may have reached the new incarnation. Its reply
             # or the next poll shows whether the run started.
-            is_settled = task.state != TaskState.STARTING and report.look > task.after_poll
+            is_settled = task.state != TaskState.STARTING and report.position.is_after(
+                task.after_poll
+            )
             if is_settled and (task.key, task.run) not in listed:
                 self.state.mark_lost(task, "worker restarted")
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -87,6 +87,33 @@
         self.measurement = measurement
 
 
+class PollPosition(Record):
+    """Position in the sequence of polls that one incarnation of an agent makes.
+
+    Parameters
+    ----------
+    agent_incarnation
+        Identifies the incarnation of the agent, which counts its polls from 1; 0 for none.
+    number
+        Number of polls that had begun.
+    """
+
+    __slots__ = ("agent_incarnation", "number")
+
+    def __init__(self, agent_incarnation: int = 0, number: int = 0) -> None:
+        self.agent_incarnation = agent_incarnation
+        self.number = number
+
+    def is_after(self, earlier: PollPosition) -> bool:
+        """Return whether there is a poll at this position that began after `earlier`.
+
+        An agent begins its polls after its former incarnation has ended.
+        """
+        if self.agent_incarnation != earlier.agent_incarnation:
+            return self.number > 0
+        return self.number > earlier.number
+
+
 class EndedRun(Record):
     """The end of a run.
 
@@ -290,8 +317,8 @@
     ----------
     identity
         Last announcement of the worker; None before the first.
-    look
-        Number of the poll that `running` and `ended` come from; 0 if there was none.
+    position
+        Position of the poll that `running` and `ended` come from; number 0 if there was none.
     running, ended
         Runs in progress, and ends of runs after the last acknowledged end.
     lapsed
@@ -310,7 +337,7 @@
 
     __slots__ = (
         "identity",
-        "look",
+        "position",
         "running",
         "ended",
         "lapsed",
@@ -324,7 +351,7 @@
     def __init__(
         self,
         identity: WorkerIdentity | None,
-        look: int = 0,
+        position: PollPosition | None = None,
         running: list[ActiveRun] | None = None,
         ended: list[EndedRun] | None = None,
         lapsed: bool = False,
@@ -335,7 +362,7 @@
         crashes: list[WorkerCrash] | None = None,
     ) -> None:
         self.identity = identity
-        self.look = look
+        self.position = position or PollPosition()
         self.running = running or []
         self.ended = ended or []
         self.lapsed = lapsed
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -28,7 +28,12 @@
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
 from acaciastand.workflow.ranking import LeastSlackFirst, RankingPolicy
 from acaciastand.workflow.report_processing import ReportProcessor
-from acaciastand.workflow.reports import AgentReport, StartCommand, StartOutcome
+from acaciastand.workflow.reports import (
+    AgentReport,
+    PollPosition,
+    StartCommand,
+    StartOutcome,
+)
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartPlanner
 from acaciastand.workflow.worker import WorkerView, services_by_step
@@ -218,7 +223,7 @@
         return self.report_processor.crash_processor.stored_crash_ms(worker)
 
     def process_start_result(
-        self, task: Task, run: int, outcome: StartOutcome, poll_number: int, now: float
+        self, task: Task, run: int, outcome: StartOutcome, position: PollPosition, now: float
     ) -> None:
         """Update a task from the outcome of a command to start a run.
 
@@ -228,8 +233,8 @@
             Task and number of the run.
         outcome
             Outcome of the command.
-        poll_number
-            Number of the last poll that had begun by the time of the outcome.
+        position
+            Position of the last poll that had begun by the time of the outcome.
         now
             Seconds of the owner's clock.
         """
@@ -240,7 +245,7 @@
             self.record_decision("start unknown", task.key, run=run, agent=task.agent_id)
             self.request_stop(task, now)
         elif outcome == StartOutcome.STARTED:
-            task.after_poll = poll_number
+            task.after_poll = position
             if task.state == TaskState.STARTING:
                 task.state = TaskState.RUNNING
                 task.started_at = now
@@ -258,18 +263,20 @@
             task.not_before = now + START_RETRY_SECONDS
             self.make_waiting(task)
 
-    def process_stop_result(self, task_key: str, run: int, poll_number: int, now: float) -> None:
+    def process_stop_result(
+        self, task_key: str, run: int, position: PollPosition, now: float
+    ) -> None:
         """Record that a worker accepted a command to stop a run.
 
-        `poll_number` is the number of the last poll that had begun by then.
+        `position` is the position of the last poll that had begun by then.
         """
         task = self.find_task(task_key)
         if task is None or task.run != run or task.state != TaskState.STOPPING:
             return
-        # A repeated command must not change the time and the poll number.
+        # A repeated command must not change the time and the position.
         if not task.stop_confirmed_at:
             task.stop_confirmed_at = now
-            task.after_poll = poll_number
+            task.after_poll = position
 
     # Decisions
 
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -7,7 +7,7 @@
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 from acaciastand.workflow.job import Task, TaskState
-from acaciastand.workflow.reports import WorkerIdentity
+from acaciastand.workflow.reports import PollPosition, WorkerIdentity
 
 SERVING_USE_SHARE = 0.5  # Average share of its reserved cores that a continuous task uses.
 MEASURED_AFTER_SECONDS = 1.0  # From this age, a measurement covers a whole half second of a run.
@@ -77,7 +77,7 @@
         Largest tail latency of the continuous tasks of each image at the last poll, as a share of
         their latency target.
     measured_poll
-        Number of the last poll whose measurements were processed.
+        Position of the last poll whose measurements were processed.
     leftover_started_at
         When a task that uses leftover processor time was last assigned.
     pending_ends
@@ -167,7 +167,7 @@
         self.tail_share = 0.0
         self.serving_images: dict[str, int] = {}
         self.tail_share_by_image: dict[str, float] = {}
-        self.measured_poll = 0
+        self.measured_poll = PollPosition()
         self.leftover_started_at = float("-inf")
         self.pending_ends: list[tuple[int, str, int]] = []
         self.acknowledged = 0
