Do not take runs for gone while a worker has more ends than it lists

Cause: a run that a report lists neither as running nor as ended counted as gone. A worker lists 500 ends at most until they are acknowledged, so the others were missing. Change: the result of a poll and the report say whether more ends may follow; such a report says nothing of runs that it does not list. Related path: a new owner took the first list for all that its predecessor had started on the worker. The stand-in of a worker has the same limit.

--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -46,6 +46,7 @@
         self.started_at = {}
         self.crash_report = None
         self.crashed_at = None
+        self.max_listed_ends = None
 
     def crash(self, crashed_at):
         """End all runs without a list of their ends."""
@@ -72,6 +73,17 @@
     def position(self):
         return PollPosition(self.agent_incarnation, self.poll_number)
 
+    def listed_ends(self, acknowledged):
+        """Return the ends that a poll lists: all, or a limited number after the acknowledged."""
+        if self.max_listed_ends is None:
+            return list(self.ended)
+        ends = [end for end in self.ended if end.number > acknowledged]
+        return ends[: self.max_listed_ends]
+
+    def has_more_ends(self, acknowledged):
+        listed = self.listed_ends(acknowledged)
+        return self.max_listed_ends is not None and len(listed) >= self.max_listed_ends
+
     def identity(self):
         return WorkerIdentity(
             f"w-{self.agent_id}",
@@ -141,7 +153,8 @@
             worker.identity(),
             worker.position,
             [ActiveRun(key, run) for key, run in worker.running.items()],
-            list(worker.ended),
+            worker.listed_ends(view.acknowledged),
+            has_more_ends=worker.has_more_ends(view.acknowledged),
         ).replace(**changes)
         self.scheduler.process_report(agent_id, report, self.now, self.now_unix)
         view.granted_until = max(view.granted_until, self.now + 4.0)
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -233,6 +233,7 @@
                 for crash in report.crashes
             ],
             report.position.agent_incarnation,
+            report.has_more_ends,
         )
 
     # Registration
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -210,5 +210,6 @@
                 WorkerCrash(born_ms, [CrashedRun(*row) for row in runs])
                 for born_ms, runs in message.crashes
             ],
+            message.has_more_ends,
         )
         return self.on_report(self, message, report)
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -220,6 +220,7 @@
             self.pace_percent,
             self.pacer.tail_share,
             crashes,
+            result.has_more_ends,
         )
 
     def tasks_without_limits(self) -> list[str]:
--- a/src/acaciastand/platform/tasks.py
+++ b/src/acaciastand/platform/tasks.py
@@ -23,6 +23,7 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 COMMAND_SECONDS = 0.4  # for the answer to a start, stop or change of pace
 POLL_SECONDS = 0.5  # for the answer to a look, beyond the time it waits
+MAX_LISTED_ENDS = 500  # The worker lists further ends once these are acknowledged.
 WRONG_INCARNATION = 421
 INCARNATION_HEADER = "X-Target-Instance"  # holds the worker's id
 
@@ -88,11 +89,13 @@
         status, fields = self._call("/hold", body, POLL_SECONDS + wait_seconds)
         self._check(status, fields)
         try:
+            ended = fields.get("finished") or []
             return PollResult(
                 int(fields.get("born", 0)),
                 float(fields["clockMs"]),
                 [_running(row) for row in fields.get("running") or []],
-                [_ended(row) for row in fields.get("finished") or []],
+                [_ended(row) for row in ended],
+                len(ended) >= MAX_LISTED_ENDS,
             )
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise CallBrokeOff(f"the look cannot be read: {error!r}", "look again") from error
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -79,6 +79,8 @@
         with the fields of `acaciastand.workflow.reports.CrashedRun` in order.
     agent_incarnation
         Identifies the incarnation of the agent, which counts the polls of `look`.
+    has_more_ends
+        Whether `ended` may be incomplete.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "tail_share",
         "crashes",
         "agent_incarnation",
+        "has_more_ends",
     )
     type_number = 21
 
@@ -113,6 +116,7 @@
         tail_share: float = 0.0,
         crashes: list[list[Any]] | None = None,
         agent_incarnation: int = 0,
+        has_more_ends: bool = False,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -127,6 +131,7 @@
         self.tail_share = tail_share
         self.crashes = crashes or []
         self.agent_incarnation = agent_incarnation
+        self.has_more_ends = has_more_ends
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -63,7 +63,8 @@
         former_agent = worker.measured_poll.agent_incarnation
         if former_agent and former_agent != report.position.agent_incarnation:
             self.state.record_decision("agent restarted", agent_id, runs=len(worker.tasks))
-        worker.has_reported = worker.has_reported or report.settled
+        if report.settled and not report.has_more_ends:
+            worker.has_reported = True
         pending = {number for number, _, _ in worker.pending_ends}
         for end in report.ended:
             if end.number > worker.acknowledged and end.number not in pending:
@@ -171,9 +172,13 @@
             if listed_run is not None and listed_run.run == task.run:
                 task.missed_polls = 0
                 task.born_ms = worker.born_ms
-            elif report.position.is_after(task.after_poll) and (task.key, task.run) not in ended:
+            elif self._shows_missing(report, task) and (task.key, task.run) not in ended:
                 self._handle_missed_poll(task, now)
 
+    def _shows_missing(self, report: AgentReport, task: Task) -> bool:
+        """Return whether a report would list the run of a task if its worker knew of it."""
+        return not report.has_more_ends and report.position.is_after(task.after_poll)
+
     def _process_active_run(self, worker: WorkerView, active_run: ActiveRun, now: float) -> None:
         """Update the task of a run that a worker lists, or stop the run if it must not go on."""
         task = self.state.find_task(active_run.task)
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -247,17 +247,26 @@
         Time of the worker's own clock in milliseconds when it answered.
     running, ended
         Runs in progress, and ends of runs after the last acknowledged end.
+    has_more_ends
+        Whether `ended` may be incomplete: the worker lists the other ends once these are
+        acknowledged.
     """
 
-    __slots__ = ("born_ms", "clock_ms", "running", "ended")
+    __slots__ = ("born_ms", "clock_ms", "running", "ended", "has_more_ends")
 
     def __init__(
-        self, born_ms: int, clock_ms: float, running: list[ActiveRun], ended: list[EndedRun]
+        self,
+        born_ms: int,
+        clock_ms: float,
+        running: list[ActiveRun],
+        ended: list[EndedRun],
+        has_more_ends: bool = False,
     ) -> None:
         self.born_ms = born_ms
         self.clock_ms = clock_ms
         self.running = running
         self.ended = ended
+        self.has_more_ends = has_more_ends
 
 
 class StartCommand(Record):
@@ -333,6 +342,9 @@
         Largest tail latency of a continuous task, as a share of its latency target.
     crashes
         Crashes of the worker whose consequences are not stored yet, the oldest first.
+    has_more_ends
+        Whether `ended` may be incomplete, as in `PollResult`. A run that is not listed may then
+        have ended in any way.
     """
 
     __slots__ = (
@@ -346,6 +358,7 @@
         "pace_percent",
         "tail_share",
         "crashes",
+        "has_more_ends",
     )
 
     def __init__(
@@ -360,6 +373,7 @@
         pace_percent: int = 100,
         tail_share: float = 0.0,
         crashes: list[WorkerCrash] | None = None,
+        has_more_ends: bool = False,
     ) -> None:
         self.identity = identity
         self.position = position or PollPosition()
@@ -371,3 +385,4 @@
         self.pace_percent = pace_percent
         self.tail_share = tail_share
         self.crashes = crashes or []
+        self.has_more_ends = has_more_ends
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -18,6 +18,7 @@
 
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import HttpCaller
+from acaciastand.platform.tasks import MAX_LISTED_ENDS
 from acaciastand.record import Record
 from acaciastand.wire.connection import split_address
 from acaciastand_standin.platform_advice import AdviceStandIn
@@ -302,4 +303,4 @@
             for run in self.running.values()
             if run.how != "stopping"
         ]
-        return 200, {"running": running, "finished": self.ends}
+        return 200, {"running": running, "finished": self.ends[:MAX_LISTED_ENDS]}
