Send no lease on the clock of a worker's former incarnation

Cause: leases are times on the worker's clock, which begins anew with each incarnation. The agent computed them from the former clock in starts right after an announcement, in repeated starts and in polls after one failed poll. Such a lease lasts as long as the worker allows, 6 or 10 s, while the owner waits 4.3 s for its grant. Evidence: a state machine that compares the lease at the worker with the time that the agent reports, and the leases that the calls of the agent carry. Change: without a reading of the clock in the present incarnation no lease is sent; a start waits for a poll and is not repeated to another incarnation. Where a call may have reached the new incarnation all the same, the agent reports for how long runs can be alive, and the owner waits for that. Related path: a late answer of the former incarnation no longer takes the agent back. Open: a silent restart, a call that meets the new incarnation, and a frozen agent before its next report.

--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -59,7 +59,7 @@
     context.stack.enter_context(patch)
     context.worker = ScriptedWorker()
     context.metrics = Metrics()
-    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, context.metrics)
+    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, context.metrics, 10.0)
     context.controller.client = context.worker
     poll(context)
     announce(context)
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -274,7 +274,7 @@
 
 @given("an agent that has acknowledged 7 ends of its worker")
 def given_agent(context):
-    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics())
+    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics(), 10.0)
     failure = CallTimedOut("no answer", "poll again")
     results = [
         PollResult(5_000, 1.0, [], []),
@@ -310,8 +310,9 @@
 
 @given("an agent whose worker does not answer the first call of a start")
 def given_unanswered_start(context):
-    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics())
+    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics(), 10.0)
     context.controller.grant_until = now() + 5.0
+    context.controller.lease.record_clock(1.0, now())
     context.answers = [CallTimedOut("no answer", "repeat the call")]
 
 
@@ -321,6 +322,10 @@
     context.controller.client = FakeTaskClient([])
     context.controller.client.start = lambda command, lease_ms: answer_next(context.answers)
     command = StartCommand("00000000000000aa.0.0.0", 1)
+    # A poll that is answered in between lets the agent repeat the start.
+    context.stack.callback(
+        gevent.spawn_later(0.1, context.controller.lease.record_clock, 1.0, now()).kill
+    )
     context.outcome = context.controller.start(command, now() + 2.0, 1)
 
 
@@ -338,7 +343,9 @@
 
 @given("an agent that slows down a batch run beside a service")
 def given_slowing_agent(context):
-    context.controller = WorkerController("10.0.0.1:1", 1, lambda: None, Metrics(), FixedPacer(45))
+    context.controller = WorkerController(
+        "10.0.0.1:1", 1, lambda: None, Metrics(), 10.0, FixedPacer(45)
+    )
     context.controller.client = FakeTaskClient([])
     context.controller.limits["b"] = RunLimits(0.0, True)
     context.sent, context.failures = [], [CallTimedOut("no answer", "repeat the call")]
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -84,7 +84,11 @@
         self.stop_requested = Event()
         fencing_token = int(now_unix() * 1000)
         self.controller = WorkerController(
-            settings.worker_address, fencing_token, self.report_due.set, metrics
+            settings.worker_address,
+            fencing_token,
+            self.report_due.set,
+            metrics,
+            settings.max_lease_ms / 1000,
         )
         self.listener = Listener(settings.peer_address, self._handle, self._handle_close)
         self.announcement_server = WSGIServer(
@@ -234,6 +238,7 @@
             ],
             report.position.agent_incarnation,
             report.has_more_ends,
+            report.alive_seconds,
         )
 
     # Registration
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -211,5 +211,6 @@
                 for born_ms, runs in message.crashes
             ],
             message.has_more_ends,
+            message.alive_seconds,
         )
         return self.on_report(self, message, report)
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -57,6 +57,7 @@
 # Longest times that the watches of the inbox and of the agents wait for a change.
 INBOX_WAIT_SECONDS = 1.0
 AGENTS_WAIT_SECONDS = 2.0
+REPLY_MARGIN_SECONDS = 0.1  # Runs count as alive for this much longer than their agent is granted.
 RETRY_SECONDS = 0.1  # Pause after a failed call to the store.
 LOAD_ATTEMPTS = 3  # Attempts to read the jobs before the takeover is left to another entry.
 
@@ -420,7 +421,8 @@
             self.plan_due.set()
         worker = self.scheduler.workers[link.agent_id]
         seconds = max(0.0, min(GRANT_SECONDS, self.authority_seconds))
-        worker.granted_until = max(worker.granted_until, now() + seconds * CLOCK_DRIFT + 0.1)
+        alive_seconds = max(seconds * CLOCK_DRIFT, report.alive_seconds) + REPLY_MARGIN_SECONDS
+        worker.granted_until = max(worker.granted_until, now() + alive_seconds)
         services, batch_costs = encode_batch_costs(self.scheduler.batch_costs(worker), worker)
         return RunGrant(
             seconds,
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -8,6 +8,7 @@
 from acaciastand.settings.process import LOG_LEVELS, Field, ProcessSettings
 
 MAX_STOP_TIMEOUT_MS = 60_000
+MAX_LEASE_MS = 600_000
 # The owner of 70 workers uses a third of a core, and a whole core during a takeover.
 MIN_OWNER_CORES = 0.8
 # The reports of 70 agents and the reads of all jobs fill a slower link.
@@ -109,6 +110,7 @@
         "peer_address",
         "advertised_address",
         "worker_address",
+        "max_lease_ms",
         "store_url",
         "metrics_address",
         "log_level",
@@ -119,6 +121,7 @@
     peer_address: str
     advertised_address: str
     worker_address: str
+    max_lease_ms: int
     store_url: str
     metrics_address: str
     log_level: str
@@ -130,6 +133,9 @@
         "peer_address": Field(Address(listens=True), "Address for entries."),
         "advertised_address": _ADVERTISED,
         "worker_address": Field(Address(), "Address of the worker's task interface."),
+        "max_lease_ms": Field(
+            Integer(1, MAX_LEASE_MS), "Longest lease of runs that the worker grants.", 10_000
+        ),
         "store_url": _STORE,
         "metrics_address": _METRICS,
         "log_level": _LEVEL,
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -11,8 +11,9 @@
 
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.pace_sender import PaceSender
+from acaciastand.cluster.run_lease import RunLease
 from acaciastand.errors import AcaciastandError
-from acaciastand.platform.http import CallNotSent
+from acaciastand.platform.http import CallBrokeOff, CallNotSent, CallTimedOut
 from acaciastand.platform.tasks import INCARNATION_HEADER, TaskClient, TokenRefused, WorkerChanged
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.crash_witness import CrashWitness
@@ -53,6 +54,8 @@
         First fencing token of this incarnation of the agent.
     on_ends
         Called when a poll returns ends of runs that are new.
+    max_lease_seconds
+        Longest lease that the worker grants.
     pacer
         Decides on the pace of batch tasks; a `HeadroomPacer` by default.
 
@@ -66,12 +69,8 @@
         Sequence number of the last announcement; -1 before the first.
     grant_until
         End of the owner's grant.
-    lease_until
-        Latest time at which runs can still be alive if the worker is never reached again.
-    lease_end_ms
-        Latest end of a lease that was sent, in milliseconds on the worker's clock.
-    worker_clock_ms, worker_clock_read_at
-        Last reading of the worker's clock in milliseconds, and when it arrived; 0 before the first.
+    lease
+        Lease of the runs at the worker.
     born_ms
         Start time of the worker in Unix milliseconds; identifies its incarnation.
     agent_incarnation
@@ -115,6 +114,7 @@
         token: int,
         on_ends: Callable[[], None],
         metrics: Metrics,
+        max_lease_seconds: float,
         pacer: Pacer | None = None,
     ) -> None:
         self.client = TaskClient(address, token)
@@ -125,11 +125,7 @@
         self.has_left = False
         self.announcement_sequence = -1
         self.grant_until = float("-inf")
-        # The runs may have a lease from an earlier incarnation of this agent.
-        self.lease_until = now() + RUN_LEASE_SECONDS * CLOCK_DRIFT
-        self.lease_end_ms = 0
-        self.worker_clock_ms = 0.0
-        self.worker_clock_read_at = 0.0
+        self.lease = RunLease(max_lease_seconds, now())
         self.born_ms = 0
         self.agent_incarnation = secrets.randbits(INCARNATION_BITS)
         self.polls_begun = 0
@@ -202,12 +198,19 @@
         result = self.last_poll
         position = PollPosition(self.agent_incarnation, self.poll_number)
         unresponsive = self.failed_polls >= UNRESPONSIVE_POLLS
-        expired = unresponsive and now() > self.lease_until
+        expired = unresponsive and now() > self.lease.alive_until
         if expired and self.refuses_connections:
             self._record_crash()
         crashes = self.crash_witness.crashes
+        alive_seconds = max(0.0, self.lease.alive_until - now())
         if result is None or expired:
-            return AgentReport(self.identity, lapsed=expired, silent=True, crashes=crashes)
+            return AgentReport(
+                self.identity,
+                lapsed=expired,
+                silent=True,
+                crashes=crashes,
+                alive_seconds=alive_seconds,
+            )
         settled = self.settled_poll > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
@@ -221,6 +224,7 @@
             self.pacer.tail_share,
             crashes,
             result.has_more_ends,
+            alive_seconds,
         )
 
     def tasks_without_limits(self) -> list[str]:
@@ -267,24 +271,32 @@
         key = (command.task, command.run)
         self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
         self.crash_witness.record_start(command.task, command.run, now())
-        outcome = self._send_start(command, not_after)
+        outcome = self._send_start(command, not_after, self.born_ms)
         if outcome != StartOutcome.UNKNOWN:
             self.unsettled_starts.pop(key, None)
             if outcome != StartOutcome.STARTED:
                 self.crash_witness.discard_start(command.task, command.run)
         return outcome
 
-    def _send_start(self, command: StartCommand, not_after: float) -> StartOutcome:
+    def _send_start(self, command: StartCommand, not_after: float, born_ms: int) -> StartOutcome:
+        """Send a start to the incarnation `born_ms` of the worker, which may restart meanwhile."""
         all_answered = True
-        while now() < min(not_after, self.grant_until):
+        while now() < min(not_after, self.grant_until) and self.born_ms == born_ms:
+            lease_ms = self.lease.extend(self.grant_until, now())
+            if lease_ms is None:  # The next poll shows which incarnation answers.
+                gevent.sleep(RETRY_PAUSE_SECONDS)
+                continue
             try:
-                outcome = self.client.start(command, self._extend_lease())
+                outcome = self.client.start(command, lease_ms)
             except CallNotSent:
                 break
             except TokenRefused:
                 self._raise_token()
             except AcaciastandError as error:
                 all_answered = False
+                self.lease.record_unanswered(now())
+                if isinstance(error, CallTimedOut):
+                    self.lease.record_timed_out_start(now())
                 self.metrics.count("worker_calls_failed", "start")
                 logger.warning(
                     "start unanswered",
@@ -292,6 +304,8 @@
                 )
                 gevent.sleep(RETRY_PAUSE_SECONDS)
             else:
+                if self.born_ms != born_ms:
+                    return StartOutcome.UNKNOWN
                 if all_answered or outcome == StartOutcome.STARTED:
                     return outcome
                 break
@@ -341,14 +355,14 @@
         poll_number = self.polls_begun
         is_settled = self._is_settled()
         wait_seconds = 0.0 if self._has_unstored_ends() else POLL_WAIT_SECONDS
-        # An unanswered poll may have extended the lease. Polls of an unresponsive worker therefore
-        # leave the lease as it is, so that its runs have certainly ended once the lease expires.
-        unresponsive = self.failed_polls >= UNRESPONSIVE_POLLS
-        granted = self.worker_clock_read_at and self.grant_until > now()
-        lease_ms = self._extend_lease() if granted and not unresponsive else None
+        # After an unanswered call no lease is sent until a poll is answered. The runs of a worker
+        # that is lost have thus certainly ended once the lease expires.
+        is_granted = self.grant_until > now()
+        lease_ms = self.lease.extend(self.grant_until, now()) if is_granted else None
         # After a failed poll the worker may be in another incarnation, whose ends have the same
         # numbers. 0 acknowledges none of them.
         acknowledged = 0 if self.failed_polls else self.acknowledged
+        born_ms = self.born_ms
         try:
             result = self.client.poll(lease_ms, acknowledged, wait_seconds)
         except TokenRefused:
@@ -358,14 +372,19 @@
             # The next poll is for any incarnation and returns which one answers.
             self.client.incarnation_header = {}
             raise
+        except (CallTimedOut, CallBrokeOff):
+            if lease_ms is not None:
+                self.lease.record_unanswered(now())
+            raise
+        if self.born_ms not in (born_ms, result.born_ms):
+            raise CallBrokeOff("the worker restarted during a poll", "poll again")
         if result.born_ms != self.born_ms:
             self._begin_incarnation(result.born_ms)
         if self.failed_polls >= UNRESPONSIVE_POLLS:
             logger.info("worker regained", extra={"failed_polls": self.failed_polls})
         self.failed_polls = 0
         self.crash_witness.record_poll(result.born_ms, result.running, began_at)
-        self.worker_clock_ms = result.clock_ms
-        self.worker_clock_read_at = now()
+        self.lease.record_clock(result.clock_ms, now())
         newest = max((end.number for end in result.ended), default=0)
         has_new_ends = newest > self.last_end_number
         self.last_end_number = max(newest, self.last_end_number)
@@ -379,6 +398,10 @@
     def _poll_failed(self, error: AcaciastandError) -> None:
         self.failed_polls += 1
         self.refuses_connections = isinstance(error, CallNotSent)
+        if self.refuses_connections:
+            self.lease.record_refused()
+        else:
+            self.lease.forget_clock()
         self.crash_witness.record_failure(now())
         self.metrics.count("worker_calls_failed", "look")
         if self.failed_polls == UNRESPONSIVE_POLLS:
@@ -396,22 +419,6 @@
         ended = self.last_poll.ended if self.last_poll else []
         return any(end.number > self.acknowledged for end in ended)
 
-    def _extend_lease(self) -> int:
-        """Return the end of a new lease in milliseconds on the worker's clock.
-
-        `lease_until` is extended accordingly. The worker's clock has advanced at least as far as is
-        estimated here, so the lease is never longer than intended.
-        """
-        lease_seconds = max(0.0, min(self.grant_until - now(), RUN_LEASE_SECONDS))
-        clock_age_seconds = now() - self.worker_clock_read_at if self.worker_clock_read_at else 0.0
-        lease_ms = int(
-            self.worker_clock_ms + (clock_age_seconds / CLOCK_DRIFT + lease_seconds) * 1000
-        )
-        if lease_ms > self.lease_end_ms:
-            self.lease_end_ms = lease_ms
-            self.lease_until = max(self.lease_until, now() + lease_seconds * CLOCK_DRIFT)
-        return lease_ms
-
     def _begin_incarnation(self, born_ms: int) -> None:
         logger.info("worker restarted", extra={"born_ms": born_ms, "former_ms": self.born_ms})
         if self.born_ms and not self._was_leaving():
@@ -423,8 +430,7 @@
         self.last_end_number = 0
         self.announcement_sequence = -1
         self.last_poll = None
-        self.worker_clock_read_at = 0.0
-        self.lease_end_ms = 0
+        self.lease.begin_incarnation()
         self.pace_sender.clear()
 
     def _was_leaving(self) -> bool:
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -81,6 +81,8 @@
         Identifies the incarnation of the agent, which counts the polls of `look`.
     has_more_ends
         Whether `ended` may be incomplete.
+    alive_seconds
+        Time after `sent_at` for which runs can be alive without another grant.
     """
 
     __slots__ = (
@@ -98,6 +100,7 @@
         "crashes",
         "agent_incarnation",
         "has_more_ends",
+        "alive_seconds",
     )
     type_number = 21
 
@@ -117,6 +120,7 @@
         crashes: list[list[Any]] | None = None,
         agent_incarnation: int = 0,
         has_more_ends: bool = False,
+        alive_seconds: float = 0.0,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -132,6 +136,7 @@
         self.crashes = crashes or []
         self.agent_incarnation = agent_incarnation
         self.has_more_ends = has_more_ends
+        self.alive_seconds = alive_seconds
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -345,6 +345,8 @@
     has_more_ends
         Whether `ended` may be incomplete, as in `PollResult`. A run that is not listed may then
         have ended in any way.
+    alive_seconds
+        Time for which runs can be alive without another grant if the worker is never reached again.
     """
 
     __slots__ = (
@@ -359,6 +361,7 @@
         "tail_share",
         "crashes",
         "has_more_ends",
+        "alive_seconds",
     )
 
     def __init__(
@@ -374,6 +377,7 @@
         tail_share: float = 0.0,
         crashes: list[WorkerCrash] | None = None,
         has_more_ends: bool = False,
+        alive_seconds: float = 0.0,
     ) -> None:
         self.identity = identity
         self.position = position or PollPosition()
@@ -386,3 +390,4 @@
         self.tail_share = tail_share
         self.crashes = crashes or []
         self.has_more_ends = has_more_ends
+        self.alive_seconds = alive_seconds
