--- a/features/steps/end_list_steps.py
+++ b/features/steps/end_list_steps.py
@@ -97,7 +97,8 @@
 def given_poll(context, count):
     rows = [[n, f"{JOB}.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
     body = json.dumps({"born": 5_000, "clockMs": 1_000, "running": [], "finished": rows}).encode()
-    client = TaskClient("10.0.0.1:1", 1)
+    context.errors = []
+    client = TaskClient("10.0.0.1:1", 1, context.errors.append)
     client.caller.call = lambda *arguments, **options: HttpAnswer(200, body)
     context.result = client.poll(None, 0, 0.0)
 
--- a/features/steps/platform_contract_steps.py
+++ b/features/steps/platform_contract_steps.py
@@ -3,6 +3,7 @@
 import json
 
 from behave import given, then, when
+from waiting import raise_error
 
 from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
@@ -231,7 +232,9 @@
         {"name": "short", "host": "h", "prefix": "/a/", "service": "s"},
         {"name": "long", "host": "h", "prefix": "/a/b/", "service": "s"},
     ]
-    context.catalog = decode_catalog(json.dumps({"version": 1, "routes": routes}).encode())
+    context.catalog = decode_catalog(
+        json.dumps({"version": 1, "routes": routes}).encode(), raise_error
+    )
 
 
 @then("a path below both selects the longer one")
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -4,6 +4,9 @@
 from workflow_support import step
 
 from acaciastand.cluster.agent_link import AgentLink
+from acaciastand.cluster.clock import now
+from acaciastand.telemetry.ignored_values import IgnoredValues
+from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Listener
 from acaciastand.wire.messages import (
     OwnerHello,
@@ -73,7 +76,13 @@
     listener.start()
     context.stack.callback(listener.close)
     context.link = AgentLink(
-        "agent-1", listener.address, "entry-1", 1, lambda *_: RunGrant(), lambda _: None
+        "agent-1",
+        listener.address,
+        "entry-1",
+        1,
+        lambda *_: RunGrant(),
+        lambda _: None,
+        IgnoredValues(Metrics(), now),
     )
     context.link._connect()
     context.link.agent_clock = float(seconds)
--- a/features/steps/run_lease_steps.py
+++ b/features/steps/run_lease_steps.py
@@ -19,7 +19,6 @@
 from acaciastand.platform.http import CallNotSent, CallTimedOut
 from acaciastand.platform.tasks import WorkerChanged
 from acaciastand.telemetry.metrics import Metrics
-from acaciastand.wire.messages import RunReport
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.reports import PollResult, StartCommand, StartOutcome, WorkerIdentity
 
@@ -217,7 +216,7 @@
     report = context.report.replace(identity=world.workers["1"].identity())
     with mock.patch.object(owner_module, "now", lambda: world.now):
         owner.confirmed_at = world.now
-        owner._handle_report(link, RunReport(), report)
+        owner._handle_report(link, report)
     world.scheduler.workers["1"].reachable = False
     for after, is_lost in ((report.alive_seconds, False), (report.alive_seconds + 0.4, True)):
         world.scheduler._check_grants(world.now + after)
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -9,15 +9,19 @@
 import gevent
 from behave import given, then, when
 from shared_workers import TAKEN_PER_CORE, SharedWorkersWorld
+from waiting import raise_error
 from workflow_support import WorkflowWorld, step
 
 from acaciastand.cluster import interference_store
 from acaciastand.cluster.batch_costs import decode_batch_costs, encode_batch_costs
+from acaciastand.cluster.clock import now
 from acaciastand.cluster.interference_store import InterferenceStore
 from acaciastand.cluster.keys import INTERFERENCE_KEY, OWNER_KEY, decode_interference
 from acaciastand.coordination.transactions import MemoryTransactionalStore
 from acaciastand.errors import InvalidInput
 from acaciastand.resources import Resources
+from acaciastand.telemetry.ignored_values import IgnoredValues
+from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
 from acaciastand.workflow.interference import Interference, LearnedInterference
 from acaciastand.workflow.job import Job, TaskState
@@ -189,7 +193,7 @@
 @when("the owner's grant reaches the agent")
 def when_grant(context):
     costs = context.world.scheduler.batch_costs(context.view)
-    context.costs = decode_batch_costs(*encode_batch_costs(costs, context.view))
+    context.costs = decode_batch_costs(*encode_batch_costs(costs, context.view), raise_error)
 
 
 @then("the agent knows that the first task takes {headroom:f} headroom and nothing of the second")
@@ -315,12 +319,16 @@
     store = MemoryTransactionalStore()
     fence = store.commit({}, {OWNER_KEY: b"predecessor"})
     with mock.patch.object(interference_store, "STORE_INTERVAL_SECONDS", 0.01):
-        writer = gevent.spawn(InterferenceStore(store, context.interference, fence).store_forever)
+        writer = gevent.spawn(
+            InterferenceStore(
+                store, context.interference, fence, IgnoredValues(Metrics(), now)
+            ).store_forever
+        )
         gevent.sleep(0.1)
         writer.kill()
     assert store.revision == fence + 1  # An unchanged model is stored once.
     context.successor = LearnedInterference()
-    InterferenceStore(store, context.successor, fence).load()
+    InterferenceStore(store, context.successor, fence, IgnoredValues(Metrics(), now)).load()
 
 
 @then("the new owner knows each pair as well as its predecessor")
@@ -357,7 +365,7 @@
     store = MemoryTransactionalStore()
     fence = store.commit({}, {OWNER_KEY: b"predecessor", INTERFERENCE_KEY: b"\xff"})
     interference = LearnedInterference()
-    InterferenceStore(store, interference, fence).load()
+    InterferenceStore(store, interference, fence, IgnoredValues(Metrics(), now)).load()
     assert not interference.snapshot().pairs
 
 
--- a/features/waiting.py
+++ b/features/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting for conditions in the process of the test."""
+"""Waiting for conditions in the process of the test, and errors that fail it."""
 
 import gevent
 
@@ -17,3 +17,8 @@
             if value:
                 return value
             gevent.sleep(POLL_SECONDS)
+
+
+def raise_error(error):
+    """Raise the error of a value that must not be ignored."""
+    raise error
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -10,17 +10,19 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from acaciastand.checks import MALFORMED, decode_rows
 from acaciastand.cluster.batch_costs import decode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.keys import AGENTS_PREFIX
 from acaciastand.cluster.members import Registration
+from acaciastand.cluster.run_reports import decode_limits, decode_start_command, encode_report
 from acaciastand.cluster.settings import JobAgentSettings
 from acaciastand.cluster.supervision import supervised
 from acaciastand.cluster.worker_controller import WorkerController
 from acaciastand.coordination.transactions import TransactionalStore
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.platform.tasks import ANNOUNCE_PATH, LEAVE_PATH, decode_announcement
-from acaciastand.resources import Resources
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import (
@@ -30,13 +32,11 @@
     OwnerHelloReply,
     RunGrant,
     RunReply,
-    RunReport,
     StartRun,
     StopRun,
 )
-from acaciastand.workflow.limits import HEARTBEAT_SECONDS
-from acaciastand.workflow.pacing import RunLimits
-from acaciastand.workflow.reports import StartCommand, StartOutcome, WorkerIdentity
+from acaciastand.workflow.limits import GRANT_SECONDS, HEARTBEAT_SECONDS
+from acaciastand.workflow.reports import StartOutcome
 
 # The agent disconnects an owner that does not answer a report within this time.
 REPORT_TIMEOUT_SECONDS = 1.0
@@ -77,6 +77,7 @@
         self.settings = settings
         self.registration = Registration(store, AGENTS_PREFIX + settings.agent_id, settings)
         self.metrics = metrics
+        self.ignored = IgnoredValues(metrics, now)
         self.epoch = 0
         self.owner_connection: Connection | None = None
         self.owner_contact_at = now()
@@ -158,7 +159,11 @@
             logger.warning("owner lost", extra={"epoch": self.epoch})
 
     def _handle_start(self, message: StartRun) -> RunReply:
-        command = StartCommand(*message.order)
+        try:
+            command = decode_start_command(message.order)
+        except MALFORMED as error:
+            self.ignored.record("start", error)
+            return self._reply(StartOutcome.REFUSED)
         if self._is_too_late(message.not_after) or message.born_ms != self.controller.born_ms:
             outcome = StartOutcome.REFUSED
         else:
@@ -202,7 +207,8 @@
         """Send a report to the owner and apply the grant that answers it."""
         sent_at = now()
         try:
-            grant = connection.request(self._build_report(sent_at), REPORT_TIMEOUT_SECONDS)
+            report = encode_report(self.controller.report(), sent_at)
+            grant = connection.request(report, REPORT_TIMEOUT_SECONDS)
         except AcaciastandError as error:
             logger.warning("report unanswered", extra={"error": str(error)})
             connection.close()
@@ -211,35 +217,13 @@
             return
         self.owner_contact_at = now()
         if grant.seconds > 0:
-            self.controller.grant_until = max(self.controller.grant_until, sent_at + grant.seconds)
+            seconds = min(grant.seconds, GRANT_SECONDS)
+            self.controller.grant_until = max(self.controller.grant_until, sent_at + seconds)
         self.controller.record_stored_ends(grant.born_ms, grant.acknowledged)
         self.controller.crash_witness.record_stored(grant.stored_crash_ms)
-        self.controller.costs = decode_batch_costs(grant.services, grant.batch_costs)
-        for task, target_ms, uses_leftover in grant.limits:
-            self.controller.limits[task] = RunLimits(target_ms, uses_leftover)
-
-    def _build_report(self, sent_at: float) -> RunReport:
-        report = self.controller.report()
-        return RunReport(
-            sent_at,
-            identity_to_plain(report.identity),
-            report.position.number,
-            [list(row.values()) for row in report.running],
-            [list(row.values()) for row in report.ended],
-            report.lapsed,
-            report.silent,
-            self.controller.tasks_without_limits(),
-            report.settled,
-            report.pace_percent,
-            report.tail_share,
-            [
-                [crash.born_ms, [list(run.values()) for run in crash.runs]]
-                for crash in report.crashes
-            ],
-            report.position.agent_incarnation,
-            report.has_more_ends,
-            report.alive_seconds,
-        )
+        on_ignored = self.ignored.recorder("grant")
+        self.controller.costs = decode_batch_costs(grant.services, grant.batch_costs, on_ignored)
+        self.controller.limits.update(decode_rows(grant.limits, decode_limits, on_ignored))
 
     # Registration
 
@@ -280,7 +264,7 @@
             identity, sequence = decode_announcement(path[len(ANNOUNCE_PATH) :], body)
         except InvalidInput as error:
             self.metrics.count("announcements_ignored", "malformed")
-            logger.warning("announcement ignored", extra={"error": str(error)})
+            self.ignored.record("announcement", error)
             start_response("400 Bad Request", [("Content-Length", "0")])
             return [b""]
         is_draining = identity.draining
@@ -290,19 +274,3 @@
             self.report_due.set()
         start_response("200 OK", [("Content-Type", "application/json"), ("Content-Length", "2")])
         return [b"{}"]
-
-
-def identity_to_plain(identity: WorkerIdentity | None) -> list[Any]:
-    """Return the fields of `identity` as plain values, in order; empty for None."""
-    if identity is None:
-        return []
-    return [list(v.values()) if isinstance(v, Resources) else v for v in identity.values()]
-
-
-def identity_from_plain(items: list[Any]) -> WorkerIdentity | None:
-    """Return the identity whose fields `items` holds; None if it is empty."""
-    if not items:
-        return None
-    # The capacity is the field at index 5.
-    values: list[Any] = [Resources(*v) if n == 5 else v for n, v in enumerate(items)]
-    return WorkerIdentity(*values)
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -7,9 +7,11 @@
 
 import gevent
 
-from acaciastand.cluster.agent import identity_from_plain
+from acaciastand.checks import MALFORMED
 from acaciastand.cluster.clock import now
+from acaciastand.cluster.run_reports import decode_report
 from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.wire.connection import Connection, NotSent, dial
 from acaciastand.wire.messages import (
     EndsStored,
@@ -23,16 +25,7 @@
     StopRun,
 )
 from acaciastand.workflow.limits import COMMAND_SECONDS
-from acaciastand.workflow.reports import (
-    ActiveRun,
-    AgentReport,
-    CrashedRun,
-    EndedRun,
-    PollPosition,
-    StartCommand,
-    StartOutcome,
-    WorkerCrash,
-)
+from acaciastand.workflow.reports import AgentReport, PollPosition, StartCommand, StartOutcome
 
 DIAL_TIMEOUT_SECONDS = 1.0
 HELLO_TIMEOUT_SECONDS = 1.0
@@ -41,10 +34,11 @@
 MAX_REPORT_AGE_SECONDS = 1.6
 # Time to wait for the reply to a command, which the agent tries for at most COMMAND_SECONDS.
 COMMAND_TIMEOUT_SECONDS = COMMAND_SECONDS + 0.7
+REPORT_SOURCE = "report"  # Source of values of a report that are ignored.
 
 logger = logging.getLogger(__name__)
 
-ReportHandler = Callable[["AgentLink", RunReport, AgentReport], RunGrant]
+ReportHandler = Callable[["AgentLink", AgentReport], RunGrant]
 
 
 class AgentLink:
@@ -57,9 +51,11 @@
     entry_id, epoch
         The entry that is the owner, and its epoch.
     on_report
-        Called with this link, a received message and the report in it; returns the grant.
+        Called with this link and a received report; returns the grant.
     on_superseded
         Called with the epoch that the agent follows if it is higher than `epoch`.
+    ignored
+        Records values of reports that cannot be decoded.
 
     Attributes
     ----------
@@ -80,6 +76,7 @@
         epoch: int,
         on_report: ReportHandler,
         on_superseded: Callable[[int], None],
+        ignored: IgnoredValues,
     ) -> None:
         self.agent_id = agent_id
         self.address = address
@@ -87,6 +84,7 @@
         self.epoch = epoch
         self.on_report = on_report
         self.on_superseded = on_superseded
+        self.ignored = ignored
         self.connection: Connection | None = None
         self.reported_at = float("-inf")
         self.agent_clock = float("-inf")
@@ -158,8 +156,13 @@
                 "command unanswered", extra={"agent_id": self.agent_id, "error": str(error)}
             )
             return StartOutcome.UNKNOWN, PollPosition()
-        assert isinstance(reply, RunReply)
-        return StartOutcome(reply.outcome), PollPosition(reply.agent_incarnation, reply.look)
+        try:
+            assert isinstance(reply, RunReply)
+            outcome = StartOutcome(reply.outcome)
+        except (AssertionError, *MALFORMED) as error:
+            self.ignored.record(REPORT_SOURCE, error)
+            return StartOutcome.UNKNOWN, PollPosition()
+        return outcome, PollPosition(reply.agent_incarnation, reply.look)
 
     def _connect(self) -> None:
         connection = None
@@ -194,23 +197,11 @@
     def _handle(self, connection: Connection, message: Message) -> Message | None:
         if not isinstance(message, RunReport):
             return None
+        try:
+            report = decode_report(message, self.ignored.recorder(REPORT_SOURCE))
+        except MALFORMED as error:
+            self.ignored.record(REPORT_SOURCE, error)
+            return None
         self.reported_at = now()
         self.agent_clock = message.sent_at
-        report = AgentReport(
-            identity_from_plain(message.identity),
-            PollPosition(message.agent_incarnation, message.look),
-            [ActiveRun(*row) for row in message.running],
-            [EndedRun(*row) for row in message.ended],
-            message.lapsed,
-            message.silent,
-            message.settled,
-            message.pace_percent,
-            message.tail_share,
-            [
-                WorkerCrash(born_ms, [CrashedRun(*row) for row in runs])
-                for born_ms, runs in message.crashes
-            ],
-            message.has_more_ends,
-            message.alive_seconds,
-        )
-        return self.on_report(self, message, report)
+        return self.on_report(self, report)
--- a/src/acaciastand/cluster/batch_costs.py
+++ b/src/acaciastand/cluster/batch_costs.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+from acaciastand.checks import check_integer, check_list, check_number, check_text, decode_rows
 from acaciastand.workflow.pacing import BatchCost
 from acaciastand.workflow.worker import WorkerView, services_by_step
 
@@ -22,9 +25,17 @@
     return services, rows
 
 
-def decode_batch_costs(services: list[str], rows: list[list[Any]]) -> dict[str, BatchCost]:
-    """Return the costs by key of the task from the fields of a grant."""
-    return {task: _decode_cost(cores, services, per_core) for task, cores, per_core in rows}
+def decode_batch_costs(
+    services: list[str], rows: list[Any], on_ignored: Callable[[Exception], None]
+) -> dict[str, BatchCost]:
+    """Return the costs by key of the task from the fields of a grant.
+
+    Parameters
+    ----------
+    on_ignored
+        Called with the error of each row that cannot be decoded and is left out.
+    """
+    return dict(decode_rows(rows, partial(_decode_row, services), on_ignored))
 
 
 def _to_thousandths(cost: BatchCost, service: str) -> int:
@@ -32,6 +43,12 @@
     return UNKNOWN if per_core is None else round(per_core * 1000)
 
 
+def _decode_row(services: list[str], row: Any) -> tuple[str, BatchCost]:
+    task, cores, per_core = check_list(row)
+    thousandths = [check_integer(value, UNKNOWN) for value in check_list(per_core)]
+    return check_text(task), _decode_cost(check_number(cores), services, thousandths)
+
+
 def _decode_cost(cores: float, services: list[str], per_core: list[int]) -> BatchCost:
     known = {
         service: thousandths / 1000
--- a/src/acaciastand/cluster/callers.py
+++ b/src/acaciastand/cluster/callers.py
@@ -13,8 +13,9 @@
 from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.job_api import RETRY_AFTER_SECONDS, JobApi
+from acaciastand.cluster.keys import JOB_ID
 from acaciastand.errors import AcaciastandError, InvalidInput, NotFound, Outcome
-from acaciastand.platform.operator import DEADLINE_HEADER, JOB_ID, decode_job
+from acaciastand.platform.operator import DEADLINE_HEADER, decode_job
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog, Queue
 
--- a/src/acaciastand/cluster/catalog_copy.py
+++ b/src/acaciastand/cluster/catalog_copy.py
@@ -9,12 +9,14 @@
 
 import gevent
 
+from acaciastand.checks import MALFORMED, check_bytes
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import HistoryDropped, Item, TransactionalStore
 from acaciastand.errors import InvalidInput
 from acaciastand.platform.operator import CONFIG_KEY, decode_catalog
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 
@@ -28,6 +30,7 @@
 EXCLUSIVE_FETCH_SECONDS = 1.0
 # Pause after a failed call to the store, or one that found the history dropped.
 RETRY_SECONDS = 0.15
+MAX_CATALOG_BYTES = 4 << 20  # Several times what the store accepts as one value.
 CATALOG_CALL = "catalog"  # Name of the call by which an entry reads the copy of another one.
 
 logger = logging.getLogger(__name__)
@@ -67,6 +70,7 @@
         self.fetching_since: float | None = None
         self.confirmed_at = now()
         self.store_availability = StoreAvailability("configuration")
+        self.ignored = IgnoredValues(metrics, now)
 
     @property
     def version(self) -> int:
@@ -127,9 +131,9 @@
             if self.fetching_since == began_at:
                 self.fetching_since = None
         try:
-            self.adopt(zlib.decompress(bytes(data)), source)
-        except zlib.error as error:
-            logger.error("configuration ignored", extra={"error": str(error), "source": source})
+            self.adopt(decompress_catalog(data), source)
+        except (*MALFORMED, zlib.error) as error:
+            self.ignored.record(CATALOG_CALL, error)
 
     def _awaits_copy(self) -> bool:
         if self.fetching_since is None:
@@ -147,10 +151,9 @@
             Id of the entry that it comes from, or ``store``, for the log.
         """
         try:
-            catalog = decode_catalog(data)
+            catalog = decode_catalog(data, self.ignored.recorder(CONFIG_KEY))
         except InvalidInput as error:
-            logger.error("configuration ignored", extra={"error": str(error), "source": source})
-            return
+            return self.ignored.record(CONFIG_KEY, error)
         previous_version = self.version
         if self.catalog is not None and catalog.version <= previous_version:
             return
@@ -195,3 +198,20 @@
 
     def _count_call(self, outcome: str) -> None:
         self.metrics.count("configuration_calls", outcome)
+
+
+def decompress_catalog(data: Any) -> bytes:
+    """Return the configuration that another entry has sent compressed.
+
+    Raises
+    ------
+    ValueError
+        It is not bytes, or longer than any configuration.
+    zlib.error
+        It is not compressed with zlib.
+    """
+    decompressor = zlib.decompressobj()
+    catalog = decompressor.decompress(check_bytes(data), MAX_CATALOG_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"it is cut short or longer than {MAX_CATALOG_BYTES} bytes")
+    return catalog
--- a/src/acaciastand/cluster/claim.py
+++ b/src/acaciastand/cluster/claim.py
@@ -5,13 +5,38 @@
 import os
 from collections.abc import Callable
 
-from acaciastand.cluster.keys import OWNER_KEY, OwnerRecord
+from acaciastand.cluster.keys import OWNER_KEY, OwnerRecord, StoredItemUnreadable
 from acaciastand.coordination.transactions import CommitConflict, Item, TransactionalStore
 
 
+def decode_owner(current: Item, on_ignored: Callable[[Exception], None]) -> OwnerRecord | None:
+    """Return the owner that the owner key names.
+
+    Parameters
+    ----------
+    current
+        The owner key.
+    on_ignored
+        Called with the error if the key cannot be decoded.
+
+    Returns
+    -------
+    OwnerRecord | None
+        The owner; None if the key is empty or cannot be decoded.
+    """
+    if not current.value:
+        return None
+    try:
+        return OwnerRecord.decode(current.value)
+    except StoredItemUnreadable as error:
+        on_ignored(error)
+        return None
+
+
 def claim(
     store: TransactionalStore,
     current: Item,
+    former: OwnerRecord | None,
     entry_id: str,
     address: str,
     before_commit: Callable[[OwnerRecord], None],
@@ -22,6 +47,8 @@
     ----------
     current
         The owner key as it was read last.
+    former
+        The owner that it names; None if it names none.
     entry_id, address
         The claiming entry and its ``ip:port`` for other entries.
     before_commit
@@ -38,8 +65,9 @@
     StoreUnavailable, StoreAnswerLost
         The next read of the owner key shows whether the claim took effect.
     """
-    epoch = OwnerRecord.decode(current.value).epoch if current.value else 0
-    # A released owner key holds no epoch. Revisions only rise, so the revision stands in for it.
+    epoch = former.epoch if former else 0
+    # A released or unreadable owner key holds no epoch. Revisions only rise, so the revision stands
+    # in for it.
     record = OwnerRecord(entry_id, address, max(epoch, current.revision) + 1, os.urandom(8))
     before_commit(record)
     try:
--- /dev/null
+++ b/src/acaciastand/cluster/decision_log.py
@@ -0,0 +1,37 @@
+"""Log of the owner's decisions on jobs and runs."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+
+from acaciastand.telemetry.metrics import Metrics
+from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.decisions import DecisionRecord
+from acaciastand.workflow.job import Job
+from acaciastand.workflow.ranking import objective_seconds
+
+logger = logging.getLogger("acaciastand.decisions")
+
+
+def log_accepted(job: Job, revision: int, catalog: Catalog) -> None:
+    """Log that the owner has a new job, which was stored at `revision`."""
+    queue = catalog.by_name(job.queue)
+    logger.info(
+        "job accepted",
+        extra={
+            "job": job.job_id,
+            "rev": revision,
+            "queue": job.queue,
+            "tasks": len(job.tasks),
+            "chain_s": round(max(job.critical_path_seconds, default=0.0), 2),
+            "objective_s": round(objective_seconds(job, queue), 2) if queue else None,
+        },
+    )
+
+
+def log_decisions(decisions: Iterable[DecisionRecord], metrics: Metrics) -> None:
+    """Log decisions with their inputs and count them."""
+    for decision in decisions:
+        metrics.count("decisions", decision.what)
+        logger.info(decision.what, extra={"subject": decision.subject, **decision.inputs})
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -12,9 +12,10 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from acaciastand.checks import MALFORMED, check_bytes, check_integer, check_text
 from acaciastand.cluster.callers import CallerSink
 from acaciastand.cluster.catalog_copy import CATALOG_CALL, CatalogCopy
-from acaciastand.cluster.claim import claim
+from acaciastand.cluster.claim import claim, decode_owner
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.election import (
     OWNER_HEARTBEAT_SECONDS,
@@ -34,7 +35,7 @@
 )
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.owner import Owner
-from acaciastand.cluster.peers import PING_CALL, PeerLink, answer_forward
+from acaciastand.cluster.peers import PING_CALL, PeerLink, PeerStatus, answer_forward
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.cluster.store_relay import (
@@ -48,6 +49,7 @@
 from acaciastand.coordination.transactions import Item, TransactionalStore
 from acaciastand.entry.http import CallerServer
 from acaciastand.errors import InvalidInput, Refused
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
@@ -106,6 +108,7 @@
         self.settings = settings
         self.store = store
         self.metrics = metrics
+        self.ignored = IgnoredValues(metrics, now)
         self.advisor = advisor
         self.configuration = CatalogCopy(store, self._apply_catalog, metrics)
         self.owner: Owner | None = None
@@ -257,7 +260,7 @@
                 "refused": self.candidate.refused,
             },
         )
-        won = claim(self.store, current, entry_id, address, self._remember_claim)
+        won = claim(self.store, current, self.owner_record, entry_id, address, self._remember_claim)
         if won is not None:
             self._begin_term(won[0], won[1], claimed_at)
 
@@ -304,7 +307,7 @@
         gevent.spawn(owner.stop)
 
     def _record_owner(self, current: Item) -> None:
-        record = OwnerRecord.decode(current.value) if current.value else None
+        record = decode_owner(current, self.ignored.recorder(OWNER_KEY))
         if record != self.owner_record:
             self.owner_record = record
             logger.info(
@@ -342,14 +345,16 @@
                 logger.debug("list of entries not read", extra={"error": str(error)})
                 gevent.sleep(RETRY_SECONDS)
                 continue
-            for item in listing.items:
-                try:
-                    self._add_peer(item.key[len(ENTRIES_PREFIX) :], decode_address(item))
-                except StoredItemUnreadable as error:
-                    self.metrics.count("items_ignored", ENTRIES_PREFIX)
-                    logger.error("stored item ignored", extra={"error": str(error)})
+            self._add_members(listing.items)
             gevent.sleep(MEMBERS_INTERVAL_SECONDS)
 
+    def _add_members(self, items: list[Item]) -> None:
+        for item in items:
+            try:
+                self._add_peer(item.key[len(ENTRIES_PREFIX) :], decode_address(item))
+            except StoredItemUnreadable as error:
+                self.ignored.record(ENTRIES_PREFIX, error)
+
     def _add_peer(self, entry_id: str, address: str) -> None:
         if entry_id == self.settings.entry_id:
             return
@@ -364,26 +369,31 @@
         gevent.killall(list(self.peer_greenlets.values()))
 
     def _status(self) -> dict[str, Any]:
-        return {
-            "entry_id": self.settings.entry_id,
-            "address": self.settings.dialled_address,
-            "configuration": self.configuration.version,
-            "owner": self.owner_record.encode() if self.owner_record else b"",
-        }
+        return PeerStatus(
+            self.settings.entry_id,
+            self.settings.dialled_address,
+            self.configuration.version,
+            self.owner_record.encode() if self.owner_record else b"",
+        ).to_map()
 
     def _answer_ping(self, status: dict[str, Any]) -> dict[str, Any]:
         """Connect to the pinging entry too, and return the status of this one.
 
         An entry that the store refuses cannot read the list of the others.
         """
-        self._add_peer(str(status["entry_id"]), str(status["address"]))
+        peer = PeerStatus.from_map(status)
+        self._add_peer(peer.entry_id, peer.address)
         return self._status()
 
     def _apply_peer_status(self, link: PeerLink, status: dict[str, Any]) -> None:
-        version = int(status.get("configuration", 0))
-        if status.get("owner"):
-            self._apply_peer_owner(OwnerRecord.decode(bytes(status["owner"])))
-        self.configuration.fetch(version, link.entry_id, link.call)
+        try:
+            peer = PeerStatus.from_map(status)
+        except MALFORMED as error:
+            return self.ignored.record(PING_CALL, error)
+        owner = decode_owner(Item(OWNER_KEY, peer.owner), self.ignored.recorder(PING_CALL))
+        if owner is not None:
+            self._apply_peer_owner(owner)
+        self.configuration.fetch(peer.configuration, link.entry_id, link.call)
 
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
         return answer_forward(self._answer_call, message)
@@ -415,10 +425,14 @@
         return self.owner
 
     def _answer_job_state(self, payload: dict[str, Any]) -> dict[str, Any]:
-        state = self._require_owner().job_state(str(payload["job_id"]))
+        state = self._require_owner().job_state(check_text(payload["job_id"]))
         return {"state": state.value if state else ""}
 
     def _answer_inbox_item(self, payload: dict[str, Any]) -> dict[str, Any]:
-        item = Item(str(payload["key"]), bytes(payload["value"]), int(payload["revision"]))
+        item = Item(
+            check_text(payload["key"]),
+            check_bytes(payload["value"]),
+            check_integer(payload["revision"]),
+        )
         self._require_owner().apply_inbox_item(item)
         return {}
--- a/src/acaciastand/cluster/interference_store.py
+++ b/src/acaciastand/cluster/interference_store.py
@@ -14,6 +14,7 @@
 )
 from acaciastand.coordination.transactions import TransactionalStore
 from acaciastand.errors import AcaciastandError, InvalidInput
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.workflow.interference import Interference
 
 STORE_INTERVAL_SECONDS = 3.0
@@ -30,10 +31,19 @@
         Model of this owner.
     fence
         Revision of the owner key at this owner's claim; a write fails once it has changed.
+    ignored
+        Records a stored model that cannot be decoded.
     """
 
-    def __init__(self, store: TransactionalStore, interference: Interference, fence: int) -> None:
+    def __init__(
+        self,
+        store: TransactionalStore,
+        interference: Interference,
+        fence: int,
+        ignored: IgnoredValues,
+    ) -> None:
         self.store = store
+        self.ignored = ignored
         self.interference = interference
         self.fence = fence
 
@@ -51,7 +61,7 @@
         try:
             self.interference.restore(decode_interference(item.value))
         except InvalidInput as error:
-            logger.error("stored interference model ignored", extra={"error": str(error)})
+            self.ignored.record(INTERFERENCE_KEY, error)
 
     def store_forever(self) -> None:
         """Store the model every `STORE_INTERVAL_SECONDS` if it has changed."""
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from acaciastand.checks import MALFORMED, check_integer, check_text
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.keys import (
     CANCELS_PREFIX,
@@ -164,9 +165,10 @@
         if link is None:
             return
         try:
-            self.waiting_jobs = dict(link.call(WAITING_JOBS_CALL, {}, OWNER_TIMEOUT_SECONDS))
+            counts = link.call(WAITING_JOBS_CALL, {}, OWNER_TIMEOUT_SECONDS)
+            self.waiting_jobs = {check_text(q): check_integer(n) for q, n in counts.items()}
             self.waiting_jobs_at = now()
-        except AcaciastandError as error:
+        except (AcaciastandError, *MALFORMED) as error:
             logger.info("owner did not report the waiting jobs", extra={"error": str(error)})
 
     def _create_key(self, key: str, value: bytes, deadline: float) -> None:
@@ -222,17 +224,13 @@
         if link is None:
             return None
         try:
-            state = str(
-                link.call(JOB_STATE_CALL, {"job_id": job_id}, OWNER_TIMEOUT_SECONDS).get(
-                    "state", ""
-                )
-            )
-        except AcaciastandError as error:
+            reply = link.call(JOB_STATE_CALL, {"job_id": job_id}, OWNER_TIMEOUT_SECONDS)
+            return JobState(reply["state"]) if reply["state"] else None
+        except (AcaciastandError, *MALFORMED) as error:
             logger.info(
                 "owner did not report the job state", extra={"job": job_id, "error": str(error)}
             )
             return None
-        return JobState(state) if state else None
 
     def _state_from_store(self, job_id: str) -> JobState | None:
         submission = self.store.get(JOBS_PREFIX + job_id)
--- a/src/acaciastand/cluster/keys.py
+++ b/src/acaciastand/cluster/keys.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import cbor2
 
+from acaciastand.checks import (
+    MALFORMED,
+    check_address,
+    check_bytes,
+    check_flag,
+    check_integer,
+    check_list,
+    check_number,
+    check_text,
+)
 from acaciastand.coordination.transactions import Item
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.record import Record
 from acaciastand.workflow.interference import InterferenceSnapshot
-from acaciastand.workflow.job import Job, JobProgress
+from acaciastand.workflow.job import Job, JobProgress, check_task_row
 from acaciastand.workflow.spec import spec_from_list, spec_to_list
 
 CONTROL_PREFIX = "control/"
@@ -23,17 +34,15 @@
 CANCELS_PREFIX = "inbox/cancels/"
 PROGRESS_PREFIX = "progress/"  # Keys that only the owner writes.
 INTERFERENCE_KEY = "learned/interference"  # Interference model of the owner.
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+MAX_HEADROOM = 1_000.0  # Headroom is a share of the latency target.
+MAX_REASON_LENGTH = 200  # Characters of an error that go into the message on an item.
 
 
-# Errors of decoding an item that holds something else than expected.
-MALFORMED = (
-    cbor2.CBORDecodeError,
-    ValueError,
-    TypeError,
-    KeyError,
-    IndexError,
-    AttributeError,
-)
+class StoredItemUnreadable(AcaciastandError):
+    """An item of the store is not what this version of the system writes there."""
+
+    code = "stored_item_unreadable"
 
 
 class OwnerRecord(Record):
@@ -63,8 +72,23 @@
 
     @classmethod
     def decode(cls, data: bytes) -> OwnerRecord:
-        """Return the record that `data` encodes."""
-        return cls(*cbor2.loads(data))
+        """Return the record that `data` encodes.
+
+        Raises
+        ------
+        StoredItemUnreadable
+            `data` cannot be decoded.
+        """
+        try:
+            entry_id, address, epoch, nonce = check_list(cbor2.loads(data))
+            return cls(
+                check_text(entry_id),
+                check_address(address),
+                check_integer(epoch),
+                check_bytes(nonce),
+            )
+        except MALFORMED as error:
+            raise _unreadable(OWNER_KEY, error) from error
 
 
 def encode_job(job: Job) -> bytes:
@@ -72,12 +96,6 @@
     return cbor2.dumps([job.queue, job.accepted_unix, spec_to_list(job.spec)])
 
 
-class StoredItemUnreadable(AcaciastandError):
-    """An item of the store is not what this version of the system writes there."""
-
-    code = "stored_item_unreadable"
-
-
 def decode_job(job_id: str, data: bytes) -> Job:
     """Return the job of an encoded submission.
 
@@ -87,8 +105,10 @@
         `data` cannot be decoded.
     """
     try:
-        queue, accepted_unix, spec = cbor2.loads(data)
-        return Job(job_id, queue, spec_from_list(spec), accepted_unix)
+        if not JOB_ID.fullmatch(job_id):
+            raise ValueError("the key does not end in the id of a job")
+        queue, accepted_unix, spec = check_list(cbor2.loads(data))
+        return Job(job_id, check_text(queue), spec_from_list(spec), check_number(accepted_unix))
     except MALFORMED as error:
         raise _unreadable(JOBS_PREFIX + job_id, error) from error
 
@@ -107,8 +127,14 @@
         The item cannot be decoded.
     """
     try:
-        cancelled, failed, ended_unix, tasks = cbor2.loads(item.value)
-        job.restore(JobProgress(cancelled, failed, ended_unix, tasks))
+        cancelled, failed, ended_unix, rows = check_list(cbor2.loads(item.value))
+        progress = JobProgress(
+            check_flag(cancelled),
+            check_flag(failed),
+            check_number(ended_unix),
+            [check_task_row(row, len(job.tasks)) for row in check_list(rows)],
+        )
+        job.restore(progress)
     except MALFORMED as error:
         raise _unreadable(item.key, error) from error
     job.revision = item.revision
@@ -129,9 +155,10 @@
     return job
 
 
-def _unreadable(key: str, error: Exception) -> StoredItemUnreadable:
+def _unreadable(key: str, error: BaseException) -> StoredItemUnreadable:
+    reason = str(error)[:MAX_REASON_LENGTH] or type(error).__name__
     return StoredItemUnreadable(
-        f"{key} cannot be decoded: {error!r}", "remove the key or store it again"
+        f"{key} cannot be decoded: {reason}", "remove the key or store it again"
     )
 
 
@@ -149,16 +176,21 @@
         `data` cannot be decoded.
     """
     try:
-        (pairs,) = cbor2.loads(data)
+        (pairs,) = check_list(cbor2.loads(data))
         rows = [
-            (str(batch), str(service), float(per_core), float(variance))
-            for batch, service, per_core, variance in pairs
+            (
+                check_text(batch),
+                check_text(service),
+                check_number(per_core, -MAX_HEADROOM, MAX_HEADROOM),
+                check_number(variance),
+            )
+            for batch, service, per_core, variance in check_list(pairs)
         ]
         return InterferenceSnapshot(rows)
-    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise InvalidInput(
-            f"{INTERFERENCE_KEY} cannot be decoded: {error!r}", "let the owner learn it again"
-        ) from (error)
+            f"{INTERFERENCE_KEY} cannot be decoded: {error}", "let the owner learn it again"
+        ) from error
 
 
 def encode_fields(fields: Any) -> bytes:
@@ -175,12 +207,7 @@
         The item is not a registration.
     """
     try:
-        address, _availability_zone = cbor2.loads(item.value)
+        address, _availability_zone = check_list(cbor2.loads(item.value))
+        return check_address(address)
     except MALFORMED as error:
         raise _unreadable(item.key, error) from error
-    return str(address)
-
-
-def decode_fields(data: bytes) -> Any:
-    """Return the plain values that `data` encodes."""
-    return cbor2.loads(data)
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -14,6 +14,7 @@
 from acaciastand.cluster.batch_costs import encode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import Committer, OwnershipLost
+from acaciastand.cluster.decision_log import log_accepted, log_decisions
 from acaciastand.cluster.election import CONFIRMATION_VALID_SECONDS, OWNER_HEARTBEAT_SECONDS
 from acaciastand.cluster.interference_store import InterferenceStore
 from acaciastand.cluster.job_retention import JobRetention
@@ -41,14 +42,14 @@
     TransactionalStore,
 )
 from acaciastand.errors import AcaciastandError
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
-from acaciastand.wire.messages import RunGrant, RunReport
+from acaciastand.wire.messages import RunGrant
 from acaciastand.workflow.advice import PlacementAdvisor
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import StartDecision, StopDecision
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
-from acaciastand.workflow.ranking import objective_seconds
 from acaciastand.workflow.reports import AgentReport, PollPosition, StartOutcome
 from acaciastand.workflow.scheduler import Scheduler
 
@@ -62,7 +63,6 @@
 LOAD_ATTEMPTS = 3  # Attempts to read the jobs before the takeover is left to another entry.
 
 logger = logging.getLogger(__name__)
-decision_logger = logging.getLogger("acaciastand.decisions")
 
 
 class Owner:
@@ -126,9 +126,12 @@
         self.advisor = advisor
         self.scheduler = Scheduler(stop_seconds=stop_seconds)
         self.scheduler.catalog = catalog
+        self.ignored = IgnoredValues(metrics, now)
         self.committer = Committer(store, self.scheduler, fence, metrics, self._handle_stored_jobs)
         self.job_retention = JobRetention(store, self.scheduler, fence)
-        self.interference_store = InterferenceStore(store, self.scheduler.interference, fence)
+        self.interference_store = InterferenceStore(
+            store, self.scheduler.interference, fence, self.ignored
+        )
         self.links: dict[str, AgentLink] = {}
         self.plan_due = Event()
         self.is_ready = False
@@ -204,28 +207,9 @@
         try:
             job = decode_job(job_id, item.value)
         except StoredItemUnreadable as error:
-            return self._ignore_item(JOBS_PREFIX, error)
+            return self.ignored.record(JOBS_PREFIX, error)
         self.scheduler.add_job(job)
-        self._log_accepted(job, item.revision)
-
-    def _ignore_item(self, prefix: str, error: StoredItemUnreadable) -> None:
-        """Log a stored item that cannot be decoded; the other jobs go on without it."""
-        self.metrics.count("items_ignored", prefix)
-        logger.error("stored item ignored", extra={"error": str(error)})
-
-    def _log_accepted(self, job: Job, revision: int) -> None:
-        queue = self.scheduler.catalog.by_name(job.queue)
-        decision_logger.info(
-            "job accepted",
-            extra={
-                "job": job.job_id,
-                "rev": revision,
-                "queue": job.queue,
-                "tasks": len(job.tasks),
-                "chain_s": round(max(job.critical_path_seconds, default=0.0), 2),
-                "objective_s": round(objective_seconds(job, queue), 2) if queue else None,
-            },
-        )
+        log_accepted(job, item.revision, self.scheduler.catalog)
 
     def job_state(self, job_id: str) -> JobState | None:
         """Return the state of a job as callers see it; None if the owner does not know the job."""
@@ -305,7 +289,7 @@
             try:
                 job = load_job(job_id, item, stored.get(job_id))
             except StoredItemUnreadable as error:
-                self._ignore_item(JOBS_PREFIX, error)
+                self.ignored.record(JOBS_PREFIX, error)
                 continue
             # Only this owner can have started a job that was accepted after its claim.
             self.scheduler.add_job(job, certain=item.revision > self.fence)
@@ -375,21 +359,9 @@
             gevent.spawn(self._send_stop, stop)
         if self.scheduler.dirty:
             self.committer.commit_due.set()
-        self._log_decisions()
-        self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
-
-    def _follow_advice(self) -> None:
-        assert self.advisor is not None
-        advise_forever(self.advisor, self.scheduler, self.metrics, self.plan_due)
-
-    def _log_decisions(self) -> None:
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
-        for decision in decisions:
-            self.metrics.count("decisions", decision.what)
-            decision_logger.info(
-                decision.what,
-                extra={"subject": decision.subject, **decision.inputs},
-            )
+        log_decisions(decisions, self.metrics)
+        self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
 
     def _send_start(self, start: StartDecision) -> None:
         decided_at = now()
@@ -411,7 +383,7 @@
         if outcome == StartOutcome.STARTED and stop.is_tracked:
             self.scheduler.process_stop_result(stop.task_key, stop.run, position, now())
 
-    def _handle_report(self, link: AgentLink, message: RunReport, report: AgentReport) -> RunGrant:
+    def _handle_report(self, link: AgentLink, report: AgentReport) -> RunGrant:
         """Apply the report of an agent and return the grant that answers it."""
         if self.is_lost:
             return RunGrant()
@@ -430,7 +402,7 @@
             self.scheduler.acknowledge_stored_ends(worker),
             [
                 [task, limits.target_ms, limits.uses_leftover]
-                for task, limits in self.scheduler.limits_of(message.untold).items()
+                for task, limits in self.scheduler.limits_of(report.untold_tasks).items()
             ],
             services,
             batch_costs,
@@ -489,7 +461,7 @@
         try:
             address = decode_address(item)
         except StoredItemUnreadable as error:
-            return self._ignore_item(AGENTS_PREFIX, error)
+            return self.ignored.record(AGENTS_PREFIX, error)
         existing = self.links.get(agent_id)
         if existing is not None and existing.address == address:
             return
@@ -504,6 +476,7 @@
             self.record.epoch,
             self._handle_report,
             lambda epoch: self._lose_ownership(f"an agent follows epoch {epoch}"),
+            self.ignored,
         )
         self.links[agent_id] = link
         self._spawn(link.run)
--- a/src/acaciastand/cluster/peers.py
+++ b/src/acaciastand/cluster/peers.py
@@ -8,7 +8,9 @@
 
 import gevent
 
+from acaciastand.checks import MALFORMED, check_address, check_bytes, check_integer, check_text
 from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
+from acaciastand.record import Record
 from acaciastand.wire.connection import Connection, NotSent, dial
 from acaciastand.wire.messages import Forward, ForwardReply, Message
 
@@ -24,6 +26,48 @@
 CallHandler = Callable[[str, dict[str, Any]], dict[str, Any]]
 
 
+class PeerStatus(Record):
+    """What entries tell each other with each ping.
+
+    Parameters
+    ----------
+    entry_id, address
+        The entry and its ``ip:port`` for other entries.
+    configuration
+        Version of its configuration; 0 before the first.
+    owner
+        The owner key as it was written, if the entry knows an owner; empty otherwise.
+    """
+
+    __slots__ = ("entry_id", "address", "configuration", "owner")
+
+    def __init__(self, entry_id: str, address: str, configuration: int, owner: bytes) -> None:
+        self.entry_id = entry_id
+        self.address = address
+        self.configuration = configuration
+        self.owner = owner
+
+    def to_map(self) -> dict[str, Any]:
+        """Return the fields as the call carries them."""
+        return dict(zip(self.fields(), self.values(), strict=True))
+
+    @classmethod
+    def from_map(cls, fields: dict[str, Any]) -> PeerStatus:
+        """Return the status in the fields of a call.
+
+        Raises
+        ------
+        KeyError, ValueError
+            A field is missing or holds what no status holds.
+        """
+        return cls(
+            check_text(fields["entry_id"]),
+            check_address(fields["address"]),
+            check_integer(fields["configuration"]),
+            check_bytes(fields["owner"]),
+        )
+
+
 class PeerLink:
     """Connection to another entry, which is dialled again whenever it is lost.
 
@@ -142,7 +186,7 @@
         )
     try:
         return ForwardReply(handler(message.call, dict(message.payload)))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         logger.exception("call failed", extra={"call": message.call, "error": repr(error)})
         return ForwardReply(
             code="invalid_input",
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -8,8 +8,10 @@
 
 import logging
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from typing import Any, TypeVar
 
+from acaciastand.checks import MALFORMED, check_bytes, check_integer, check_list, check_text
 from acaciastand.cluster.circuit_breaker import CircuitBreaker
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.peers import PeerLink
@@ -23,6 +25,7 @@
     TransactionalStore,
 )
 from acaciastand.errors import AcaciastandError, OutcomeUnknown
+from acaciastand.record import Record
 from acaciastand.telemetry.metrics import Metrics
 
 # Names of the calls by which one entry reaches the store through another.
@@ -78,8 +81,8 @@
         """Return the item at `key`."""
         return self._read(
             lambda: self.direct.get(key),
-            lambda link: _item(
-                link.call(STORE_READ_CALL, {"key": key}, CALL_TIMEOUT_SECONDS)["item"]
+            lambda link: _decoded(
+                _read_item, link.call(STORE_READ_CALL, {"key": key}, CALL_TIMEOUT_SECONDS)
             ),
         )
 
@@ -92,8 +95,9 @@
         payload = {"prefix": prefix, "after": after, "wait": wait_seconds}
         return self._read(
             lambda: self.direct.watch(prefix, after, wait_seconds),
-            lambda link: _changes(
-                link.call(STORE_WATCH_CALL, payload, wait_seconds + CALL_TIMEOUT_SECONDS), after
+            lambda link: _decoded(
+                partial(_changes, after=after),
+                link.call(STORE_WATCH_CALL, payload, wait_seconds + CALL_TIMEOUT_SECONDS),
             ),
         )
 
@@ -125,13 +129,17 @@
         payload = {"expected": dict(expected), "puts": dict(puts), "removes": list(removes)}
         for link in self._relay_links():
             try:
-                reply = link.call(STORE_COMMIT_CALL, payload, CALL_TIMEOUT_SECONDS)
+                reply = _decoded(
+                    _commit_reply, link.call(STORE_COMMIT_CALL, payload, CALL_TIMEOUT_SECONDS)
+                )
             except AcaciastandError as error:
                 lost_answer = error if isinstance(error, OutcomeUnknown) else lost_answer
                 self._record_relay_failure(STORE_COMMIT_CALL, link, error)
                 continue
             self.failed_at.pop(link.entry_id, None)
-            return _revision(reply)
+            if reply.conflict is not None:
+                raise CommitConflict(reply.conflict)
+            return reply.revision
         if lost_answer is not None:
             raise StoreAnswerLost(f"no answer to a commit: {lost_answer.message}", "read the keys")
         raise StoreUnavailable(
@@ -240,18 +248,58 @@
         )
 
 
-def _item(row: Sequence[Any]) -> Item:
-    return Item(str(row[0]), bytes(row[1]), int(row[2]))
+class CommitReply(Record):
+    """Reply of another entry that made a commit.
+
+    Parameters
+    ----------
+    revision
+        Revision of the commit; 0 after a conflict.
+    conflict
+        Current items of the keys with an expected revision; None without a conflict.
+    """
+
+    __slots__ = ("revision", "conflict")
+
+    def __init__(self, revision: int, conflict: list[Item] | None = None) -> None:
+        self.revision = revision
+        self.conflict = conflict
+
+
+def _decoded(decode: Callable[[dict[str, Any]], Result], reply: dict[str, Any]) -> Result:
+    """Return the decoded reply of another entry.
+
+    Raises
+    ------
+    OutcomeUnknown
+        It cannot be decoded.
+    """
+    try:
+        return decode(reply)
+    except MALFORMED as error:
+        raise OutcomeUnknown(
+            f"the reply cannot be decoded: {error}", "check the versions of the entries"
+        ) from error
+
+
+def _read_item(reply: dict[str, Any]) -> Item:
+    return _item(reply["item"])
+
+
+def _item(row: Any) -> Item:
+    key, value, revision = check_list(row)
+    return Item(check_text(key), check_bytes(value), check_integer(revision))
 
 
 def _changes(reply: dict[str, Any], after: int) -> Changes:
     if reply.get("dropped"):
         raise HistoryDropped(after)
-    items = [_item(row) for row in reply["items"]]
-    return Changes(items, list(reply["deleted"]), int(reply["revision"]))
+    items = [_item(row) for row in check_list(reply["items"])]
+    deleted = [check_text(key) for key in check_list(reply["deleted"])]
+    return Changes(items, deleted, check_integer(reply["revision"]))
 
 
-def _revision(reply: dict[str, Any]) -> int:
+def _commit_reply(reply: dict[str, Any]) -> CommitReply:
     if "conflict" in reply:
-        raise CommitConflict([_item(row) for row in reply["conflict"]])
-    return int(reply["revision"])
+        return CommitReply(0, [_item(row) for row in check_list(reply["conflict"])])
+    return CommitReply(check_integer(reply["revision"]))
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -15,6 +15,7 @@
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import CallBrokeOff, CallNotSent, CallTimedOut
 from acaciastand.platform.tasks import INCARNATION_HEADER, TaskClient, TokenRefused, WorkerChanged
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.crash_witness import CrashWitness
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
@@ -117,7 +118,8 @@
         max_lease_seconds: float,
         pacer: Pacer | None = None,
     ) -> None:
-        self.client = TaskClient(address, token)
+        ignored = IgnoredValues(metrics, now)
+        self.client = TaskClient(address, token, ignored.recorder("poll"))
         self.on_ends = on_ends
         self.metrics = metrics
         self.pacer = pacer or HeadroomPacer()
@@ -225,14 +227,9 @@
             crashes,
             result.has_more_ends,
             alive_seconds,
+            [run.task for run in result.running if run.task not in self.limits],
         )
 
-    def tasks_without_limits(self) -> list[str]:
-        """Return the running tasks whose limits this agent does not know, as after its restart."""
-        if self.last_poll is None:
-            return []
-        return [run.task for run in self.last_poll.running if run.task not in self.limits]
-
     def record_stored_ends(self, born_ms: int, number: int) -> None:
         """Record that the effects of all ends up to `number` of an incarnation are stored."""
         if born_ms == self.born_ms and number > self.acknowledged:
--- a/src/acaciastand/platform/advice.py
+++ b/src/acaciastand/platform/advice.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Sequence
 
+from acaciastand.checks import MALFORMED, check_list, check_number, check_text, load_json_map
 from acaciastand.errors import Refused
 from acaciastand.platform.http import CallBrokeOff, HttpCaller
 from acaciastand.workflow.advice import Advice, PlacementAdvisor
@@ -45,8 +46,10 @@
         try:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
-            fields = json.loads(answer.body)
-            tickets = {str(row[0]): str(row[1]) for row in fields.get("good") or []}
-            return Advice(tickets, float(fields.get("validityMs", DEFAULT_VALID_MS)) / 1000)
-        except (ValueError, TypeError, AttributeError, IndexError) as error:
+            fields = load_json_map(answer.body)
+            rows = check_list(fields.get("good") or [])
+            tickets = {check_text(row[0]): check_text(row[1]) for row in rows}
+            valid_ms = check_number(fields.get("validityMs", DEFAULT_VALID_MS))
+            return Advice(tickets, valid_ms / 1000)
+        except MALFORMED as error:
             raise CallBrokeOff(f"the advice cannot be read: {error!r}", "ask again") from error
--- a/src/acaciastand/platform/kv.py
+++ b/src/acaciastand/platform/kv.py
@@ -4,10 +4,18 @@
 
 import base64
 import json
+import logging
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
+from acaciastand.checks import (
+    MALFORMED,
+    check_integer,
+    check_text,
+    decode_rows,
+    load_json_map,
+)
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
     Changes,
@@ -25,6 +33,7 @@
     HttpAnswer,
     HttpCaller,
 )
+from acaciastand.record import Record
 
 # Time until the answer to a read begins; several times that of a store that is slow.
 READ_SECONDS = 0.7
@@ -43,6 +52,22 @@
 
 Observer = Callable[[str, str], None]  # call, outcome
 
+logger = logging.getLogger(__name__)
+
+
+class _Event(Record):
+    """One change of a watch: an item as it was written, or the key of one that was deleted."""
+
+    __slots__ = ("item", "deleted")
+
+    def __init__(self, item: Item, deleted: bool) -> None:
+        self.item = item
+        self.deleted = deleted
+
+
+def _log_ignored(error: Exception) -> None:
+    logger.error("item ignored", extra={"error": str(error)})
+
 
 class PlatformStore(TransactionalStore):
     """The platform's store over HTTP; a call is never sent twice.
@@ -53,11 +78,19 @@
         Base URL.
     observe
         Told the call and its outcome.
+    on_ignored
+        Called with the error of each item that cannot be decoded and is left out.
     """
 
-    def __init__(self, url: str, observe: Observer = lambda call, outcome: None) -> None:
+    def __init__(
+        self,
+        url: str,
+        observe: Observer = lambda call, outcome: None,
+        on_ignored: Callable[[Exception], None] = _log_ignored,
+    ) -> None:
         self.caller = HttpCaller(url, MAX_PAGE_BYTES)
         self.observe = observe
+        self.on_ignored = on_ignored
         self.read_seconds = READ_SECONDS
         self.commit_seconds = COMMIT_SECONDS
 
@@ -69,25 +102,34 @@
         """Return the item at `key`."""
         path = f"/kv-key?{urlencode({'key': key})}"
         answer = self._read("get", path, self.read_seconds)
-        return Item(key) if answer.status == NOT_FOUND else _item(_body(answer, "get"))
+        if answer.status == NOT_FOUND:
+            return Item(key)
+        fields = _body(answer, "get")
+        try:
+            return _item(fields)
+        except MALFORMED as error:
+            raise _no_answer("get", f"the item cannot be decoded: {error}") from error
 
     def list(self, prefix: str, stale: bool = False) -> Listing:
         """Return all items below `prefix`, page by page."""
         items: list[Item] = []
         revision = 0
         more = True
+        last_key = ""
         while more:
             query: dict[str, Any] = {"prefix": prefix}
-            if items:
-                query["after"] = items[-1].key
+            if last_key:
+                query["after"] = last_key
             if stale:
                 query["serializable"] = 1
             path = f"/kv-range?{urlencode(query)}"
             page = _body(self._read("list", path, self.read_seconds), "list")
             # Pages are not a snapshot: a watch has to continue from the first of them.
-            revision = revision or int(page["storeRevision"])
-            items.extend(_item(fields) for fields in page.get("items") or [])
-            more = bool(page.get("hasMore"))
+            revision = revision or _revision(page, "storeRevision", "list")
+            rows = page.get("items") or []
+            items.extend(decode_rows(rows, _item, self.on_ignored))
+            more = bool(page.get("hasMore")) and bool(rows)
+            last_key = _last_key(rows) if more else ""
         return Listing(items, revision)
 
     def watch(self, prefix: str, after: int, wait_seconds: float) -> Changes:
@@ -100,13 +142,14 @@
         fields = _body(answer, "watch")
         items: dict[str, Item] = {}
         deleted = []
-        for event in fields.get("events") or []:
-            if event.get("deleted"):
-                deleted.append(event["key"])
-                items.pop(event["key"], None)
+        for event in decode_rows(fields.get("events"), _event, self.on_ignored):
+            if event.deleted:
+                deleted.append(event.item.key)
+                items.pop(event.item.key, None)
             else:
-                items[event["key"]] = _item(event)
-        return Changes(list(items.values()), deleted, int(fields.get("storeRevision", after)))
+                items[event.item.key] = event.item
+        revision = _revision(fields, "storeRevision", "watch")
+        return Changes(list(items.values()), deleted, revision)
 
     def commit(
         self,
@@ -127,10 +170,10 @@
         answer = self._call("POST", "commit", "/kv-txn", self.commit_seconds, body)
         if answer.status == CONFLICT:
             self.observe("commit", "conflict")
-            items = _body(answer, "commit", CONFLICT).get("items") or []
-            found = {fields["key"]: _item(fields) for fields in items}
+            rows = _body(answer, "commit", CONFLICT).get("items")
+            found = {item.key: item for item in decode_rows(rows, _item, self.on_ignored)}
             raise CommitConflict([found.get(key, Item(key)) for key in expected])
-        revision = int(_body(answer, "commit")["revision"])
+        revision = _revision(_body(answer, "commit"), "revision", "commit")
         self.observe("commit", "done")
         return revision
 
@@ -175,14 +218,29 @@
     if answer.status != expected:
         raise _no_answer(call, f"status {answer.status}")
     try:
-        fields = json.loads(answer.body)
-    except ValueError as error:
-        raise _no_answer(call, f"the body is not JSON: {error}") from error
-    if not isinstance(fields, dict):
-        raise _no_answer(call, "the body is not an object")
-    return fields
+        return load_json_map(answer.body)
+    except MALFORMED as error:
+        raise _no_answer(call, f"the body cannot be decoded: {error}") from error
+
+
+def _revision(fields: dict[str, Any], name: str, call: str) -> int:
+    try:
+        return check_integer(fields[name])
+    except MALFORMED as error:
+        raise _no_answer(call, f"{name} cannot be decoded: {error}") from error
+
+
+def _last_key(rows: list[Any]) -> str:
+    try:
+        return check_text(rows[-1]["key"])
+    except MALFORMED as error:
+        raise _no_answer("list", f"the last key cannot be decoded: {error}") from error
 
 
 def _item(fields: dict[str, Any]) -> Item:
-    value = base64.b64decode(fields.get("value") or "")
-    return Item(fields["key"], value, int(fields.get("revision", 0)))
+    value = base64.b64decode(check_text(fields.get("value") or ""))
+    return Item(check_text(fields["key"]), value, check_integer(fields.get("revision", 0)))
+
+
+def _event(fields: dict[str, Any]) -> _Event:
+    return _Event(_item(fields), bool(fields.get("deleted")))
--- a/src/acaciastand/platform/operator.py
+++ b/src/acaciastand/platform/operator.py
@@ -2,57 +2,75 @@
 
 from __future__ import annotations
 
-import json
-import re
+from collections.abc import Callable
 from typing import Any
 
+from acaciastand.checks import (
+    MALFORMED,
+    check_count,
+    check_list,
+    check_map,
+    check_number,
+    check_text,
+    decode_rows,
+    load_json_map,
+)
 from acaciastand.errors import InvalidInput
 from acaciastand.resources import Resources
 from acaciastand.workflow.catalog import Catalog, Queue
-from acaciastand.workflow.spec import StepSpec, WorkflowSpec
+from acaciastand.workflow.spec import StepSpec, WorkflowSpec, check_spec
 
 CONFIG_KEY = "op/config"
 DEADLINE_HEADER = "X-Deadline-Ms"  # how long the caller waits for the answer
-JOB_ID = re.compile(r"[0-9a-f]{16}")
-MAX_TASKS = 20_000  # tasks of one job over all occurrences
 MAX_PAYLOAD_BYTES = 4_000
 
 
-def decode_catalog(data: bytes) -> Catalog:
+def decode_catalog(data: bytes, on_ignored: Callable[[Exception], None]) -> Catalog:
     """Return the configuration in its stored form.
 
+    Parameters
+    ----------
+    on_ignored
+        Called with the error of each queue or service that cannot be decoded and is left out.
+
     Raises
     ------
     InvalidInput
-        It cannot be read.
+        The configuration cannot be decoded as a whole.
     """
     try:
-        fields = json.loads(data)
-        queues = [_queue(route) for route in fields.get("routes") or []]
-        guarded = [s["name"] for s in fields.get("services") or [] if s.get("rejectsOverload")]
-        limits = fields.get("limits") or {}
-        max_body = int(limits.get("maxBodyBytes", 262_144))
-        return Catalog(int(fields["version"]), queues, guarded, max_body)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise InvalidInput(f"the configuration cannot be read: {error!r}", "write it again") from (
+        fields = load_json_map(data)
+        queues = decode_rows(fields.get("routes"), _queue, on_ignored)
+        services = decode_rows(fields.get("services"), _guarded_service, on_ignored)
+        limits = check_map(fields.get("limits") or {})
+        max_body = check_count(limits.get("maxBodyBytes", 262_144))
+        version = check_count(fields["version"])
+    except MALFORMED as error:
+        raise InvalidInput(f"the configuration cannot be decoded: {error}", "write it again") from (
             error
         )
+    return Catalog(version, queues, [name for name in services if name], max_body)
+
+
+def _guarded_service(fields: dict[str, Any]) -> str:
+    """Return the name of a service whose workers reject tasks that do not fit, or an empty text."""
+    return check_text(fields["name"]) if fields.get("rejectsOverload") else ""
 
 
 def _queue(route: dict[str, Any]) -> Queue:
-    advice = route.get("advice") or {}
+    advice = check_map(route.get("advice") or {})
     return Queue(
-        str(route["name"]),
-        str(route["host"]),
-        str(route["prefix"]),
-        str(route["service"]),
-        int(route.get("priority", 0)),
-        int(route.get("maxAttempts", 1)),
-        float(route.get("stretch", 2.0)),
-        float(route.get("targetLatencyMs", 1000)) / 1000,
+        check_text(route["name"]),
+        check_text(route["host"]),
+        check_text(route["prefix"]),
+        check_text(route["service"]),
+        check_count(route.get("priority", 0)),
+        check_count(route.get("maxAttempts", 1)),
+        check_number(route.get("stretch", 2.0)),
+        check_number(route.get("targetLatencyMs", 1000)) / 1000,
         bool(advice),
-        float(advice.get("decideMs", 0)) / 1000,
-        float(advice.get("perWorkerMs", 0)) / 1000,
+        check_number(advice.get("decideMs", 0)) / 1000,
+        check_number(advice.get("perWorkerMs", 0)) / 1000,
     )
 
 
@@ -65,52 +83,42 @@
         It is malformed.
     """
     try:
-        fields = json.loads(data)
-        payload = fields.get("spec", "")
-        steps = [_step(number, step) for number, step in enumerate(fields["steps"])]
+        fields = load_json_map(data)
         spec = WorkflowSpec(
-            str(payload),
-            steps,
-            int(fields.get("repeatCount", 0)),
-            float(fields.get("startAtMs", 0)) / 1000,
-            float(fields.get("intervalMs", 0)) / 1000,
+            fields.get("spec", ""),
+            [_step(step) for step in check_list(fields["steps"])],
+            check_count(fields.get("repeatCount", 0)),
+            check_number(fields.get("startAtMs", 0)) / 1000,
+            check_number(fields.get("intervalMs", 0)) / 1000,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise InvalidInput(f"the job cannot be read: {error!r}", "correct its fields") from error
-    tasks = spec.occurrence_count * sum(step.count for step in steps)
-    if not 0 < tasks <= MAX_TASKS or not isinstance(payload, str):
-        raise InvalidInput(f"the job has {tasks} tasks", f"use 1 to {MAX_TASKS}")
-    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        payload_bytes = len(check_spec(spec).payload.encode())
+    except MALFORMED as error:
+        raise InvalidInput(f"the job cannot be decoded: {error}", "correct its fields") from error
+    if payload_bytes > MAX_PAYLOAD_BYTES:
         raise InvalidInput("the payload is too long", f"use at most {MAX_PAYLOAD_BYTES} bytes")
     return spec
 
 
-def _step(number: int, fields: dict[str, Any]) -> StepSpec:
-    after = [int(n) for n in fields.get("after") or []]
-    if any(not 0 <= earlier < number for earlier in after):
-        raise ValueError(f"step {number} follows a step that is not earlier")
-    count = int(fields.get("count", 1))
-    if count < 1:
-        raise ValueError(f"step {number} has {count} tasks")
+def _step(fields: dict[str, Any]) -> StepSpec:
     return StepSpec(
-        count,
+        check_count(fields.get("count", 1)),
         Resources(
-            int(fields.get("cpu", 0)) / 1000,  # thousandths of a core on the wire
-            int(fields.get("memMb", 0)),
-            int(fields.get("gpu", 0)),
+            check_count(fields.get("cpu", 0)) / 1000,  # thousandths of a core on the wire
+            check_count(fields.get("memMb", 0)),
+            check_count(fields.get("gpu", 0)),
         ),
-        float(fields.get("estimateMs", 0)) / 1000,
-        after,
+        check_number(fields.get("estimateMs", 0)) / 1000,
+        [check_count(earlier) for earlier in check_list(fields.get("after") or [])],
         bool(fields.get("checkpointing")),
         bool(fields.get("gang")),
         bool(fields.get("sameRack")),
-        str(fields.get("requires") or ""),
-        str(fields.get("affinity") or ""),
-        int(fields.get("antiAffinity", 0)),  # a limit for each worker, not a switch
+        fields.get("requires") or "",
+        fields.get("affinity") or "",
+        check_count(fields.get("antiAffinity", 0)),  # a limit for each worker, not a switch
         bool(fields.get("speculative")),
         bool(fields.get("longRunning")),
-        str(fields.get("image") or ""),
-        float(fields.get("targetMs", 0)),
+        fields.get("image") or "",
+        check_number(fields.get("targetMs", 0)),
         bool(fields.get("fillCount")),  # a switch, in spite of its name
-        int(fields.get("mayMiss", 0)),
+        check_count(fields.get("mayMiss", 0)),
     )
--- a/src/acaciastand/platform/tasks.py
+++ b/src/acaciastand/platform/tasks.py
@@ -3,8 +3,21 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Any
 
+from acaciastand.checks import (
+    MALFORMED,
+    check_address,
+    check_integer,
+    check_list,
+    check_map,
+    check_number,
+    check_text,
+    decode_rows,
+    load_json_map,
+    shorten,
+)
 from acaciastand.errors import AcaciastandError, InvalidInput, Outcome
 from acaciastand.platform.http import CallBrokeOff, HttpCaller
 from acaciastand.resources import Resources
@@ -15,6 +28,8 @@
     StartCommand,
     StartOutcome,
     WorkerIdentity,
+    check_active_run,
+    check_ended_run,
 )
 
 ANNOUNCE_PATH = "/Instances.Heartbeat/"
@@ -51,11 +66,14 @@
         ``ip:port`` of the worker.
     token
         Token that orders the lives of the agent; a worker refuses lower ones.
+    on_ignored
+        Called with the error of each run or end that a poll lists and that cannot be decoded.
     """
 
-    def __init__(self, address: str, token: int) -> None:
+    def __init__(self, address: str, token: int, on_ignored: Callable[[Exception], None]) -> None:
         self.caller = HttpCaller(f"http://{address}")
         self.token = token
+        self.on_ignored = on_ignored
         self.incarnation_header: dict[str, str] = {}
 
     def close(self) -> None:
@@ -91,14 +109,14 @@
         try:
             ended = fields.get("finished") or []
             return PollResult(
-                int(fields.get("born", 0)),
-                float(fields["clockMs"]),
-                [_running(row) for row in fields.get("running") or []],
-                [_ended(row) for row in ended],
+                check_integer(fields.get("born", 0)),
+                check_number(fields["clockMs"]),
+                decode_rows(fields.get("running"), _running, self.on_ignored),
+                decode_rows(ended, _ended, self.on_ignored),
                 len(ended) >= MAX_LISTED_ENDS,
             )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            raise CallBrokeOff(f"the look cannot be read: {error!r}", "look again") from error
+        except MALFORMED as error:
+            raise CallBrokeOff(f"the poll cannot be decoded: {error}", "poll again") from error
 
     def start(self, command: StartCommand, lease_until_ms: int) -> StartOutcome:
         """Start a run; repeating the call for the same run is harmless.
@@ -147,11 +165,11 @@
         headers = {**JSON_HEADERS, **self.incarnation_header}
         answer = self.caller.call("POST", path, json.dumps(body).encode(), headers, seconds)
         try:
-            fields = json.loads(answer.body) if answer.body else {}
-        except ValueError as error:
-            raise CallBrokeOff(f"the answer is not JSON: {error}", "repeat the call") from error
-        if not isinstance(fields, dict):
-            raise CallBrokeOff("the answer is not an object", "repeat the call")
+            fields = load_json_map(answer.body) if answer.body else {}
+        except MALFORMED as error:
+            raise CallBrokeOff(
+                f"the answer cannot be decoded: {error}", "repeat the call"
+            ) from error
         return answer.status, fields
 
     def _check(self, status: int, fields: dict[str, Any]) -> None:
@@ -164,13 +182,15 @@
         raise CallBrokeOff(f"the worker answered {status}", "repeat the call")
 
 
-def _running(row: list[Any]) -> ActiveRun:
-    measurement = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return ActiveRun(str(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), measurement)
+def _running(row: Any) -> ActiveRun:
+    task, run, checkpoint, percent, *measurements = check_list(row)
+    measurement = (measurements[0] if measurements else None) or 0.0
+    return check_active_run(ActiveRun(task, run, checkpoint or "", percent, measurement))
 
 
-def _ended(row: list[Any]) -> EndedRun:
-    return EndedRun(int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4] or ""))
+def _ended(row: Any) -> EndedRun:
+    number, task, run, how, checkpoint = check_list(row)
+    return check_ended_run(EndedRun(number, task, run, how, checkpoint or ""))
 
 
 def decode_announcement(worker_id: str, body: bytes) -> tuple[WorkerIdentity, int]:
@@ -182,37 +202,25 @@
         It comes from another writer or is malformed and names no worker.
     """
     try:
-        fields = json.loads(body)
-        if fields["state"] not in STATES:
-            raise ValueError(f"unknown state {fields['state']!r}")
-        capacity = fields["capacity"]
+        fields = load_json_map(body)
+        if check_text(fields["state"]) not in STATES:
+            raise ValueError(f"unknown state {shorten(fields['state'])}")
+        capacity = check_map(fields["capacity"])
         identity = WorkerIdentity(
             worker_id,
-            _integer(fields["born"]) if "born" in fields else 0,
-            _text(fields["service"]),
-            _text(fields["addr"]),
-            _text(fields.get("zone", "")),
+            check_integer(fields["born"]) if "born" in fields else 0,
+            check_text(fields["service"]),
+            check_address(fields["addr"]),
+            check_text(fields.get("zone", "")),
             Resources(
-                _integer(capacity["cpu"]) / 1000,  # thousandths of a core on the wire
-                _integer(capacity["memMb"]),
-                _integer(capacity.get("gpu", 0)),
+                check_integer(capacity["cpu"]) / 1000,  # thousandths of a core on the wire
+                check_integer(capacity["memMb"]),
+                check_integer(capacity.get("gpu", 0)),
             ),
-            [_text(label) for label in fields.get("labels", [])],
+            [check_text(label) for label in check_list(fields.get("labels", []))],
             fields["state"] == "draining",
-            float(fields.get("remainingMs", 0)) / 1000,
+            check_number(fields.get("remainingMs", 0)) / 1000,
         )
-        return identity, _integer(fields["seq"])
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise InvalidInput(f"the announcement names no worker: {error!r}", "ignore it") from error
-
-
-def _integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r} is not a whole number")
-    return value
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
-    return value
+        return identity, check_integer(fields["seq"])
+    except MALFORMED as error:
+        raise InvalidInput(f"the announcement names no worker: {error}", "ignore it") from error
--- a/src/acaciastand/programs/job_daemon.py
+++ b/src/acaciastand/programs/job_daemon.py
@@ -19,6 +19,7 @@
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.kv import PlatformStore
 from acaciastand.telemetry import set_level
+from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics, serve_metrics
 from acaciastand.telemetry.stream import log_to_stdout
 
@@ -49,6 +50,7 @@
         store = PlatformStore(
             settings.store_url,
             lambda call, outcome: metrics.count("store_calls", f"{call}.{outcome}"),
+            IgnoredValues(metrics, now).recorder("store"),
         )
         stack.callback(store.close)
         daemon = build(store, metrics)
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -29,7 +29,10 @@
         "loop",
         "Loops that failed with an unexpected error and were begun again.",
     ),
-    "items_ignored": ("prefix", "Stored items that cannot be decoded."),
+    "values_ignored": (
+        "source",
+        "Stored items and parts of messages that cannot be decoded and were skipped.",
+    ),
 }
 HISTOGRAMS = {
     "request_seconds": ("call", "Time from the arrival of a call to its answer."),
--- a/src/acaciastand/wire/codec.py
+++ b/src/acaciastand/wire/codec.py
@@ -8,6 +8,7 @@
 
 import cbor2
 
+from acaciastand.checks import MALFORMED
 from acaciastand.errors import AcaciastandError
 from acaciastand.record import Record
 from acaciastand.wire.messages import MESSAGE_TYPES, PROTOCOL_VERSION, Message
@@ -89,7 +90,7 @@
 def _load_array(data: bytes) -> list[Any]:
     try:
         items = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+    except MALFORMED as error:
         raise ProtocolError(
             f"frame of {len(data)} bytes is not CBOR: {error}", "check what connects to this port"
         ) from error
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -6,6 +6,7 @@
 from enum import IntEnum, StrEnum
 from typing import Any
 
+from acaciastand.checks import check_flag, check_integer, check_list, check_number, check_text
 from acaciastand.record import Record
 from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.reports import PollPosition, TaskName
@@ -179,6 +180,30 @@
         self.tasks = tasks or []
 
 
+def check_task_row(row: Any, task_count: int) -> list[Any]:
+    """Return a row of `JobProgress.tasks` of a job with `task_count` tasks.
+
+    Raises
+    ------
+    ValueError
+        It holds a value that no such row holds.
+    """
+    number, run, failures, done, checkpoint, ended_runs, *crashes = check_list(row)
+    check_integer(number, 0, task_count - 1)
+    check_integer(run)
+    check_integer(failures)
+    check_flag(done)
+    check_text(checkpoint)
+    for ended_run in check_list(ended_runs):
+        check_integer(ended_run)
+    for crash_run, ran_seconds, suspected, isolated in check_list(crashes[0]) if crashes else []:
+        check_integer(crash_run)
+        check_number(ran_seconds)
+        check_flag(suspected)
+        check_flag(isolated)
+    return list(row)
+
+
 class Job:
     """A job in the owner's memory.
 
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Any
 
+from acaciastand.checks import check_integer, check_number, check_text, shorten
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 
@@ -139,6 +141,51 @@
         self.checkpoint = checkpoint
 
 
+def check_task_name(value: Any) -> str:
+    """Return the name of a task in its written form.
+
+    Raises
+    ------
+    ValueError
+        It is not such a name.
+    """
+    if TaskName.parse(check_text(value)) is None:
+        raise ValueError(f"{shorten(value)} is not the name of a task")
+    return str(value)
+
+
+def check_active_run(run: ActiveRun) -> ActiveRun:
+    """Return a run whose fields all hold what they may.
+
+    Raises
+    ------
+    ValueError
+        A field is of another type or out of range.
+    """
+    check_task_name(run.task)
+    check_integer(run.run)
+    check_text(run.checkpoint)
+    check_number(run.percent)
+    check_number(run.measurement)
+    return run
+
+
+def check_ended_run(end: EndedRun) -> EndedRun:
+    """Return an end whose fields all hold what they may.
+
+    Raises
+    ------
+    ValueError
+        A field is of another type or out of range.
+    """
+    check_integer(end.number)
+    check_task_name(end.task)
+    check_integer(end.run)
+    RunEnd(check_text(end.how))
+    check_text(end.checkpoint)
+    return end
+
+
 class CrashedRun(Record):
     """A run that was on a worker when the worker crashed.
 
@@ -347,6 +394,8 @@
         have ended in any way.
     alive_seconds
         Time for which runs can be alive without another grant if the worker is never reached again.
+    untold_tasks
+        Running tasks whose limits the agent does not know, since it was restarted.
     """
 
     __slots__ = (
@@ -362,6 +411,7 @@
         "crashes",
         "has_more_ends",
         "alive_seconds",
+        "untold_tasks",
     )
 
     def __init__(
@@ -378,6 +428,7 @@
         crashes: list[WorkerCrash] | None = None,
         has_more_ends: bool = False,
         alive_seconds: float = 0.0,
+        untold_tasks: list[str] | None = None,
     ) -> None:
         self.identity = identity
         self.position = position or PollPosition()
@@ -391,3 +442,4 @@
         self.crashes = crashes or []
         self.has_more_ends = has_more_ends
         self.alive_seconds = alive_seconds
+        self.untold_tasks = untold_tasks or []
--- a/src/acaciastand/workflow/spec.py
+++ b/src/acaciastand/workflow/spec.py
@@ -4,9 +4,14 @@
 
 from typing import Any
 
+from acaciastand.checks import check_flag, check_integer, check_list, check_number, check_text
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 
+MAX_TASKS = 20_000  # Tasks of one job over all occurrences.
+MAX_RESOURCE = 1 << 40  # Cores, megabytes or accelerators of one task.
+MAX_UNIX_SECONDS = 1e11  # Times and durations in seconds, up to the year 5138.
+
 
 class StepSpec(Record):
     """Equal tasks that become eligible together.
@@ -170,9 +175,55 @@
 
 def spec_from_list(items: list[Any]) -> WorkflowSpec:
     """Return the job from the nested lists of `spec_to_list`."""
-    payload, step_rows, repeats, first_due, interval = items
-    steps = [StepSpec(row[0], Resources(*row[1]), *row[2:]) for row in step_rows]
-    return WorkflowSpec(payload, steps, repeats, first_due, interval)
+    payload, step_rows, repeats, first_due, interval = check_list(items)
+    steps = [
+        StepSpec(row[0], Resources(*check_list(row[1])), *row[2:]) for row in check_list(step_rows)
+    ]
+    return check_spec(WorkflowSpec(payload, steps, repeats, first_due, interval))
+
+
+def check_spec(spec: WorkflowSpec) -> WorkflowSpec:
+    """Return a job whose fields all hold what they may.
+
+    Raises
+    ------
+    ValueError
+        A field is of another type or out of range, or the job has too many tasks.
+    """
+    check_text(spec.payload)
+    check_integer(spec.repeats, 0, MAX_TASKS)
+    check_number(spec.first_due_unix, 0.0, MAX_UNIX_SECONDS)
+    check_number(spec.interval_seconds, 0.0, MAX_UNIX_SECONDS)
+    for number, step in enumerate(spec.steps):
+        _check_step(number, step)
+    tasks = spec.occurrence_count * sum(step.count for step in spec.steps)
+    if not 0 < tasks <= MAX_TASKS:
+        raise ValueError(f"the job has {tasks} tasks, not 1 to {MAX_TASKS}")
+    return spec
+
+
+def _check_step(number: int, step: StepSpec) -> None:
+    check_integer(step.count, 1, MAX_TASKS)
+    check_number(step.size.cores, 0.0, MAX_RESOURCE)
+    check_integer(step.size.memory_mb, 0, MAX_RESOURCE)
+    check_integer(step.size.accelerators, 0, MAX_RESOURCE)
+    check_number(step.estimate_seconds, 0.0, MAX_UNIX_SECONDS)
+    check_number(step.target_ms)
+    check_integer(step.max_per_worker)
+    check_integer(step.max_absent)
+    for earlier in check_list(step.after):
+        check_integer(earlier, 0, number - 1)
+    for text in (step.required_label, step.data_rack, step.image):
+        check_text(text)
+    for flag in (
+        step.saves_progress,
+        step.gang,
+        step.same_rack,
+        step.speculative,
+        step.continuous,
+        step.uses_leftover,
+    ):
+        check_flag(flag)
 
 
 def critical_path_seconds(spec: WorkflowSpec, seconds_of: Any = None) -> list[float]:
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -25,6 +25,7 @@
 
 HEARTBEAT_SECONDS = 0.3
 TICK_SECONDS = 0.01
+MAX_LEASE_MS = 10_000  # a longer lease is shortened to this
 STOP_SECONDS = 0.05  # a stop takes this long, as checkpoints are written
 
 
@@ -235,7 +236,8 @@
             status, answer = 409, {"reason": "fence"}
         else:
             self.token = fields.get("fencingToken", 0)
-            self.lease_ms = max(self.lease_ms, fields.get("deadlineMs", 0))
+            longest_ms = self._clock_ms() + MAX_LEASE_MS
+            self.lease_ms = max(self.lease_ms, min(fields.get("deadlineMs", 0), longest_ms))
             status, answer = self._call(environ["PATH_INFO"], fields)
         answer = {"clockMs": self._clock_ms(), "born": self.born_ms, **answer}
         if environ["PATH_INFO"] == "/run-start" and self.random.random() < self.unanswered_share:
