--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -129,3 +129,12 @@
     Then the jobs are "completed" within 10 seconds at every entry
     And no process has ended or been replaced
     And the log of the entry has the lines "settings reloaded" and "settings not reloaded"
+
+  # The start of each task carried a lease on the clock of the worker's former incarnation. Its runs went on
+  # for up to 10 s, while the owner waited 4.3 s for the grant of the paused agent.
+  Scenario: A task does not run twice when a worker restarts silently and its agent is paused
+    Given a site of 2 entries and 2 agents
+    When a worker restarts silently just before a job of 6 tasks of 12.0 seconds arrives
+    And its agent is paused for 7 seconds
+    Then the job is "completed" within 60 seconds at every entry
+    And no promise is broken
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -306,3 +306,22 @@
 @then("at most {count:d} workers have crashed under it")
 def then_few_crashes(context, count):
     assert 1 <= crash_count(context) <= count, crash_count(context)
+
+
+@when(
+    "a worker restarts silently just before a job of {tasks:d} tasks of {seconds:f} seconds arrives"
+)
+def when_restarts_before(context, tasks, seconds):
+    gevent.sleep(8.0)  # The clocks of the workers are that far ahead of a new one.
+    context.site.workers[0].crash()
+    when_submitted(context, 1, tasks, seconds)
+    gevent.sleep(1.0)
+    assert any(run.worker == context.site.workers[0].worker_id for run in context.site.history())
+
+
+@when("its agent is paused for {seconds:d} seconds")
+def when_agent_paused(context, seconds):
+    name = context.site.names("agent")[0]
+    context.site.signal(name, signal.SIGSTOP)
+    gevent.sleep(seconds)
+    context.site.signal(name, signal.SIGCONT)
