Log the epoch and the last stored heartbeat of the owner with each decision, and pauses of a process

Each decision now has the epoch of its owner and the age of that owner's last stored heartbeat; a run that is lost has its state and the age of the agent's last report; entries and agents log when their event loop stood still for a second or more.

--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -4,6 +4,7 @@
 
 import logging
 from contextlib import ExitStack
+from functools import partial
 from typing import Any
 
 import gevent
@@ -14,6 +15,7 @@
 from acaciastand.cluster.batch_costs import decode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.keys import AGENTS_PREFIX
+from acaciastand.cluster.loop_lag import measure_loop_lag
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.run_reports import decode_limits, decode_start_command, encode_report
 from acaciastand.cluster.settings import JobAgentSettings
@@ -107,6 +109,7 @@
                 self.controller.poll_forever,
                 self._report_forever,
                 self._register_forever,
+                partial(measure_loop_lag, self.metrics),
             ):
                 stack.callback(gevent.spawn(supervised(loop, self.metrics)).kill)
             logger.info("agent started", extra={"agent_id": self.settings.agent_id})
--- a/src/acaciastand/cluster/decision_log.py
+++ b/src/acaciastand/cluster/decision_log.py
@@ -30,8 +30,21 @@
     )
 
 
-def log_decisions(decisions: Iterable[DecisionRecord], metrics: Metrics) -> None:
-    """Log decisions with their inputs and count them."""
+def log_decisions(
+    decisions: Iterable[DecisionRecord], metrics: Metrics, epoch: int, heartbeat_age_seconds: float
+) -> None:
+    """Log decisions with their inputs and count them.
+
+    Parameters
+    ----------
+    epoch
+        Epoch of the owner that decided.
+    heartbeat_age_seconds
+        Time since that owner sent its last heartbeat that was stored. Another owner may have been
+        elected since.
+    """
+    age = round(heartbeat_age_seconds, 2)
     for decision in decisions:
         metrics.count("decisions", decision.what)
-        logger.info(decision.what, extra={"subject": decision.subject, **decision.inputs})
+        extra = {"subject": decision.subject, **decision.inputs, "epoch": epoch}
+        logger.info(decision.what, extra={**extra, "heartbeat_age_s": age})
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 from contextlib import ExitStack
+from functools import partial
 from typing import Any
 
 import falcon
@@ -33,6 +34,7 @@
     StoredItemUnreadable,
     decode_address,
 )
+from acaciastand.cluster.loop_lag import measure_loop_lag
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PING_CALL, PeerLink, PeerStatus, answer_forward
@@ -62,8 +64,7 @@
 # load balancer needs two checks, one second apart, to notice.
 UNREADY_NOTICE_SECONDS = 2.2
 MAX_DRAIN_SECONDS = 3.0  # Longest wait for calls in progress during a stop.
-# Interval between two measurements; the delay of the sleep is one of them.
-MEASURE_INTERVAL_SECONDS = 0.5
+CONFIGURATION_AGE_INTERVAL_SECONDS = 0.5  # Interval between two updates of this metric.
 DRAIN_POLL_SECONDS = 0.02  # Interval between checks whether calls are in progress.
 
 logger = logging.getLogger(__name__)
@@ -143,7 +144,8 @@
                 self.configuration.follow_forever,
                 self._elect_forever,
                 self._follow_members,
-                self._measure_forever,
+                self._measure_configuration_age,
+                partial(measure_loop_lag, self.metrics),
             )
             for loop in loops:
                 stack.callback(gevent.spawn(supervised(loop, self.metrics)).kill)
@@ -185,14 +187,9 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _measure_forever(self) -> None:
-        """Record the delay of timers and the age of the configuration."""
+    def _measure_configuration_age(self) -> None:
         while True:
-            slept_at = now()
-            gevent.sleep(MEASURE_INTERVAL_SECONDS)
-            self.metrics.observe(
-                "loop_lag_seconds", max(0.0, now() - slept_at - MEASURE_INTERVAL_SECONDS)
-            )
+            gevent.sleep(CONFIGURATION_AGE_INTERVAL_SECONDS)
             self.metrics.set("configuration_age_seconds", self.configuration.age_seconds)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -360,7 +360,7 @@
         if self.scheduler.dirty:
             self.committer.commit_due.set()
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
-        log_decisions(decisions, self.metrics)
+        log_decisions(decisions, self.metrics, self.record.epoch, now() - self.confirmed_at)
         self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
 
     def _send_start(self, start: StartDecision) -> None:
--- a/src/acaciastand/cluster/supervision.py
+++ b/src/acaciastand/cluster/supervision.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 
@@ -26,7 +27,8 @@
     loop
         Loop to run. It is not begun again once it returns or its greenlet is killed.
     """
-    name = getattr(loop, "__name__", repr(loop))
+    function = loop.func if isinstance(loop, partial) else loop
+    name = getattr(function, "__name__", repr(function))
 
     def run() -> None:
         while True:
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -44,7 +44,7 @@
             if crash.born_ms > worker.crash_ms:
                 self.crash_processor.process(worker, crash, now, now_unix)
         if report.lapsed:
-            self.state.mark_all_lost(worker, "lease of the runs expired")
+            self.state.mark_all_lost(worker, "lease of the runs expired", now)
             worker.has_reported = True
         if report.identity is None:
             return
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -388,7 +388,7 @@
     def _check_grants(self, now: float) -> None:
         for worker in self.workers.values():
             if now > worker.granted_until and (worker.tasks or not worker.has_reported):
-                self.mark_all_lost(worker, "grant expired")
+                self.mark_all_lost(worker, "grant expired", now)
                 worker.has_reported = True
 
     def _check_uncertain(self, now: float) -> None:
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -130,16 +130,23 @@
             task.stop_sent_at = float("-inf")
             task.stop_confirmed_at = 0.0
 
-    def mark_lost(self, task: Task, why: str) -> None:
-        """Let a task whose run is certainly gone wait for its next start."""
-        self.record_decision("run lost", task.key, run=task.run, agent=task.agent_id, why=why)
+    def mark_lost(self, task: Task, why: str, **inputs: Any) -> None:
+        """Let a task whose run is certainly gone wait for its next start.
+
+        `why` and `inputs` go into the log.
+        """
+        state = task.state.name.lower()
+        self.record_decision(
+            "run lost", task.key, run=task.run, agent=task.agent_id, state=state, why=why, **inputs
+        )
         self.release(task)
         self.make_waiting(task)
 
-    def mark_all_lost(self, worker: WorkerView, why: str) -> None:
+    def mark_all_lost(self, worker: WorkerView, why: str, now: float) -> None:
         """Let all tasks on a worker wait, since their runs are certainly gone."""
+        report_age = round(now - worker.last_report_at, 2)
         for task in list(worker.tasks.values()):
-            self.mark_lost(task, why)
+            self.mark_lost(task, why, report_age_s=report_age)
 
     def has_used_attempts(self, task: Task) -> bool:
         """Return whether a task has failed as often as its queue allows.
