Do not take starts that an agent has not answered for lost when the lease of its worker has expired

Callers saw tasks run twice at once: an agent that had been frozen, with the link to its worker held, got starts, reported that the lease of the runs at its worker had expired, and carried out the starts when the link was let go.

Cause: the owner applied the report to starts that had not reached the worker, and started the tasks elsewhere.

Change: the agent does not report an expired lease while it holds a start; the owner applies the report only to runs whose start has been answered. Commands and reports of one connection are in order, so an unanswered command comes after the report.

--- /dev/null
+++ b/features/commands_in_flight.feature
@@ -0,0 +1,30 @@
+Feature: What is known of a worker holds only for the commands that reached it before
+
+  # The agent of a worker that did not answer reported that the lease of its runs had expired, while it still
+  # held starts. The owner started the tasks elsewhere, and the agent carried out the starts as well.
+  Scenario: A start that the agent has not answered is not lost with the lease of the worker
+    Given 2 workers of 16 cores
+    And the agents keep the starts that they get
+    And a job of 1 task in a queue with max_attempts 3
+    When the agent of the task reports that the lease of its runs has expired
+    Then its task has started 1 times
+    When the agent answers that the run has started
+    Then its task has started 1 times
+    When the agent of the task reports that the lease of its runs has expired
+    Then its task has started 2 times
+
+  Scenario: An agent does not report that the lease of its runs has expired while it holds a start
+    Given an agent whose worker's clock shows 500 seconds
+    When its worker does not answer until the lease has expired
+    Then the agent reports that the lease of its runs has expired
+    When a start for the silent worker is commanded
+    Then the agent does not report that the lease of its runs has expired
+    When the time for the start has passed
+    Then the agent reports that the lease of its runs has expired
+
+  Scenario: A start that waits in an agent whose worker does not answer does not run beside a second one
+    Given a site of 1 entries and 2 agents whose links can be held
+    When an agent is paused for 3.6 seconds and its worker does not answer for 1 seconds longer
+    And jobs arrive as soon as the agent goes on
+    Then the jobs are "completed" within 30 seconds at every entry
+    And no promise is broken
--- /dev/null
+++ b/features/steps/command_steps.py
@@ -0,0 +1,87 @@
+"""Steps for statements on a worker that cross commands on their way to it."""
+
+import signal
+
+import gevent
+from behave import given, then, when
+from lease_support import poll, start
+
+from acaciastand.cluster.clock import now
+from acaciastand.platform.http import CallTimedOut
+from acaciastand.workflow.reports import PollPosition, StartOutcome
+
+
+@given("the agents keep the starts that they get")
+def given_kept(context):
+    context.world.keeps_starts = True
+
+
+@when("the agent of the task reports that the lease of its runs has expired")
+def when_lease_expired(context):
+    world = context.world
+    agent_id = world.started[0][2]
+    world.report(agent_id, position=PollPosition(), running=[], lapsed=True, silent=True)
+    world.scheduler.workers[agent_id].reachable = False
+    world.advance(0.3)
+
+
+@when("the agent answers that the run has started")
+def when_answered(context):
+    world = context.world
+    [start_decision] = world.kept_starts
+    world.answer_start(start_decision, StartOutcome.STARTED)
+    world.advance(0.3)
+
+
+@when("its worker does not answer until the lease has expired")
+def when_silent(context):
+    context.worker.errors += [CallTimedOut("no answer", "poll again") for _ in range(9)]
+    for _ in range(2):
+        poll(context)
+    context.controller.lease.alive_until = now() - 0.1
+
+
+@when("a start for the silent worker is commanded")
+def when_start_commanded(context):
+    context.starting = start(context)
+    gevent.sleep(0.1)
+
+
+@when("the time for the start has passed")
+def when_start_over(context):
+    context.starting.join(2.0)
+
+
+@then("the agent reports that the lease of its runs has expired")
+def then_expired(context):
+    assert context.controller.report().lapsed
+
+
+@then("the agent does not report that the lease of its runs has expired")
+def then_not_expired(context):
+    assert not context.controller.report().lapsed
+
+
+@when(
+    "an agent is paused for {paused:f} seconds"
+    " and its worker does not answer for {longer:d} seconds longer"
+)
+def when_paused(context, paused, longer):
+    site = context.site
+    gevent.sleep(6.0)  # The owner no longer waits for the grants of a former one.
+    site.links["agent-1 worker"].silence()
+    site.signal("agent-1", signal.SIGSTOP)
+    gevent.sleep(paused)
+    site.signal("agent-1", signal.SIGCONT)
+    gevent.spawn_later(longer, site.links["agent-1 worker"].heal)
+
+
+@when("jobs arrive as soon as the agent goes on")
+def when_jobs_arrive(context):
+    step = {"count": 2, "cpu": 500, "estimateMs": 2000}
+    for number in range(10):
+        job_id = f"{number + 1:016x}"
+        context.jobs.append(job_id)
+        assert context.site.submit("entry-1", job_id, step, seconds=2.0) == 200
+        gevent.sleep(0.04)
+    gevent.sleep(2.0)
--- a/features/steps/run_lease_steps.py
+++ b/features/steps/run_lease_steps.py
@@ -4,6 +4,7 @@
 
 import gevent
 from behave import given, then, when
+from lease_support import FIRST_BORN_MS, ClockedWorker, poll, start
 from machines.lease_machine import LeaseMachine
 from machines.running import violation_of
 from waiting import wait_for
@@ -15,15 +16,13 @@
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.worker_controller import WorkerController
 from acaciastand.coordination.transactions import MemoryTransactionalStore
-from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import CallNotSent, CallTimedOut
 from acaciastand.platform.tasks import WorkerChanged
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
-from acaciastand.workflow.reports import PollResult, StartCommand, StartOutcome, WorkerIdentity
+from acaciastand.workflow.reports import WorkerIdentity
 
 MAX_LEASE_SECONDS = 10.0
-FIRST_BORN_MS = 5_000
 ERRORS = {
     "is not answered": CallTimedOut("no answer", "poll again"),
     "is refused": CallNotSent("refused", "check that it is running"),
@@ -31,45 +30,6 @@
 }
 
 
-class ClockedWorker:
-    """Records the lease that each call carries, relative to the clock of its incarnation."""
-
-    def __init__(self, clock_seconds):
-        self.began_at = now() - clock_seconds
-        self.born_ms = FIRST_BORN_MS
-        self.leases = []
-        self.starts = 0
-        self.errors = []
-        self.incarnation_header = {}
-        self.during_poll = lambda: None
-
-    def clock_ms(self):
-        return (now() - self.began_at) * 1000
-
-    def restart(self):
-        self.born_ms += 1_000
-        self.began_at = now()
-
-    def receive(self, lease_ms):
-        if lease_ms is not None:
-            self.leases.append((lease_ms - self.clock_ms()) / 1000)
-
-    def poll(self, lease_ms, acknowledged, wait_seconds):
-        result = PollResult(self.born_ms, self.clock_ms(), [], [])
-        self.during_poll()
-        if self.errors:
-            raise self.errors.pop(0)
-        self.receive(lease_ms)
-        return result
-
-    def start(self, command, lease_ms):
-        self.starts += 1
-        if self.errors:
-            raise self.errors.pop(0)
-        self.receive(lease_ms)
-        return StartOutcome.STARTED
-
-
 @given("an agent whose worker's clock shows {seconds:d} seconds")
 def given_agent(context, seconds):
     context.worker = ClockedWorker(float(seconds))
@@ -82,22 +42,6 @@
         poll(context)
 
 
-def poll(context):
-    try:
-        context.controller._poll_once()
-    except AcaciastandError as error:
-        context.controller._poll_failed(error)
-        return error
-    return None
-
-
-def start(context):
-    command = StartCommand("00000000000000aa.0.0.0", 1)
-    starting = gevent.spawn(context.controller.start, command, now() + 1.0, 1)
-    context.stack.callback(starting.kill)
-    return starting
-
-
 @when("its worker announces a new incarnation whose clock shows 0 seconds")
 def when_announced(context):
     context.worker.restart()
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -110,7 +110,7 @@
     `ignored_stops`. The tasks in `deadly` crash the worker that starts them after that many
     seconds, and `crashes` tells how often they did. With `completes`, tasks are done after the
     estimated time, and progress is stored at once. The heartbeats of the owner are stored until
-    `confirmed_at`, or all of them if it is None.
+    `confirmed_at`, or all of them if it is None. With `keeps_starts`, starts are not answered.
     """
 
     def __init__(self, ranking=None, placement=None, has_reported=True, interference=None):
@@ -127,6 +127,8 @@
         self.crashes = {}
         self.completes = False
         self.confirmed_at = None
+        self.keeps_starts = False
+        self.kept_starts = []
 
     @property
     def now_unix(self):
@@ -253,6 +255,9 @@
     def _start(self, start):
         worker = self.workers[start.agent_id]
         self.started.append((start.command.task, start.command.run, start.agent_id))
+        if self.keeps_starts:
+            self.kept_starts.append(start)
+            return
         if worker.crashed_at is not None:
             outcome = StartOutcome.REFUSED
         elif start.agent_id in self.unanswered:
@@ -261,8 +266,12 @@
             worker.running[start.command.task] = start.command.run
             worker.started_at[start.command.task] = self.now
             outcome = StartOutcome.STARTED
+        self.answer_start(start, outcome)
+
+    def answer_start(self, start, outcome):
+        position = self.workers[start.agent_id].position
         self.scheduler.process_start_result(
-            start.task, start.command.run, outcome, worker.position, self.now
+            start.task, start.command.run, outcome, position, self.now
         )
 
     def _stop(self, stop):
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -96,6 +96,8 @@
         Latency target of each task and whether it uses leftover processor time.
     costs
         What the batch tasks take from the services on this worker, by the owner's last grant.
+    starting
+        Starts in progress, by task and run.
     unsettled_starts
         Starts that may still take effect, by task and run, with the epoch of their owner and the
         time after which the worker rejects them as too late.
@@ -143,6 +145,7 @@
         self.last_end_number = 0
         self.costs: dict[str, BatchCost] = {}
         self.pace_percent = FULL_PERCENT
+        self.starting: set[tuple[str, int]] = set()
         self.unsettled_starts: dict[tuple[str, int], tuple[int, float]] = {}
         self.stops: dict[tuple[str, int], AsyncResult] = {}
         self.epoch = 0
@@ -200,7 +203,8 @@
         result = self.last_poll
         position = PollPosition(self.agent_incarnation, self.poll_number)
         unresponsive = self.failed_polls >= UNRESPONSIVE_POLLS
-        expired = unresponsive and now() > self.lease.alive_until
+        # A start in progress may still begin a run.
+        expired = unresponsive and now() > self.lease.alive_until and not self.starting
         if expired and self.refuses_connections:
             self._record_crash()
         crashes = self.crash_witness.crashes
@@ -268,7 +272,11 @@
         key = (command.task, command.run)
         self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
         self.crash_witness.record_start(command.task, command.run, now())
-        outcome = self._send_start(command, not_after, self.born_ms)
+        self.starting.add(key)
+        try:
+            outcome = self._send_start(command, not_after, self.born_ms)
+        finally:
+            self.starting.discard(key)
         if outcome != StartOutcome.UNKNOWN:
             self.unsettled_starts.pop(key, None)
             if outcome != StartOutcome.STARTED:
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -25,6 +25,14 @@
     FAILED = 6
 
 
+class StartState(IntEnum):
+    """What is known of the command to start the current run of a task."""
+
+    SENT = 0  # The agent has not answered, and may carry the command out later.
+    UNANSWERED = 1  # The agent carries it out no more, but the run may have started.
+    CONFIRMED = 2  # The worker has started the run.
+
+
 class JobState(StrEnum):
     """State of a job as callers see it."""
 
@@ -55,6 +63,8 @@
     agent_id, born_ms
         Agent beside the worker of the current run, and the start time of the worker in Unix
         milliseconds, which identifies its incarnation.
+    start_state
+        What is known of the command to start the current run.
     missed_polls
         Number of polls in a row that did not list the run.
     percent, measurement
@@ -93,6 +103,7 @@
         "checkpoint",
         "agent_id",
         "born_ms",
+        "start_state",
         "missed_polls",
         "percent",
         "measurement",
@@ -119,6 +130,7 @@
         self.checkpoint = ""
         self.agent_id = ""
         self.born_ms = 0
+        self.start_state = StartState.SENT
         self.missed_polls = 0
         self.percent = 100.0
         self.measurement = 0.0
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -5,7 +5,7 @@
 from acaciastand.workflow import crashes, quarantine
 from acaciastand.workflow.crash_processing import CrashProcessor
 from acaciastand.workflow.decisions import StopDecision
-from acaciastand.workflow.job import ON_WORKER, Task, TaskState
+from acaciastand.workflow.job import ON_WORKER, StartState, Task, TaskState
 from acaciastand.workflow.moves import runs_outlasting_drain
 from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, RunEnd
 from acaciastand.workflow.scheduler_state import SchedulerState
@@ -44,8 +44,7 @@
             if crash.born_ms > worker.crash_ms:
                 self.crash_processor.process(worker, crash, now, now_unix)
         if report.lapsed:
-            self.state.mark_all_lost(worker, "lease of the runs expired", now)
-            worker.has_reported = True
+            self._handle_expired_lease(worker)
         if report.identity is None:
             return
         if worker.born_ms and worker.born_ms != report.identity.born_ms:
@@ -78,6 +77,17 @@
             for task in runs_outlasting_drain(worker, now):
                 self.state.request_stop(task, now)
 
+    def _handle_expired_lease(self, worker: WorkerView) -> None:
+        """Count the runs that had started when the agent sent the report as lost.
+
+        The agent answers commands and sends reports over one connection. It had not begun to carry
+        out a command that it has not answered, and may still do so.
+        """
+        worker.has_reported = True
+        for task in list(worker.tasks.values()):
+            if task.start_state != StartState.SENT:
+                self.state.mark_lost(task, "lease of the runs expired")
+
     def _process_end(self, worker: WorkerView, end: EndedRun, now: float, now_unix: float) -> None:
         """Process the end of a run and keep it until it may be acknowledged.
 
@@ -172,6 +182,7 @@
             if listed_run is not None and listed_run.run == task.run:
                 task.missed_polls = 0
                 task.born_ms = worker.born_ms
+                task.start_state = StartState.CONFIRMED
             elif self._shows_missing(report, task) and (task.key, task.run) not in ended:
                 self._handle_missed_poll(task, now)
 
@@ -228,6 +239,7 @@
         self.state.forget_waiting(task)
         task.run = active_run.run
         task.state = TaskState.RUNNING
+        task.start_state = StartState.CONFIRMED
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
         task.started_at = now
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -21,7 +21,7 @@
     reference_cores,
 )
 from acaciastand.workflow.isolation import is_quiet
-from acaciastand.workflow.job import Job, Task, TaskState
+from acaciastand.workflow.job import Job, StartState, Task, TaskState
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.moves import WaitingCores, runs_to_move, slowed_runs
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
@@ -264,8 +264,10 @@
         worker = self.workers[task.agent_id]
         if outcome == StartOutcome.UNKNOWN:
             self.record_decision("start unknown", task.key, run=run, agent=task.agent_id)
+            task.start_state = StartState.UNANSWERED
             self.request_stop(task, now)
         elif outcome == StartOutcome.STARTED:
+            task.start_state = StartState.CONFIRMED
             task.after_poll = position
             if task.state == TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -362,6 +364,7 @@
         task.state = TaskState.STARTING
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
+        task.start_state = StartState.SENT
         task.missed_polls = 0
         task.stop_confirmed_at = 0.0
         task.percent = 0.0 if task.step.continuous else 100.0
@@ -406,9 +409,12 @@
         Another owner could have extended a grant, so it must have expired before `confirmed_at`.
         """
         for worker in self.workers.values():
-            if worker.depends_on_grant and confirmed_at > worker.granted_until:
-                self.mark_all_lost(worker, "grant expired", now)
-                worker.has_reported = True
+            if not worker.depends_on_grant or confirmed_at <= worker.granted_until:
+                continue
+            worker.has_reported = True
+            report_age = round(now - worker.last_report_at, 2)
+            for task in list(worker.tasks.values()):
+                self.mark_lost(task, "grant expired", report_age_s=report_age)
 
     def _check_uncertain(self, now: float) -> None:
         if not self.uncertain or not all(worker.has_reported for worker in self.workers.values()):
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -142,12 +142,6 @@
         self.release(task)
         self.make_waiting(task)
 
-    def mark_all_lost(self, worker: WorkerView, why: str, now: float) -> None:
-        """Let all tasks on a worker wait, since their runs are certainly gone."""
-        report_age = round(now - worker.last_report_at, 2)
-        for task in list(worker.tasks.values()):
-            self.mark_lost(task, why, report_age_s=report_age)
-
     def has_used_attempts(self, task: Task) -> bool:
         """Return whether a task has failed as often as its queue allows.
 
