--- a/features/steps/run_lease_steps.py
+++ b/features/steps/run_lease_steps.py
@@ -4,7 +4,7 @@
 
 import gevent
 from behave import given, then, when
-from lease_support import FIRST_BORN_MS, ClockedWorker, poll, start
+from lease_support import ClockedWorker, poll, start
 from machines.lease_machine import LeaseMachine
 from machines.running import violation_of
 from waiting import wait_for
@@ -163,7 +163,7 @@
         owner._handle_report(link, report)
     world.scheduler.workers["1"].reachable = False
     for after, is_lost in ((report.alive_seconds, False), (report.alive_seconds + 0.4, True)):
-        world.scheduler._check_grants(world.now + after)
+        world.scheduler._check_grants(world.now + after, world.now + after)
         assert (not task.agent_id) == is_lost, (after, task.agent_id)
 
 
