Count a start of a former owner as settled only when the lease of its last call has expired

A new owner starts a task that its predecessor may have started once no start of the predecessor can take effect any more. The agent counted 3.15 s for that from the command. It repeats an unanswered call for up to 1.5 s, so the last call could carry a lease that ended 1.35 s later, and a worker that carried it out late ran the task beside the new owner's run. It also went on repeating the start for a former owner after it had followed a new one.

Change: a start is unsettled while it is in progress and for the length of a lease after its last call; nothing is sent for an owner that has been succeeded.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -28,3 +28,19 @@
     And jobs arrive as soon as the agent goes on
     Then the jobs are "completed" within 30 seconds at every entry
     And no promise is broken
+
+  # A start of a former owner counted as settled 3.15 s after the command, although its last call had been sent
+  # up to 1.5 s later and carried a lease of 3 s. The new owner started the task elsewhere.
+  Scenario: A start of a former owner settles when the lease of its last call has expired
+    Given an agent whose worker's clock shows 500 seconds
+    When two calls of a start are not answered, the second one 0.8 seconds after the first
+    And a new owner is followed whose stops are not answered
+    Then the starts of the former owner have not settled 3.4 seconds after the first call
+    And the starts of the former owner have settled 4.2 seconds after the first call
+
+  Scenario: The starts of a former owner are not settled while one is in progress, and it is not repeated
+    Given an agent whose worker's clock shows 500 seconds
+    When a call of a start is not answered
+    And a new owner is followed whose stops are not answered
+    Then the starts of the former owner have not settled
+    And the start is not repeated after the next poll
--- a/features/lease_support.py
+++ b/features/lease_support.py
@@ -4,6 +4,7 @@
 
 from acaciastand.cluster.clock import now
 from acaciastand.errors import AcaciastandError
+from acaciastand.platform.http import CallTimedOut
 from acaciastand.workflow.reports import PollResult, StartCommand, StartOutcome
 
 FIRST_BORN_MS = 5_000
@@ -40,6 +41,9 @@
         self.receive(lease_ms)
         return result
 
+    def stop(self, task, run):
+        raise CallTimedOut("no answer", "repeat the call")
+
     def start(self, command, lease_ms):
         self.starts += 1
         if self.errors:
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -1,11 +1,13 @@
 """Steps for statements on a worker that cross commands on their way to it."""
 
 import signal
+from unittest import mock
 
 import gevent
 from behave import given, then, when
 from lease_support import poll, start
 
+from acaciastand.cluster import worker_controller
 from acaciastand.cluster.clock import now
 from acaciastand.platform.http import CallTimedOut
 from acaciastand.workflow.reports import PollPosition, StartOutcome
@@ -85,3 +87,56 @@
         assert context.site.submit("entry-1", job_id, step, seconds=2.0) == 200
         gevent.sleep(0.04)
     gevent.sleep(2.0)
+
+
+@when("a call of a start is not answered")
+def when_start_not_answered(context):
+    context.worker.errors.append(CallTimedOut("no answer", "repeat the call"))
+    context.first_call_at = now()
+    context.starting = start(context)
+    gevent.sleep(0.02)
+    assert context.worker.starts == 1
+
+
+@when("two calls of a start are not answered, the second one {seconds:f} seconds after the first")
+def when_two_not_answered(context, seconds):
+    when_start_not_answered(context)
+    gevent.sleep(seconds)
+    context.worker.errors.append(CallTimedOut("no answer", "repeat the call"))
+    context.controller.lease.record_clock(context.worker.clock_ms(), now())
+    gevent.sleep(0.1)
+    assert context.worker.starts == 2
+
+
+@when("a new owner is followed whose stops are not answered")
+def when_new_owner(context):
+    context.controller.begin_epoch(2)
+
+
+@then("the starts of the former owner have not settled")
+def then_not_settled(context):
+    assert not context.controller._is_settled()
+
+
+@then("the starts of the former owner have not settled {seconds:f} seconds after the first call")
+def then_not_settled_after(context, seconds):
+    assert not is_settled_after(context, seconds)
+
+
+@then("the starts of the former owner have settled {seconds:f} seconds after the first call")
+def then_settled_after(context, seconds):
+    assert is_settled_after(context, seconds)
+
+
+def is_settled_after(context, seconds):
+    context.starting.join(2.0)
+    later = context.first_call_at + seconds
+    with mock.patch.object(worker_controller, "now", lambda: later):
+        return context.controller._is_settled()
+
+
+@then("the start is not repeated after the next poll")
+def then_not_repeated(context):
+    poll(context)
+    gevent.sleep(0.2)
+    assert context.worker.starts == 1
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -97,10 +97,10 @@
     costs
         What the batch tasks take from the services on this worker, by the owner's last grant.
     starting
-        Starts in progress, by task and run.
+        Epoch of the owner of each start in progress, by task and run.
     unsettled_starts
-        Starts that may still take effect, by task and run, with the epoch of their owner and the
-        time after which the worker rejects them as too late.
+        Starts that have ended without an answer and may still take effect, by task and run, with
+        the epoch of their owner and the time after which the worker rejects them as too late.
     stops
         Results of the stops in progress, by task and run.
     epoch
@@ -145,7 +145,7 @@
         self.last_end_number = 0
         self.costs: dict[str, BatchCost] = {}
         self.pace_percent = FULL_PERCENT
-        self.starting: set[tuple[str, int]] = set()
+        self.starting: dict[tuple[str, int], int] = {}
         self.unsettled_starts: dict[tuple[str, int], tuple[int, float]] = {}
         self.stops: dict[tuple[str, int], AsyncResult] = {}
         self.epoch = 0
@@ -156,7 +156,7 @@
         """Follow a new owner, and stop all runs that former owners may still be starting."""
         self.epoch = epoch
         self.epoch_began_at_poll = self.polls_begun
-        for task, run in list(self.unsettled_starts):
+        for task, run in {**self.starting, **self.unsettled_starts}:
             gevent.spawn(self.stop, task, run, now() + RUN_LEASE_SECONDS)
 
     def apply_announcement(self, identity: WorkerIdentity, sequence: int) -> bool:
@@ -270,23 +270,32 @@
         """
         self.limits[command.task] = RunLimits(command.target_ms, command.uses_leftover)
         key = (command.task, command.run)
-        self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
         self.crash_witness.record_start(command.task, command.run, now())
-        self.starting.add(key)
+        self.starting[key] = epoch
         try:
-            outcome = self._send_start(command, not_after, self.born_ms)
+            outcome = self._send_start(command, not_after, epoch, self.born_ms)
         finally:
-            self.starting.discard(key)
-        if outcome != StartOutcome.UNKNOWN:
-            self.unsettled_starts.pop(key, None)
-            if outcome != StartOutcome.STARTED:
-                self.crash_witness.discard_start(command.task, command.run)
+            del self.starting[key]
+        if outcome == StartOutcome.UNKNOWN:
+            # The worker rejects each call once the lease that it carries has expired.
+            self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
+        elif outcome != StartOutcome.STARTED:
+            self.crash_witness.discard_start(command.task, command.run)
         return outcome
 
-    def _send_start(self, command: StartCommand, not_after: float, born_ms: int) -> StartOutcome:
-        """Send a start to the incarnation `born_ms` of the worker, which may restart meanwhile."""
+    def _send_start(
+        self, command: StartCommand, not_after: float, epoch: int, born_ms: int
+    ) -> StartOutcome:
+        """Send a start to the incarnation `born_ms` of the worker, which may restart meanwhile.
+
+        Nothing is sent for an owner that has been succeeded.
+        """
         all_answered = True
-        while now() < min(not_after, self.grant_until) and self.born_ms == born_ms:
+        while (
+            now() < min(not_after, self.grant_until)
+            and self.born_ms == born_ms
+            and self.epoch <= epoch
+        ):
             lease_ms = self.lease.extend(self.grant_until, now())
             if lease_ms is None:  # The next poll shows which incarnation answers.
                 gevent.sleep(RETRY_PAUSE_SECONDS)
@@ -417,7 +426,8 @@
         self.unsettled_starts = {
             key: value for key, value in self.unsettled_starts.items() if now() <= value[1]
         }
-        return not any(epoch < self.epoch for epoch, _ in self.unsettled_starts.values())
+        unanswered_epochs = [epoch for epoch, _ in self.unsettled_starts.values()]
+        return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unanswered_epochs))
 
     def _has_unstored_ends(self) -> bool:
         """Return whether the last poll returned ends that are not stored yet."""
