Require a stop by the new incarnation of a worker before a start without an answer counts as lost

A call without an answer may be carried out seconds later. When a worker restarted under its id, the owner counted a start without an answer as lost with the former incarnation, by a poll that it compared with an earlier run, and started the task elsewhere. The late call then began the run in the new incarnation: the lease in it is a time on the former clock, so the worker does not reject it.

Change: such a start stays on the worker until the new incarnation has taken a stop, which makes it reject the start, and a poll after that does not list it. A worker with another id rejects calls to its predecessor, so nothing changes there.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -44,3 +44,14 @@
     And a new owner is followed whose stops are not answered
     Then the starts of the former owner have not settled
     And the start is not repeated after the next poll
+
+  # The owner started the task elsewhere at once. A worker may carry out an unanswered call late, also in a new
+  # incarnation, whose clock has not reached the end of the lease in the call.
+  Scenario: A start without an answer is not lost when the worker restarts before it has taken a stop
+    Given 2 workers of 16 cores
+    And starts and stops are not answered
+    And a job of 1 task in a queue with max_attempts 3
+    When the worker of the task restarts
+    Then its task has started 1 times
+    When stops are answered again
+    Then its task has started 2 times
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -140,3 +140,22 @@
     poll(context)
     gevent.sleep(0.2)
     assert context.worker.starts == 1
+
+
+@given("starts and stops are not answered")
+def given_unanswered(context):
+    context.world.unanswered = set(context.world.workers)
+    context.world.ignored_stops = set(context.world.workers)
+
+
+@when("the worker of the task restarts")
+def when_worker_of_task_restarts(context):
+    world = context.world
+    world.workers[world.started[0][2]].restart()
+    world.advance(2.0)
+
+
+@when("stops are answered again")
+def when_stops_answered(context):
+    context.world.ignored_stops = set()
+    context.world.advance(2.0)
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -280,7 +280,14 @@
             runs=len(worker.tasks),
         )
         listed = {(active_run.task, active_run.run) for active_run in report.running}
+        # An incarnation with another id rejects calls that were sent to its predecessor.
+        has_same_id = worker.identity and worker.identity.worker_id == report.identity.worker_id
         for task in list(worker.tasks.values()):
+            if has_same_id and task.start_state == StartState.UNANSWERED:
+                # The new incarnation may carry out the call unless it has taken a stop before.
+                task.stop_confirmed_at = 0.0
+                task.stop_sent_at = float("-inf")
+                continue
             # A start command that was on its way may have reached the new incarnation. Its reply
             # or the next poll shows whether the run started.
             is_settled = task.state != TaskState.STARTING and report.position.is_after(
