Claim the ownership only if the former owner has stored no heartbeat since the last read

A new owner waits until the authority of its predecessor is over, 8.4 s after the predecessor's last heartbeat, before it starts tasks that an agent which it does not reach may run. It took the heartbeat of its last read for the last one. A heartbeat that had been held up could be stored between that read and the claim, and a read that took long showed heartbeats sent after it began. The predecessor then kept its authority for up to 2 s longer than its successor waited: it could go on starting tasks and extending grants on an agent that only it reached, while the successor started them elsewhere.

Change: the claim also expects the revision of the heartbeat key, and the time counts from the return of the read.

The scenario of the claim failed before and passes now.

--- a/features/steps/odd_value_steps.py
+++ b/features/steps/odd_value_steps.py
@@ -24,6 +24,7 @@
     CANCELS_PREFIX,
     INTERFERENCE_KEY,
     JOBS_PREFIX,
+    OWNER_HEARTBEAT_KEY,
     OWNER_KEY,
     PROGRESS_PREFIX,
     OwnerRecord,
@@ -289,7 +290,8 @@
         current = store.get(OWNER_KEY)
         ignored = IgnoredValues(Metrics(), now)
         former = decode_owner(current, ignored.recorder(OWNER_KEY))
-        won = claim(store, current, former, "entry-1", "10.0.0.1:1", lambda _: None)
+        heartbeat = store.get(OWNER_HEARTBEAT_KEY)
+        won = claim(store, current, heartbeat, former, "entry-1", "10.0.0.1:1", lambda _: None)
         context.claims.append((won, current.revision))
 
 
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -13,11 +13,18 @@
 
 from acaciastand.cluster import pace_sender, worker_controller
 from acaciastand.cluster.catalog_copy import CatalogCopy
+from acaciastand.cluster.claim import claim
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import OwnershipLost
 from acaciastand.cluster.election import SMALL_HOST_CLAIM_DELAY_SECONDS, Candidate, Observation
 from acaciastand.cluster.job_api import JobApi, JobApiUnavailable
-from acaciastand.cluster.keys import JOBS_PREFIX, OWNER_KEY, OwnerRecord, encode_job
+from acaciastand.cluster.keys import (
+    JOBS_PREFIX,
+    OWNER_HEARTBEAT_KEY,
+    OWNER_KEY,
+    OwnerRecord,
+    encode_job,
+)
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.cluster.worker_controller import WorkerController
@@ -54,7 +61,7 @@
 
 def read(context, owner=b"someone", revision=5):
     observation = Observation(Item("o", owner, revision), Item("b", b"", context.heartbeat))
-    context.candidate.observe(observation, context.now)
+    context.candidate.observe(observation, context.now, context.now + 0.01)
 
 
 def read_for(context, seconds, rising=False):
@@ -196,6 +203,52 @@
     context.owner.release()
 
 
+def read_keys(context):
+    context.read = [context.store.get(OWNER_KEY), context.store.get(OWNER_HEARTBEAT_KEY)]
+
+
+@when("another entry has read the owner key, and a held heartbeat is stored then")
+def when_heartbeat_crosses(context):
+    read_keys(context)
+    context.store.commit({OWNER_KEY: context.owner.fence}, {OWNER_HEARTBEAT_KEY: b"1"})
+
+
+@when("it has read the keys again")
+def when_read_again(context):
+    read_keys(context)
+
+
+def claim_of_other(context):
+    former = context.owner.record
+    return claim(context.store, *context.read, former, "entry-2", "10.0.0.2:1", lambda _: None)
+
+
+@then("its claim fails")
+def then_claim_fails(context):
+    assert claim_of_other(context) is None
+    assert context.store.get(OWNER_KEY).value == context.owner.record.encode()
+
+
+@then("its claim succeeds")
+def then_claim_succeeds(context):
+    record, fence = claim_of_other(context)
+    assert context.store.get(OWNER_KEY) == Item(OWNER_KEY, record.encode(), fence)
+
+
+@when("a read that takes {seconds:f} seconds shows another heartbeat")
+def when_slow_read(context, seconds):
+    read(context)
+    context.now += READ_SECONDS
+    context.heartbeat += 1
+    observation = Observation(Item("o", b"someone", 5), Item("b", b"", context.heartbeat))
+    context.candidate.observe(observation, context.now, context.now + seconds)
+
+
+@then("the heartbeat may have been sent {seconds:f} seconds after the read began")
+def then_sent_by(context, seconds):
+    assert context.candidate.heartbeat_sent_by == context.now + seconds
+
+
 @when("another entry claims the ownership")
 def when_other_claims(context):
     context.store.commit({}, {OWNER_KEY: b"other"})
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -24,6 +24,20 @@
     When the heartbeat is unchanged for 0.5 seconds
     Then it claims
 
+  # The successor waited for the authority of the former owner from an older heartbeat on, while the former owner
+  # had authority until 8 s after a heartbeat that was stored between the last read and the claim.
+  Scenario: A heartbeat that is stored after the last read keeps another entry from claiming
+    Given an owner whose last heartbeat was stored 0.1 seconds ago
+    When another entry has read the owner key, and a held heartbeat is stored then
+    Then its claim fails
+    When it has read the keys again
+    Then its claim succeeds
+
+  Scenario: A heartbeat counts as sent until the read that shows it has returned
+    Given a candidate that reads the store every 0.25 seconds
+    When a read that takes 0.9 seconds shows another heartbeat
+    Then the heartbeat may have been sent 0.9 seconds after the read began
+
   # Only eight jobs were removed every ten seconds, however many had ended meanwhile.
   Scenario: All jobs that ended long ago are removed in one round
     Given an owner whose last heartbeat was stored 0.1 seconds ago
--- a/src/acaciastand/cluster/claim.py
+++ b/src/acaciastand/cluster/claim.py
@@ -5,7 +5,12 @@
 import os
 from collections.abc import Callable
 
-from acaciastand.cluster.keys import OWNER_KEY, OwnerRecord, StoredItemUnreadable
+from acaciastand.cluster.keys import (
+    OWNER_HEARTBEAT_KEY,
+    OWNER_KEY,
+    OwnerRecord,
+    StoredItemUnreadable,
+)
 from acaciastand.coordination.transactions import CommitConflict, Item, TransactionalStore
 
 
@@ -36,6 +41,7 @@
 def claim(
     store: TransactionalStore,
     current: Item,
+    heartbeat: Item,
     former: OwnerRecord | None,
     entry_id: str,
     address: str,
@@ -43,10 +49,13 @@
 ) -> tuple[OwnerRecord, int] | None:
     """Claim the ownership with a record that replaces `current`.
 
+    The claim fails if the former owner has stored another heartbeat since the last read, so its
+    authority ends no later than that read shows.
+
     Parameters
     ----------
-    current
-        The owner key as it was read last.
+    current, heartbeat
+        The owner key and the heartbeat key as they were read last.
     former
         The owner that it names; None if it names none.
     entry_id, address
@@ -58,7 +67,8 @@
     Returns
     -------
     tuple[OwnerRecord, int] | None
-        The new record and its revision; None if another entry claimed the ownership first.
+        The new record and its revision; None if another entry claimed the ownership first or the
+        former owner has stored a heartbeat.
 
     Raises
     ------
@@ -71,7 +81,8 @@
     record = OwnerRecord(entry_id, address, max(epoch, current.revision) + 1, os.urandom(8))
     before_commit(record)
     try:
-        return record, store.commit({OWNER_KEY: current.revision}, {OWNER_KEY: record.encode()})
+        expected = {OWNER_KEY: current.revision, OWNER_HEARTBEAT_KEY: heartbeat.revision}
+        return record, store.commit(expected, {OWNER_KEY: record.encode()})
     except CommitConflict as conflict:
         stored = conflict.current[OWNER_KEY]
         if stored.value == record.encode():
--- a/src/acaciastand/cluster/election.py
+++ b/src/acaciastand/cluster/election.py
@@ -52,6 +52,9 @@
         Latest observation; None before the first read.
     changed_at
         When a read first returned the latest revisions, or the first read after a long gap.
+    heartbeat_sent_by
+        When the first read with the latest revisions returned. The owner had sent its last stored
+        heartbeat by then.
     last_read_at
         When the store was last read.
     refused
@@ -64,6 +67,7 @@
         "claim_delay_seconds",
         "last_observation",
         "changed_at",
+        "heartbeat_sent_by",
         "last_read_at",
         "refused",
         "owner_ended",
@@ -73,23 +77,25 @@
         self.claim_delay_seconds = claim_delay_seconds
         self.last_observation: Observation | None = None
         self.changed_at = 0.0
+        self.heartbeat_sent_by = 0.0
         self.last_read_at = float("-inf")
         self.refused = False
         self.owner_ended = False
 
-    def observe(self, observation: Observation, now: float) -> None:
-        """Process the result of a read that began at `now`."""
-        has_gap = now - self.last_read_at > MAX_READ_GAP_SECONDS
+    def observe(self, observation: Observation, began_at: float, returned_at: float) -> None:
+        """Process the result of a read."""
+        has_gap = began_at - self.last_read_at > MAX_READ_GAP_SECONDS
         if (
             has_gap
             or self.last_observation is None
             or _revisions(observation) != _revisions(self.last_observation)
         ):
-            self.changed_at = now
+            self.changed_at = began_at
+            self.heartbeat_sent_by = returned_at
             self.refused = False
             self.owner_ended = False
         self.last_observation = observation
-        self.last_read_at = now
+        self.last_read_at = began_at
 
     def record_connection_refused(self) -> None:
         """Shorten the timeout, since nothing listens at the owner's address any more."""
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -230,9 +230,8 @@
         read_at = now()
         items = {item.key: item for item in self.store.list(CONTROL_PREFIX).items}
         current = items.get(OWNER_KEY, Item(OWNER_KEY))
-        self.candidate.observe(
-            Observation(current, items.get(OWNER_HEARTBEAT_KEY, Item(OWNER_HEARTBEAT_KEY))), read_at
-        )
+        heartbeat = items.get(OWNER_HEARTBEAT_KEY, Item(OWNER_HEARTBEAT_KEY))
+        self.candidate.observe(Observation(current, heartbeat), read_at, now())
         self._record_owner(current)
         if self.unconfirmed_claim is not None and current.value == self.unconfirmed_claim.encode():
             return self._begin_term(self.unconfirmed_claim, current.revision, read_at)
@@ -244,9 +243,9 @@
             self.candidate.record_connection_refused()
         if not self.candidate.should_claim(now()):
             return
-        self._claim(current)
+        self._claim(current, heartbeat)
 
-    def _claim(self, current: Item) -> None:
+    def _claim(self, current: Item, heartbeat: Item) -> None:
         claimed_at = now()
         entry_id, address = self.settings.entry_id, self.settings.dialled_address
         logger.info(
@@ -257,7 +256,15 @@
                 "refused": self.candidate.refused,
             },
         )
-        won = claim(self.store, current, self.owner_record, entry_id, address, self._remember_claim)
+        won = claim(
+            self.store,
+            current,
+            heartbeat,
+            self.owner_record,
+            entry_id,
+            address,
+            self._remember_claim,
+        )
         if won is not None:
             self._begin_term(won[0], won[1], claimed_at)
 
@@ -282,7 +289,7 @@
             record,
             fence,
             confirmed_at,
-            self.candidate.changed_at,
+            self.candidate.heartbeat_sent_by,
             self.configuration.catalog,
             self.settings.stop_timeout_ms / 1000,
             self.metrics,
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -77,7 +77,7 @@
     claimed_at
         When the claim was sent or, if its answer was lost, the read that showed it began.
     former_heartbeat_at
-        Latest time at which a former owner can have stored its last heartbeat.
+        Latest time at which a former owner can have sent its last stored heartbeat.
     catalog
         Configuration in use.
     stop_seconds
