Let an owner without a recent heartbeat connect to new agents only after its next one

An owner that has been succeeded without knowing it could connect to an agent that registered after the claim of its successor, and start tasks there that waited for room. The successor takes that agent for new, does not wait for its report, and starts the same tasks elsewhere.

The new scenario failed without the check and passes with it. The scenarios of odd items call the one method that now applies all kinds of items.

--- a/features/steps/odd_value_steps.py
+++ b/features/steps/odd_value_steps.py
@@ -225,16 +225,14 @@
         item = Item(f"{key[:-2]}{number:02x}"[-200:], context.odd.encoded(plain), 100 + number)
         if prefix.startswith("inbox"):
             item.key = f"{prefix}{1000 + number:016x}"
-            owner._apply_inbox_items([item])
-        else:
-            owner._add_agents([item])
+        owner._apply_items([item])
         started_jobs(owner)
 
 
 @then("it starts a job that is submitted after them")
 def then_starts_later(context):
     owner = context.owner
-    owner._apply_inbox_items([Item(JOBS_PREFIX + LATER, encode_job(job(LATER)), 9_000)])
+    owner._apply_items([Item(JOBS_PREFIX + LATER, encode_job(job(LATER)), 9_000)])
     for view in owner.scheduler.workers.values():
         view.full_until = 0.0
         for task in list(view.tasks.values()):
@@ -401,7 +399,7 @@
     message = encode_report(AgentReport(identity(OTHER), PollPosition(2, 9)), 100.0)
     grant = owner.links[OTHER]._handle(mock.Mock(), message)
     assert isinstance(grant, RunGrant) and grant.seconds > 0
-    owner._apply_inbox_items([Item(JOBS_PREFIX + LATER, encode_job(job(LATER)), 9_000)])
+    owner._apply_items([Item(JOBS_PREFIX + LATER, encode_job(job(LATER)), 9_000)])
     owner.scheduler.workers[OTHER].reachable = True
     owner.scheduler.uncertain.clear()
     starts, _ = owner.scheduler.plan(now() + 1.0, 1_700_000_000.0, now() + 1.0)
--- a/features/steps/robustness_steps.py
+++ b/features/steps/robustness_steps.py
@@ -142,7 +142,7 @@
 def when_inbox(context):
     good = Item(JOBS_PREFIX + context.job.job_id, encode_job(context.job), 90)
     bad = [Item(JOBS_PREFIX + FIRST, value, 80) for value in MALFORMED_VALUES]
-    context.owner._apply_inbox_items([*bad, good])
+    context.owner._apply_items([*bad, good])
     assert FIRST not in context.owner.scheduler.jobs
     states = [t.state for t in context.owner.scheduler.jobs[context.job.job_id].tasks.values()]
     assert states == [TaskState.WAITING]
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -19,10 +19,12 @@
 from acaciastand.cluster.election import SMALL_HOST_CLAIM_DELAY_SECONDS, Candidate, Observation
 from acaciastand.cluster.job_api import JobApi, JobApiUnavailable
 from acaciastand.cluster.keys import (
+    AGENTS_PREFIX,
     JOBS_PREFIX,
     OWNER_HEARTBEAT_KEY,
     OWNER_KEY,
     OwnerRecord,
+    encode_fields,
     encode_job,
 )
 from acaciastand.cluster.owner import Owner
@@ -170,9 +172,24 @@
 
 @when("it is notified of a new job")
 def when_notified(context):
-    context.owner.apply_inbox_item(
-        Item(JOBS_PREFIX + context.job.job_id, encode_job(context.job), 9)
-    )
+    context.owner.apply_item(Item(JOBS_PREFIX + context.job.job_id, encode_job(context.job), 9))
+
+
+@when("an agent registers")
+def when_agent_registers(context):
+    context.stack.callback(context.owner.stop)
+    fields = encode_fields(["127.0.0.1:1", "zone-a"])
+    context.owner._apply_items([Item(AGENTS_PREFIX + "agent-1", fields, 9)])
+
+
+@then("it does not connect to the agent")
+def then_not_connected(context):
+    assert not context.owner.links
+
+
+@then("it connects to the agent")
+def then_connects(context):
+    assert set(context.owner.links) == {"agent-1"}
 
 
 @then("it does not schedule the job")
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -53,6 +53,15 @@
     When its heartbeat is stored
     Then it schedules the job
 
+  # Another owner that was elected before the registration takes the agent for new too. Both started tasks that
+  # waited for room, the former owner on the new agent and its successor elsewhere.
+  Scenario: An owner without a recent heartbeat defers new agents until its next heartbeat
+    Given an owner whose last heartbeat was stored 1.6 seconds ago
+    When an agent registers
+    Then it does not connect to the agent
+    When its heartbeat is stored
+    Then it connects to the agent
+
   # The answer to the release was lost. The successor claimed, and both owners started a job that was
   # accepted then.
   Scenario: An owner that hands over starts nothing more
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -438,5 +438,5 @@
             check_bytes(payload["value"]),
             check_integer(payload["revision"]),
         )
-        self._require_owner().apply_inbox_item(item)
+        self._require_owner().apply_item(item)
         return {}
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -208,7 +208,7 @@
     def _notify_owner(self, item: Item) -> None:
         owner = self.owner()
         if owner is not None and owner.is_ready:
-            owner.apply_inbox_item(item)
+            owner.apply_item(item)
             return
         link = self.owner_link()
         if link is not None:
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -102,7 +102,8 @@
     is_lost, is_releasing
         Whether the term has ended, and whether it is ending; nothing is started then.
     unconfirmed_items
-        Submissions and cancellations, by key, that wait for the next stored heartbeat.
+        Submissions, cancellations and registrations of new agents, by key, that wait for the next
+        stored heartbeat.
     """
 
     def __init__(
@@ -186,12 +187,12 @@
 
     # Calls of entries
 
-    def apply_inbox_item(self, item: Item) -> None:
-        """Apply a stored submission or cancellation to the scheduler.
+    def apply_item(self, item: Item) -> None:
+        """Apply a stored submission or cancellation, or the registration of an agent.
 
-        Without a recent heartbeat, another owner may have been elected before the job was accepted,
-        and it starts such jobs at once. The item is therefore kept until the next stored heartbeat
-        shows that there is no other owner.
+        Another owner that was elected before the item was stored starts the job at once, and takes
+        the agent for one on which no former owner has started anything. Without a recent heartbeat,
+        the item is therefore kept until the next one shows that there is no other owner.
         """
         if self.is_releasing or now() - self.confirmed_at > CONFIRMATION_VALID_SECONDS:
             self.unconfirmed_items[item.key] = item
@@ -204,6 +205,8 @@
             job_id = item.key[len(CANCELS_PREFIX) :]
             self.scheduler.cancel_job(job_id, now(), now_unix())
             self.committer.commit_due.set()
+        elif item.key.startswith(AGENTS_PREFIX):
+            self._add_agent(item, None)
         self.plan_due.set()
 
     def _add_new_job(self, job_id: str, item: Item) -> None:
@@ -299,7 +302,7 @@
         self.scheduler.check_attempts(now(), now_unix())
         for item in inbox:
             if item.key.startswith(CANCELS_PREFIX):
-                self.apply_inbox_item(item)
+                self.apply_item(item)
 
     # Loops
 
@@ -336,7 +339,7 @@
         if self.unconfirmed_items and not self.is_releasing:
             items, self.unconfirmed_items = self.unconfirmed_items, {}
             for item in items.values():
-                self.apply_inbox_item(item)
+                self.apply_item(item)
 
     def _commit_forever(self) -> None:
         try:
@@ -437,21 +440,21 @@
             INBOX_PREFIX,
             self.inbox_revision,
             INBOX_WAIT_SECONDS,
-            self._apply_inbox_items,
+            self._apply_items,
         )
 
     def _watch_agents(self) -> None:
         follow_prefix(
-            self.store, AGENTS_PREFIX, self.agents_revision, AGENTS_WAIT_SECONDS, self._add_agents
+            self.store,
+            AGENTS_PREFIX,
+            self.agents_revision,
+            AGENTS_WAIT_SECONDS,
+            self._apply_items,
         )
 
-    def _apply_inbox_items(self, items: list[Item]) -> None:
+    def _apply_items(self, items: list[Item]) -> None:
         for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
-            self.apply_inbox_item(item)
-
-    def _add_agents(self, items: list[Item]) -> None:
-        for item in items:
-            self._add_agent(item, None)
+            self.apply_item(item)
 
     def _add_agent(self, item: Item, granted_until: float | None) -> None:
         """Connect to a registered agent, or adopt its new address.
