Keep the number of a task's current run apart from the numbers of other runs

When a successor had adopted run 1 of a task and an agent that had stayed with the former owner then reported the end of that owner's run 2, 2 became the number of the current run. Run 1, which went on, no longer counted as the task's: it was stopped, and the task started a third time. The same happened with a crash under a foreign run, and a number could be used twice after a run with a lower one had been adopted.

Change: other numbers only raise the number of the next run.

Both examples of the new scenario failed before and pass now.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -55,3 +55,19 @@
     Then its task has started 1 times
     When stops are answered again
     Then its task has started 2 times
+
+  # The number of the foreign run became that of the current one. The run that went on no longer counted as the
+  # task's, was stopped, and the task started a third time.
+  Scenario Outline: A run goes on when a later run that a former owner started elsewhere <ends>
+    Given a new owner to which 1 of 2 agents has not reported
+    And a job that the former owner may have started
+    When the other agent reports run 1 of the task as running
+    And the first agent reports that run 2 of the task <ends>
+    Then nothing is stopped and nothing has started
+    When run 1 of the task ends as failed
+    Then run 3 of the task starts
+
+    Examples:
+      | ends               |
+      | has lapsed         |
+      | crashed its worker |
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -12,6 +12,8 @@
 from acaciastand.platform.http import CallTimedOut
 from acaciastand.workflow.reports import PollPosition, StartOutcome
 
+TASK = "00000000000000aa.0.0.0"
+
 
 @given("the agents keep the starts that they get")
 def given_kept(context):
@@ -159,3 +161,47 @@
 def when_stops_answered(context):
     context.world.ignored_stops = set()
     context.world.advance(2.0)
+
+
+@when("the other agent reports run 1 of the task as running")
+def when_first_run_listed(context):
+    context.world.workers["1"].running[TASK] = 1
+    context.world.advance(0.3)
+
+
+def first_agent(context):
+    """Return the worker whose agent has not reported, and let it report."""
+    world = context.world
+    worker = next(w for w in world.workers.values() if w.agent_id != "1")
+    world.scheduler.workers[worker.agent_id].reachable = True
+    worker.running[TASK] = 2
+    worker.started_at[TASK] = world.now - 1.0
+    return worker
+
+
+@when("the first agent reports that run 2 of the task has lapsed")
+def when_lapsed(context):
+    first_agent(context).end(TASK, "lapsed")
+    context.world.advance(2.0)
+
+
+@when("the first agent reports that run 2 of the task crashed its worker")
+def when_crashed(context):
+    first_agent(context).crash(context.world.now)
+    context.world.advance(5.0)
+
+
+@then("nothing is stopped and nothing has started")
+def then_nothing_happened(context):
+    assert not context.world.stopped and not context.world.started
+
+
+@when("run 1 of the task ends as failed")
+def when_run_fails(context):
+    context.world.workers["1"].end(TASK, "failed")
+    context.world.advance(0.5)
+
+
+@then("run 3 of the task starts")
+def then_third_run(context):
+    assert [run for task, run, _ in context.world.started if task == TASK] == [3]
--- a/src/acaciastand/workflow/crash_processing.py
+++ b/src/acaciastand/workflow/crash_processing.py
@@ -70,7 +70,7 @@
         self, task: Task, run: CrashedRun, suspects: crashes.Suspects, agent_id: str
     ) -> None:
         is_suspected = task.key in suspects.tasks
-        task.run = max(task.run, run.run)
+        task.record_run(run.run)
         task.record_crash(
             crashes.TaskCrash(
                 run.run, run.ran_seconds, is_suspected, is_suspected and suspects.isolated
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -55,7 +55,10 @@
     Attributes
     ----------
     run
-        Number of the latest run; 0 before the first.
+        Number of the current or else the latest run; 0 before the first.
+    other_run
+        Highest number of a run that was seen besides the current one, such as a run that a former
+        owner started; 0 for none.
     failures
         Number of failed runs.
     checkpoint
@@ -99,6 +102,7 @@
         "step",
         "state",
         "run",
+        "other_run",
         "failures",
         "checkpoint",
         "agent_id",
@@ -126,6 +130,7 @@
         self.step: StepSpec = job.spec.steps[name.step]
         self.state = TaskState.WAITING
         self.run = 0
+        self.other_run = 0
         self.failures = 0
         self.checkpoint = ""
         self.agent_id = ""
@@ -145,6 +150,15 @@
         self.overdue_restarts = 0
         self.crashes: list[TaskCrash] = []
 
+    @property
+    def last_run(self) -> int:
+        """Highest number of a run; the next run has a higher one."""
+        return max(self.run, self.other_run)
+
+    def record_run(self, run: int) -> None:
+        """Record the number of a run that need not be the current one."""
+        self.other_run = max(self.other_run, run)
+
     def record_crash(self, crash: TaskCrash) -> None:
         """Record the crash of a worker under a run, unless it is recorded already."""
         if all(known.run != crash.run for known in self.crashes):
@@ -157,7 +171,14 @@
     def to_row(self, number: int) -> list[Any]:
         """Return the row of `JobProgress.tasks` for the task at position `number`."""
         is_done = self.state == TaskState.DONE
-        row = [number, self.run, self.failures, is_done, self.checkpoint, sorted(self.ended_runs)]
+        row = [
+            number,
+            self.last_run,
+            self.failures,
+            is_done,
+            self.checkpoint,
+            sorted(self.ended_runs),
+        ]
         if self.crashes:
             row.append([list(crash.values()) for crash in self.crashes])
         return row
@@ -357,7 +378,7 @@
 
     def progress(self) -> JobProgress:
         """Return the progress to be stored."""
-        rows = [task.to_row(n) for n, task in enumerate(self.tasks.values()) if task.run]
+        rows = [task.to_row(n) for n, task in enumerate(self.tasks.values()) if task.last_run]
         return JobProgress(self.cancelled, self.failed, self.ended_unix, rows)
 
     def restore(self, progress: JobProgress) -> None:
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -107,7 +107,7 @@
         if end.how in (RunEnd.DONE, RunEnd.FAILED):
             task.crashes.clear()
         task.ended_runs.add(end.run)
-        task.run = max(task.run, end.run)
+        task.record_run(end.run)
         if end.checkpoint:
             self.state.set_checkpoint(task, end.checkpoint)
         self.state.record_decision(
@@ -221,6 +221,7 @@
             StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
         )
         if task is not None:
+            task.record_run(active_run.run)
             until = now + self.state.stop_seconds + MAX_POLL_AGE_SECONDS
             key = (active_run.task, active_run.run)
             worker.leaving_runs[key] = LeavingRun(task.step.reserved, until)
@@ -237,6 +238,7 @@
     def _adopt_run(self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float) -> None:
         """Make a run that a former owner started the current run of its task."""
         self.state.forget_waiting(task)
+        task.record_run(task.run)
         task.run = active_run.run
         task.state = TaskState.RUNNING
         task.start_state = StartState.CONFIRMED
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -107,7 +107,7 @@
                 exhausted.add(group)
                 continue
             task.job.idle_since = 0.0
-            starts.append(start(task, worker, task.run + 1))
+            starts.append(start(task, worker, task.last_run + 1))
         return starts
 
     def tasks_by_rank(
@@ -143,7 +143,7 @@
         chosen = place_gang(members, workers, self.placement, now)
         if chosen is None:
             return []
-        run = max(member.run for member in members) + 1
+        run = max(member.last_run for member in members) + 1
         return [start(member, worker, run) for member, worker in zip(members, chosen, strict=True)]
 
 
