Count a stopped run as gone only by a poll that began after the stop was over

A run that is being stopped is listed neither as running nor as ended. The owner counted it as one that never began by any poll after the stop had been taken, once 1.0 s had passed. An agent repeats its last poll while its worker does not answer: when a worker stood still right after it had taken a stop, the poll from before decided, and the task started elsewhere while the run was on the worker until its lease expired.

Change: once the longest time that a stop takes has passed, two further polls are awaited, of which the second has begun after that time.

The scenario of the worker that stands still failed before and passes now.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -53,7 +53,7 @@
     And a job of 1 task in a queue with max_attempts 3
     When the worker of the task restarts
     Then its task has started 1 times
-    When stops are answered again
+    When starts and stops are answered again
     Then its task has started 2 times
 
   # The number of the foreign run became that of the current one. The run that went on no longer counted as the
@@ -71,3 +71,27 @@
       | ends               |
       | has lapsed         |
       | crashed its worker |
+
+  # A run that is being stopped is not listed, and the agent of a worker that stands still repeats its last poll.
+  # The run was taken for one that never began, and the task started elsewhere while it went on.
+  Scenario: A run that is being stopped is not lost by a poll from before the stop was over
+    Given 2 workers of 16 cores
+    And a job of 1 task in a queue with max_attempts 3
+    When the worker stands still while it stops the run
+    Then its task has started 1 times
+    When the worker goes on and does not list the run
+    Then its task has started 2 times
+
+  Scenario: A start without an answer is lost with the lease of the worker
+    Given 2 workers of 16 cores
+    And starts and stops are not answered
+    And a job of 1 task in a queue with max_attempts 3
+    When the agent of the task reports that the lease of its runs has expired
+    Then its task has started 2 times
+
+  Scenario: The second start of a task that the agent has not answered is not lost either
+    Given 2 workers of 16 cores
+    And a job of 1 task in a queue with max_attempts 3
+    When the run fails and the agents keep the starts that they get
+    And the agent of the second start reports that the lease of its runs has expired
+    Then its task has started 2 times
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -22,8 +22,15 @@
 
 @when("the agent of the task reports that the lease of its runs has expired")
 def when_lease_expired(context):
-    world = context.world
-    agent_id = world.started[0][2]
+    report_expired_lease(context.world, context.world.started[0][2])
+
+
+@when("the agent of the second start reports that the lease of its runs has expired")
+def when_second_lease_expired(context):
+    report_expired_lease(context.world, context.world.started[1][2])
+
+
+def report_expired_lease(world, agent_id):
     world.report(agent_id, position=PollPosition(), running=[], lapsed=True, silent=True)
     world.scheduler.workers[agent_id].reachable = False
     world.advance(0.3)
@@ -157,8 +164,9 @@
     world.advance(2.0)
 
 
-@when("stops are answered again")
-def when_stops_answered(context):
+@when("starts and stops are answered again")
+def when_answered_again(context):
+    context.world.unanswered = set()
     context.world.ignored_stops = set()
     context.world.advance(2.0)
 
@@ -205,3 +213,30 @@
 @then("run 3 of the task starts")
 def then_third_run(context):
     assert [run for task, run, _ in context.world.started if task == TASK] == [3]
+
+
+@when("the worker stands still while it stops the run")
+def when_stands_still(context):
+    world = context.world
+    worker = context.worker = world.workers[world.started[0][2]]
+    [task] = world.scheduler.workers[worker.agent_id].tasks.values()
+    del worker.running[task.key]  # It is listed neither as running nor as ended.
+    world.scheduler.request_stop(task, world.now)
+    world.advance(0.3)
+    worker.answers = False
+    world.advance(2.5)
+    assert task.stop_confirmed_at
+
+
+@when("the worker goes on and does not list the run")
+def when_goes_on(context):
+    context.worker.answers = True
+    context.world.advance(1.0)
+
+
+@when("the run fails and the agents keep the starts that they get")
+def when_run_fails_and_kept(context):
+    context.world.keeps_starts = True
+    context.world.end(context.world.started[0][0], "failed")
+    context.world.advance(0.5)
+    assert len(context.world.started) == 2
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -47,6 +47,7 @@
         self.crash_report = None
         self.crashed_at = None
         self.max_listed_ends = None
+        self.answers = True
 
     def crash(self, crashed_at):
         """End all runs without a list of their ends."""
@@ -152,7 +153,7 @@
         view = self.scheduler.workers[agent_id]
         if worker.crash_report is not None:
             changes = self._crash_changes(worker, view, changes)
-        worker.poll_number += worker.crashed_at is None
+        worker.poll_number += worker.crashed_at is None and worker.answers
         report = AgentReport(
             worker.identity(),
             worker.position,
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -29,7 +29,7 @@
     """What is known of the command to start the current run of a task."""
 
     SENT = 0  # The agent has not answered, and may carry the command out later.
-    UNANSWERED = 1  # The agent carries it out no more, but the run may have started.
+    UNANSWERED = 1  # There is no answer. The run may have started.
     CONFIRMED = 2  # The worker has started the run.
 
 
@@ -85,6 +85,8 @@
         Position of the last poll that may not show the effect of the latest start or stop yet.
     stop_confirmed_at
         When the worker accepted the command to stop; 0 before.
+    stop_is_over
+        Whether a report has arrived after the longest time that the worker takes to stop the run.
     stop_sent_at
         When the command to stop was last sent.
     last_run_seconds
@@ -117,6 +119,7 @@
         "ended_runs",
         "after_poll",
         "stop_confirmed_at",
+        "stop_is_over",
         "stop_sent_at",
         "last_run_seconds",
         "overdue_restarts",
@@ -145,6 +148,7 @@
         self.ended_runs: set[int] = set()
         self.after_poll = PollPosition()
         self.stop_confirmed_at = 0.0
+        self.stop_is_over = False
         self.stop_sent_at = 0.0
         self.last_run_seconds = 0.0
         self.overdue_restarts = 0
@@ -159,6 +163,12 @@
         """Record the number of a run that need not be the current one."""
         self.other_run = max(self.other_run, run)
 
+    def forget_stop(self) -> None:
+        """Forget the commands to stop the current run that were sent and confirmed."""
+        self.stop_confirmed_at = 0.0
+        self.stop_is_over = False
+        self.stop_sent_at = float("-inf")
+
     def record_crash(self, crash: TaskCrash) -> None:
         """Record the crash of a worker under a run, unless it is recorded already."""
         if all(known.run != crash.run for known in self.crashes):
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -7,7 +7,7 @@
 from acaciastand.workflow.decisions import StopDecision
 from acaciastand.workflow.job import ON_WORKER, StartState, Task, TaskState
 from acaciastand.workflow.moves import runs_outlasting_drain
-from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, RunEnd
+from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, PollPosition, RunEnd
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.worker import LeavingRun, WorkerView
 
@@ -80,8 +80,8 @@
     def _handle_expired_lease(self, worker: WorkerView) -> None:
         """Count the runs that had started when the agent sent the report as lost.
 
-        The agent answers commands and sends reports over one connection. It had not begun to carry
-        out a command that it has not answered, and may still do so.
+        The agent answers commands and sends reports over one connection, in order. A start that it
+        has not answered may not have reached it when it sent the report.
         """
         worker.has_reported = True
         for task in list(worker.tasks.values()):
@@ -184,7 +184,7 @@
                 task.born_ms = worker.born_ms
                 task.start_state = StartState.CONFIRMED
             elif self._shows_missing(report, task) and (task.key, task.run) not in ended:
-                self._handle_missed_poll(task, now)
+                self._handle_missed_poll(task, report.position, now)
 
     def _shows_missing(self, report: AgentReport, task: Task) -> bool:
         """Return whether a report would list the run of a task if its worker knew of it."""
@@ -251,14 +251,12 @@
         self.state.mark_changed(task.job)
         self.state.record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
 
-    def _handle_missed_poll(self, task: Task, now: float) -> None:
+    def _handle_missed_poll(self, task: Task, position: PollPosition, now: float) -> None:
         former_incarnation = task.born_ms != self.state.workers[task.agent_id].born_ms
         if task.state == TaskState.RUNNING and former_incarnation:
             self.state.mark_lost(task, "worker restarted")
         elif task.state == TaskState.STOPPING and task.stop_confirmed_at:
-            # A run that is being stopped is listed neither as running nor as ended.
-            if now - task.stop_confirmed_at > self.state.stop_seconds + MAX_POLL_AGE_SECONDS:
-                self.state.mark_lost(task, "stopped before it began")
+            self._handle_unlisted_stop(task, position, now)
         elif task.state == TaskState.RUNNING:
             task.missed_polls += 1
             if task.missed_polls >= MAX_MISSED_POLLS:
@@ -267,6 +265,22 @@
                 )
                 self.state.request_stop(task, now)
 
+    def _handle_unlisted_stop(self, task: Task, position: PollPosition, now: float) -> None:
+        """Count a run as lost if it is not listed once it must have stopped.
+
+        A run that is being stopped is listed neither as running nor as ended, and an agent repeats
+        its last poll while the worker does not answer. Only a poll that began after the longest
+        time that a stop takes shows that the run is gone.
+        """
+        if now - task.stop_confirmed_at <= self.state.stop_seconds:
+            return
+        if task.stop_is_over:
+            self.state.mark_lost(task, "stopped before it began")
+            return
+        task.stop_is_over = True
+        # The next poll may have begun already; the one after that has not.
+        task.after_poll = PollPosition(position.agent_incarnation, position.number + 1)
+
     def _begin_incarnation(self, worker: WorkerView, report: AgentReport) -> None:
         """Reset a worker that has restarted; runs that it no longer lists are lost."""
         worker.pending_ends.clear()
@@ -287,8 +301,7 @@
         for task in list(worker.tasks.values()):
             if has_same_id and task.start_state == StartState.UNANSWERED:
                 # The new incarnation may carry out the call unless it has taken a stop before.
-                task.stop_confirmed_at = 0.0
-                task.stop_sent_at = float("-inf")
+                task.forget_stop()
                 continue
             # A start command that was on its way may have reached the new incarnation. Its reply
             # or the next poll shows whether the run started.
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -366,7 +366,7 @@
         task.born_ms = worker.born_ms
         task.start_state = StartState.SENT
         task.missed_polls = 0
-        task.stop_confirmed_at = 0.0
+        task.forget_stop()
         task.percent = 0.0 if task.step.continuous else 100.0
         is_isolated = is_quiet(worker, now)
         worker.last_start_at = now
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -127,8 +127,7 @@
         if task.state != TaskState.STOPPING:
             self.event_count += 1
             task.state = TaskState.STOPPING
-            task.stop_sent_at = float("-inf")
-            task.stop_confirmed_at = 0.0
+            task.forget_stop()
 
     def mark_lost(self, task: Task, why: str, **inputs: Any) -> None:
         """Let a task whose run is certainly gone wait for its next start.
