Let a restarted agent follow no owner below the epoch that the store shows

An agent kept the epoch that it follows in memory only. After a restart it accepted a former owner again, which still had its authority, and carried out starts for it, while the present owner relied on what the former incarnation had reported and started the same waiting tasks elsewhere.

Change: an agent reads the owner key once when it starts, before it listens. If the store does not answer, it starts without.

Without the new epoch the two examples of former owners fail; with it all five pass.

--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -21,6 +21,21 @@
     When a run is stopped before it began and the agent of its worker restarts
     Then all 4 tasks run within 2.0 seconds
 
+  # The new owner relied on what the agent had told it, while the restarted agent carried out starts of the former
+  # owner, which still had its authority.
+  Scenario Outline: A restarted agent does not follow a former owner when <case>
+    Given an agent that starts while the store <shows>
+    When an owner of epoch 3 connects to it
+    Then the owner is <accepted>
+
+    Examples:
+      | case                         | shows                                  | accepted     |
+      | another one owns the jobs    | names an owner of epoch 9              | not accepted |
+      | the ownership was released   | names no owner at revision 5           | not accepted |
+      | it is the present owner      | names an owner of epoch 3              | accepted     |
+      | no owner was ever recorded   | names no owner at revision 0           | accepted     |
+      | the store cannot be read     | is away                                | accepted     |
+
   # After the restart of a host its clock begins at zero. Until the first report the owner gave commands
   # a time limit on the clock of the former boot.
   Scenario: A command to a restarted agent has no time limit of its former boot
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -1,10 +1,17 @@
 """Steps for restarts of workers and agents."""
 
+from unittest import mock
+
 from behave import given, then, when
 from workflow_support import step
 
+from acaciastand.cluster.agent import Agent
 from acaciastand.cluster.agent_link import AgentLink
 from acaciastand.cluster.clock import now
+from acaciastand.cluster.keys import OWNER_KEY, OwnerRecord
+from acaciastand.cluster.settings import JobAgentSettings
+from acaciastand.coordination.store import StoreUnavailable
+from acaciastand.coordination.transactions import MemoryTransactionalStore
 from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Listener
@@ -101,3 +108,54 @@
     (message,) = context.received
     assert isinstance(message, StartRun)
     assert message.not_after < seconds, message.not_after
+
+
+def start_agent(context, store):
+    settings = JobAgentSettings(
+        agent_id="agent-1",
+        availability_zone="a",
+        announce_address="127.0.0.1:0",
+        peer_address="127.0.0.1:0",
+        worker_address="127.0.0.1:1",
+        store_url="http://127.0.0.1:1",
+    )
+    context.agent = Agent(settings, store, Metrics())
+    context.agent._read_epoch()
+
+
+@given("an agent that starts while the store names an owner of epoch {epoch:d}")
+def given_owner_named(context, epoch):
+    store = MemoryTransactionalStore()
+    store.commit({}, {OWNER_KEY: OwnerRecord("entry-2", "10.0.0.2:1", epoch, b"nonce").encode()})
+    start_agent(context, store)
+
+
+@given("an agent that starts while the store names no owner at revision {revision:d}")
+def given_no_owner(context, revision):
+    store = MemoryTransactionalStore()
+    for _ in range(revision):
+        store.commit({}, {OWNER_KEY: b""})
+    start_agent(context, store)
+
+
+@given("an agent that starts while the store is away")
+def given_store_away(context):
+    store = mock.Mock()
+    store.get.side_effect = StoreUnavailable("the store is away", "try again later")
+    start_agent(context, store)
+
+
+@when("an owner of epoch {epoch:d} connects to it")
+def when_owner_connects(context, epoch):
+    hello = OwnerHello("entry-1", epoch)
+    context.reply = context.agent._handle_hello(mock.Mock(), hello)
+
+
+@then("the owner is accepted")
+def then_accepted(context):
+    assert context.reply.accepted
+
+
+@then("the owner is not accepted")
+def then_not_accepted(context):
+    assert not context.reply.accepted
--- a/src/acaciastand/cluster/agent.py
+++ b/src/acaciastand/cluster/agent.py
@@ -13,14 +13,16 @@
 
 from acaciastand.checks import MALFORMED, decode_rows
 from acaciastand.cluster.batch_costs import decode_batch_costs
+from acaciastand.cluster.claim import decode_owner
 from acaciastand.cluster.clock import now, now_unix
-from acaciastand.cluster.keys import AGENTS_PREFIX
+from acaciastand.cluster.keys import AGENTS_PREFIX, OWNER_KEY
 from acaciastand.cluster.loop_lag import measure_loop_lag
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.run_reports import decode_limits, decode_start_command, encode_report
 from acaciastand.cluster.settings import JobAgentSettings
 from acaciastand.cluster.supervision import supervised
 from acaciastand.cluster.worker_controller import WorkerController
+from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import TransactionalStore
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.platform.tasks import ANNOUNCE_PATH, LEAVE_PATH, decode_announcement
@@ -59,12 +61,12 @@
     settings
         Settings of this agent.
     store
-        The platform's store, used for the registration only.
+        The platform's store, used for the registration and to learn the owner's epoch at the start.
 
     Attributes
     ----------
     epoch
-        Epoch of the owner that the agent follows; 0 before the first.
+        Epoch of the owner that the agent follows, or below which it follows none.
     owner_connection
         Connection to that owner; None while there is none.
     owner_contact_at
@@ -77,6 +79,7 @@
         self, settings: JobAgentSettings, store: TransactionalStore, metrics: Metrics
     ) -> None:
         self.settings = settings
+        self.store = store
         self.registration = Registration(store, AGENTS_PREFIX + settings.agent_id, settings)
         self.metrics = metrics
         self.ignored = IgnoredValues(metrics, now)
@@ -101,6 +104,7 @@
     def run(self) -> None:
         """Serve until `request_stop`, then deregister if nothing can run on the worker any more."""
         with ExitStack() as stack:
+            self._read_epoch()
             self.listener.start()
             stack.callback(self.listener.close)
             self.announcement_server.start()
@@ -124,6 +128,21 @@
 
     # Owner
 
+    def _read_epoch(self) -> None:
+        """Learn the epoch below which no owner is followed, if the store answers.
+
+        The former incarnation of this agent may have followed the present owner, which relies on
+        what it was told, while a former owner still sends commands.
+        """
+        try:
+            current = self.store.get(OWNER_KEY)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.warning("epoch of the owner not read", extra={"error": str(error)})
+            return
+        record = decode_owner(current, self.ignored.recorder(OWNER_KEY))
+        # The next owner gets an epoch above the revision of a key that names none.
+        self.epoch = record.epoch if record else current.revision
+
     def _handle(self, connection: Connection, message: Message) -> Message | None:
         if isinstance(message, OwnerHello):
             return self._handle_hello(connection, message)
