Match names of tasks with a pattern and compare numbers once when values are checked

Cause: more than half of the time of a row went into splitting the name, converting its numbers and building a TaskName that was thrown away. Change: the name is matched with one compiled pattern, as strict as the conversion was, and TaskName.parse is gone. The bounds of check_number are finite, so a comparison with them refuses what is not finite, as before. The error text differs for names with digits that int() refuses, such as superscripts: it now says that the value is not the name of a task. Tests: a scenario of features/odd_values.feature for names and numbers at the edges.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -52,6 +52,12 @@
     When an owner gets 300 odd reports of one agent
     Then it still processes the reports of another and plans
 
+  # Guards against a pattern for names, or bounds of numbers, that let pass what cannot be a run.
+  Scenario: A report keeps exactly the runs whose name and numbers can be those of a run
+    When an owner gets a report of runs with good and odd names and numbers
+    Then the report has the good runs in their order
+    And each odd run is counted
+
   Scenario: Odd grants and commands of an owner leave the agent at work
     Given odd values by seed 8
     When an agent gets 300 odd grants and start commands
--- a/features/steps/odd_value_steps.py
+++ b/features/steps/odd_value_steps.py
@@ -2,6 +2,8 @@
 
 import itertools
 import json
+import math
+import sys
 from unittest import mock
 
 import cbor2
@@ -12,7 +14,7 @@
 from odd_values import NESTING, OddValues
 from workflow_support import QUEUES, step
 
-from acaciastand.checks import MALFORMED
+from acaciastand.checks import MALFORMED, MAX_INTEGER
 from acaciastand.cluster.agent import Agent
 from acaciastand.cluster.agent_link import AgentLink
 from acaciastand.cluster.claim import claim, decode_owner
@@ -34,7 +36,7 @@
 )
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PeerStatus
-from acaciastand.cluster.run_reports import encode_report
+from acaciastand.cluster.run_reports import decode_report, encode_report
 from acaciastand.cluster.settings import JobAgentSettings, JobEntrySettings
 from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.cluster.worker_controller import WorkerController
@@ -407,6 +409,61 @@
     owner.stop()
 
 
+MAX_DIGITS = sys.int_info.default_max_str_digits
+GOOD_NAMES = ("a.0.0.0", "a.1.22.333", ".0.0.0", "a-b_c d.0.0.0", "a.0.007.0", "a\n.0.0.0")
+ODD_NAMES = (
+    "", "a", "a.0.0", "a.0.0.0.0", "a..0.0", "a.0.0.", "a.0.0.0\n", " a.0.0. 0", "a.b.0.0",
+    "a.0.0.1x", "a.-1.0.0", "a.+1.0.0", "a.1_0.0.0", "a.1e3.0.0", "a.0x1.0.0", "a.\u00b2.0.0",
+    "a.\u2460.0.0",
+    "a.0." + "1" * (MAX_DIGITS + 1) + ".0", None, 1, True, b"a.0.0.0", ["a.0.0.0"], {},
+)  # fmt: skip
+GOOD_NUMBERS = (0, 0.5, 100, MAX_INTEGER, float(MAX_INTEGER), -0.0)
+ODD_NUMBERS = (
+    math.nan, math.inf, -math.inf, -1, -1e-300, MAX_INTEGER + 1, 1e300, 10**400,
+    True, False, None, "", "1", b"1", [], [1], {},
+)  # fmt: skip
+GOOD_RUN = ["a.0.0.0", 1, "", 100, 0.5]
+NAME, RUN, CHECKPOINT, PERCENT, MEASUREMENT = range(5)  # Places in a row of a run.
+
+
+def with_place(place, value):
+    return [value if n == place else field for n, field in enumerate(GOOD_RUN)]
+
+
+@when("an owner gets a report of runs with good and odd names and numbers")
+def when_names(context):
+    numbers = (PERCENT, MEASUREMENT)
+    context.good = [
+        *(with_place(NAME, name) for name in GOOD_NAMES),
+        *(with_place(place, number) for place in numbers for number in GOOD_NUMBERS),
+        *(with_place(RUN, number) for number in (0, MAX_INTEGER)),
+        GOOD_RUN[: RUN + 1],
+    ]
+    context.bad = [
+        *(with_place(NAME, name) for name in ODD_NAMES),
+        *(with_place(place, number) for place in numbers for number in ODD_NUMBERS),
+        *(with_place(RUN, number) for number in (*ODD_NUMBERS, 1.0, 0.5)),
+        *(with_place(CHECKPOINT, value) for value in (None, 1, b"x", [])),
+        *([], GOOD_RUN[:1], [*GOOD_RUN, 0], None, "a.0.0.0", {}),
+    ]
+    pairs = itertools.zip_longest(context.bad, context.good, fillvalue=GOOD_RUN)
+    context.rows = [row for pair in pairs for row in pair]
+    context.errors = []
+    context.report = decode_report(RunReport(running=context.rows), context.errors.append)
+
+
+@then("the report has the good runs in their order")
+def then_good_runs(context):
+    good = context.rows[1::2]
+    assert good[: len(context.good)] == context.good
+    assert context.report.running == [ActiveRun(*row) for row in good]
+
+
+@then("each odd run is counted")
+def then_odd_counted(context):
+    assert len(context.errors) == len(context.bad)
+
+
 @when("an agent gets {count:d} odd grants and start commands")
 def when_grants(context, count):
     settings = JobAgentSettings(
--- a/src/acaciastand/checks.py
+++ b/src/acaciastand/checks.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable, Iterable
 from ipaddress import IPv4Address
 from typing import Any, TypeVar
@@ -44,10 +43,10 @@
 
 
 def check_number(value: Any, least: float = 0.0, most: float = MAX_INTEGER) -> float:
-    """Return a finite number from `least` to `most`."""
-    if type(value) not in (int, float):
+    """Return a number from `least` to `most`, which are finite."""
+    if type(value) is not float and type(value) is not int:
         raise ValueError(f"{shorten(value)} is not a number")
-    if not (least <= value <= most and math.isfinite(value)):
+    if not least <= value <= most:  # False for a value that is not a number.
         raise ValueError(f"{shorten(value)} is not from {least} to {most}")
     return float(value)
 
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+import sys
 from enum import StrEnum
 from typing import Any
 
@@ -9,6 +11,9 @@
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 
+# Written form of `TaskName`. Longer numbers are not accepted, as `int` refuses to read them.
+TASK_NAME = re.compile(rf"[^.]*(?:\.\d{{1,{sys.int_info.default_max_str_digits}}}){{3}}")
+
 
 class RunEnd(StrEnum):
     """How a run ended at its worker."""
@@ -47,14 +52,6 @@
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
-    @classmethod
-    def parse(cls, text: str) -> TaskName | None:
-        """Return the name in its written form, or None if `text` is not a name."""
-        parts = text.split(".")
-        if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
-            return None
-        return cls(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
-
 
 class ActiveRun(Record):
     """A run in progress.
@@ -149,7 +146,7 @@
     ValueError
         It is not such a name.
     """
-    if TaskName.parse(check_text(value)) is None:
+    if not TASK_NAME.fullmatch(check_text(value)):
         raise ValueError(f"{shorten(value)} is not the name of a task")
     return str(value)
 
