Check all pairs of runs of a task, and show what the workers saw of both

broken_promises compared consecutive runs only, so a third run beside the first one passed. The stand-in records when an order arrived and when the end of a run was listed and noted, and ends runs whose lease is over before a call extends that lease.

The fault proxy and Site.owner find the exact name of an entry: entry-1 was found in entry-10.

--- a/src/acaciastand_lab/fault_proxy.py
+++ b/src/acaciastand_lab/fault_proxy.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
+import cbor2
 import gevent
 from gevent import socket
 from gevent.event import Event
@@ -73,6 +74,10 @@
         self.forward.set()
         self.backward.set()
 
+    def both(self) -> tuple[Event, Event]:
+        """Return the gate towards the target and the one back."""
+        return self.forward, self.backward
+
     def close(self, forward: bool, backward: bool) -> None:
         """Hold up all bytes in the named directions."""
         if forward:
@@ -130,8 +135,11 @@
 
         With a `caller`, only the connections whose first message contains its name are held up.
         """
-        gates = self.gates_by_caller.setdefault(caller, Gates()) if caller else self.gates
-        gates.close(forward, backward)
+        self.gates_of_caller(caller).close(forward, backward)
+
+    def gates_of_caller(self, caller: str = "") -> Gates:
+        """Return the gates of the connections of a caller, or those of all connections."""
+        return self.gates_by_caller.setdefault(caller, Gates()) if caller else self.gates
 
     def mute(self) -> None:
         """Lose all further bytes of the connections that are open now; new ones pass."""
@@ -177,7 +185,8 @@
 
     def _gates_of(self, pair: _Pair) -> list[Gates]:
         """Return the gates of a connection."""
-        own = [g for name, g in self.gates_by_caller.items() if name.encode() in pair.hello]
+        # The encoded text begins with its length, so that "entry-1" is not found in "entry-10".
+        own = [g for name, g in self.gates_by_caller.items() if cbor2.dumps(name) in pair.hello]
         return [self.gates, *own]
 
 
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -10,7 +10,8 @@
 import tempfile
 import time
 from contextlib import ExitStack
-from itertools import pairwise
+from datetime import UTC, datetime
+from itertools import combinations
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,7 @@
 
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import HttpCaller
+from acaciastand.record import Record
 from acaciastand_lab.fault_proxy import FaultProxy
 from acaciastand_lab.processes import free_address
 from acaciastand_standin.platform_advice import AdviceStandIn
@@ -32,6 +34,27 @@
 PROGRAMS = {"entry": "job_entry", "agent": "job_agent"}
 
 
+class Link(Record):
+    """Connections through one proxy, seen from the processes at one end of them.
+
+    Parameters
+    ----------
+    name
+        Name of the proxy in `Site.links`.
+    caller
+        Caller whose connections these are; all if it is empty.
+    is_inbound
+        Whether the other end opens the connections.
+    """
+
+    __slots__ = ("name", "caller", "is_inbound")
+
+    def __init__(self, name: str, caller: str = "", is_inbound: bool = False) -> None:
+        self.name = name
+        self.caller = caller
+        self.is_inbound = is_inbound
+
+
 class Site:
     """Entries, agents, workers and a store.
 
@@ -93,10 +116,11 @@
             env={**os.environ, "PYTHONPATH": "src"},
         )
 
-    def start_all(self) -> None:
-        """Start every process."""
+    def start_all(self, pause_seconds: float = 0.0) -> None:
+        """Start every process, with a pause after each."""
         for name in self.settings:
             self.start(name)
+            gevent.sleep(pause_seconds)
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this site started."""
@@ -180,7 +204,8 @@
     def owner(self) -> str:
         """Return the entry that owns the jobs according to the store, or an empty text."""
         item = self.store.store.items.get("control/owner")
-        return next((n for n in self.names("entry") if item and n.encode() in item.value), "")
+        named = [n for n in self.names("entry") if item and n.encode() in item.value]
+        return max(named, key=len, default="")  # "entry-10" contains "entry-1".
 
     @property
     def proxies(self) -> list[FaultProxy]:
@@ -189,15 +214,20 @@
 
     def isolate(self, entry: str, agent: str) -> None:
         """Cut off an entry, and one agent that only this entry still reaches."""
-        self.links[f"{entry} store"].silence()
-        self.links[f"{entry} peer"].silence()
+        for link in self.links_around(entry, agent):
+            self.links[link.name].silence(caller=link.caller)
+
+    def links_around(self, entry: str, agent: str) -> list[Link]:
+        """Return the links between an entry with one agent and all others."""
+        links = [Link(f"{entry} store"), Link(f"{entry} peer", is_inbound=True)]
         for other in self.names("entry"):
             if other != entry:
-                self.links[f"{other} peer"].silence(caller=entry)
-                self.links[f"{agent} peer"].silence(caller=other)
+                links.append(Link(f"{other} peer", entry))
+                links.append(Link(f"{agent} peer", other, is_inbound=True))
         for other in self.names("agent"):
             if other != agent:
-                self.links[f"{other} peer"].silence(caller=entry)
+                links.append(Link(f"{other} peer", entry))
+        return links
 
     def heal(self) -> None:
         """Let everything pass again."""
@@ -288,6 +318,28 @@
     return json.dumps(fields).encode()
 
 
+def describe_time(moment: float) -> str:
+    """Return a moment of the monotonic clock as the logs write it, without the date; "-" for 0."""
+    if not moment:
+        return "-"
+    wall = datetime.fromtimestamp(time.time() - time.monotonic() + moment, UTC)
+    return wall.strftime("%H:%M:%S.%f")[:-3]
+
+
+def describe_run(run: Run) -> str:
+    """Return what a worker has seen of a run."""
+    times = (
+        ("arrived", run.arrived),
+        ("began", run.began),
+        ("ended", run.ended),
+        ("listed", run.listed_at),
+        ("noted", run.noted_at),
+    )
+    moments = ", ".join(f"{name} {describe_time(moment)}" for name, moment in times)
+    lapsed = ", lease lapsed since its end" if run.lease_lapsed else ""
+    return f"{run.task} run {run.run} on {run.worker}: {moments}, {run.how or 'at work'}{lapsed}"
+
+
 def broken_promises(history: list[Run], now: float) -> list[str]:
     """Return where tasks ran twice at the same time, or again after a noted end.
 
@@ -299,9 +351,12 @@
     for run in sorted(history, key=lambda run: run.began):
         by_task.setdefault(run.task, []).append(run)
     for task, runs in by_task.items():
-        for earlier, later in pairwise(runs):
+        for earlier, later in combinations(runs, 2):
+            both = f"\n    {describe_run(earlier)}\n    {describe_run(later)}"
             if (earlier.ended or now) > later.began:
-                problems.append(f"{task}: run {later.run} began while run {earlier.run} ran")
+                problems.append(f"{task}: run {later.run} began while run {earlier.run} ran{both}")
             if earlier.how == "done" and earlier.acknowledged and not earlier.lease_lapsed:
-                problems.append(f"{task}: run {later.run} began after run {earlier.run} was done")
+                problems.append(
+                    f"{task}: run {later.run} began after run {earlier.run} was done{both}"
+                )
     return problems
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -30,12 +30,21 @@
 
 
 class Run(Record):
-    """A run with its times, for the check of the promises."""
+    """A run with its times, for the check of the promises.
+
+    Attributes
+    ----------
+    arrived
+        When the order to start it reached the worker.
+    listed_at, noted_at
+        When a poll listed its end first, and when ``lastSeen`` reached it; 0 if neither happened.
+    """
 
     __slots__ = (
         "task",
         "run",
         "worker",
+        "arrived",
         "began",
         "ends",
         "ended",
@@ -43,12 +52,17 @@
         "percent",
         "acknowledged",
         "lease_lapsed",
+        "listed_at",
+        "noted_at",
     )
 
-    def __init__(self, task: str, run: int, worker: str, began: float, ends: float) -> None:
+    def __init__(
+        self, task: str, run: int, worker: str, arrived: float, began: float, ends: float
+    ) -> None:
         self.task = task
         self.run = run
         self.worker = worker
+        self.arrived = arrived
         self.began = began
         self.ends = ends
         self.ended = 0.0
@@ -56,6 +70,8 @@
         self.percent = 100
         self.acknowledged = False  # whether the system has taken note of its end
         self.lease_lapsed = False  # whether the worker's lease has lapsed since its end
+        self.listed_at = 0.0
+        self.noted_at = 0.0
 
 
 class PlatformWorkerStandIn:
@@ -200,18 +216,21 @@
     def _tick_forever(self) -> None:
         while True:
             gevent.sleep(TICK_SECONDS)
-            now = time.monotonic()
-            expired = self.lease_ms <= self._clock_ms()
-            for run in self.unacknowledged.values():
-                run.lease_lapsed = run.lease_lapsed or expired
-            for run in list(self.running.values()):
-                if run.how == "stopping":
-                    if now >= run.ends:
-                        self._end(run, "stopped")
-                elif expired:
-                    self._end(run, "lapsed")
-                elif now >= run.ends:
-                    self._end(run, self._result(run))
+            self._end_due_runs()
+
+    def _end_due_runs(self) -> None:
+        now = time.monotonic()
+        expired = self.lease_ms <= self._clock_ms()
+        for run in self.unacknowledged.values():
+            run.lease_lapsed = run.lease_lapsed or expired
+        for run in list(self.running.values()):
+            if run.how == "stopping":
+                if now >= run.ends:
+                    self._end(run, "stopped")
+            elif expired:
+                self._end(run, "lapsed")
+            elif now >= run.ends:
+                self._end(run, self._result(run))
 
     def _result(self, run: Run) -> str:
         return "failed" if run.run <= self.failures.get(run.task, 0) else "done"
@@ -227,7 +246,10 @@
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         if self.gone or self.is_down:
             raise GreenletExit  # the connection closes without an answer
+        arrived = time.monotonic()
         fields = json.loads(environ["wsgi.input"].read())
+        # A lease that is over stays so, even if this call extends it before the next tick.
+        self._end_due_runs()
         answer: dict[str, Any] = {}
         intended = environ.get("HTTP_X_TARGET_INSTANCE", self.worker_id)
         if intended != self.worker_id:
@@ -238,7 +260,7 @@
             self.token = fields.get("fencingToken", 0)
             longest_ms = self._clock_ms() + MAX_LEASE_MS
             self.lease_ms = max(self.lease_ms, min(fields.get("deadlineMs", 0), longest_ms))
-            status, answer = self._call(environ["PATH_INFO"], fields)
+            status, answer = self._call(environ["PATH_INFO"], fields, arrived)
         answer = {"clockMs": self._clock_ms(), "born": self.born_ms, **answer}
         if environ["PATH_INFO"] == "/run-start" and self.random.random() < self.unanswered_share:
             raise GreenletExit  # no traceback is printed
@@ -246,9 +268,11 @@
         start_response(f"{status} Answer", [("Content-Length", str(len(data)))])
         return [data]
 
-    def _call(self, path: str, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _call(
+        self, path: str, fields: dict[str, Any], arrived: float
+    ) -> tuple[int, dict[str, Any]]:
         if path == "/run-start":
-            return self._start(fields)
+            return self._start(fields, arrived)
         if path == "/run-stop":
             return self._stop(fields)
         if path == "/pace":
@@ -257,7 +281,7 @@
             return self._poll(fields)
         return 404, {}
 
-    def _start(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _start(self, fields: dict[str, Any], arrived: float) -> tuple[int, dict[str, Any]]:
         task, run = fields["task"], fields["runId"]
         present = self.running.get(task)
         if present is not None and present.run == run:
@@ -272,7 +296,7 @@
         payload = json.loads(fields["spec"])
         self.failures = {**self.failures, task: payload.get("failures", 0)}
         now = time.monotonic()
-        begun = Run(task, run, self.worker_id, now, now + payload["seconds"])
+        begun = Run(task, run, self.worker_id, arrived, now, now + payload["seconds"])
         self.highest[task] = run
         self.running[task] = begun
         self.history.append(begun)
@@ -294,6 +318,7 @@
         for number, run in list(self.unacknowledged.items()):
             if number <= fields["lastSeen"]:
                 run.acknowledged = True
+                run.noted_at = time.monotonic()
                 del self.unacknowledged[number]
         self.ends = [row for row in self.ends if row[0] > fields["lastSeen"]]
         with gevent.Timeout(fields.get("waitMs", 0) / 1000, False):
@@ -305,4 +330,8 @@
             for run in self.running.values()
             if run.how != "stopping"
         ]
-        return 200, {"running": running, "finished": self.ends[:MAX_LISTED_ENDS]}
+        listed = self.ends[:MAX_LISTED_ENDS]
+        for number, *_ in listed:
+            ended = self.unacknowledged[number]
+            ended.listed_at = ended.listed_at or time.monotonic()
+        return 200, {"running": running, "finished": listed}
