Play partitions in series with calm times between them

A new owner needs some seconds to take over and to act; without calm times most of a play had no owner.

--- a/src/acaciastand_lab/partitions.py
+++ b/src/acaciastand_lab/partitions.py
@@ -23,6 +23,11 @@
 TAKEOVER_SECONDS = (1.5, 4.0)
 MAX_TAKEOVERS = 4
 MAX_RESTARTS = 3
+# Faults come in series. A new owner needs the time between two of them to take over, to reach the
+# agents and to start tasks.
+PAUSE_SECONDS = (0.1, 1.2)
+CALM_SECONDS = (6.0, 14.0)
+LAST_SHARE = 0.3  # of the faults that are the last of their series
 OWNER_SHARE = 0.7  # of the faults of one entry that act on the owner
 DIRECTIONS = ((True, True), (True, False), (False, True))  # outgoing, incoming
 
@@ -64,6 +69,11 @@
         began = time.monotonic()
         return f"{describe_time(began)} {fault()}"
 
+    def pause_seconds(self) -> float:
+        """Return the time until the next fault."""
+        is_last = self.random.random() < LAST_SHARE
+        return self.random.uniform(*(CALM_SECONDS if is_last else PAUSE_SECONDS))
+
     def repair(self) -> None:
         """Undo every fault that is not over."""
         gevent.killall(self.greenlets)
