Test that a heartbeat confirms the ownership when it was sent, and that one follows the end of a grant at once

The review showed by mutation that no scenario failed when the time of the answer was taken instead, and that the request for the heartbeat was not tested. Each of the two scenarios fails with its mutation and passes without.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -202,6 +202,52 @@
     context.owner._record_confirmation(now())
 
 
+@when("its next heartbeat is stored {seconds:f} seconds after it was sent")
+def when_heartbeat_late(context, seconds):
+    commit = context.store.commit
+
+    def commit_late(*arguments):
+        gevent.sleep(seconds)
+        return commit(*arguments)
+
+    context.store.commit = commit_late
+    context.sent_at = now()
+    context.owner._spawn(context.owner._heartbeat_forever)
+    context.stack.callback(context.owner.stop)
+    wait_for(lambda: context.store.get(OWNER_HEARTBEAT_KEY).revision)
+    gevent.sleep(0.01)
+
+
+@then("the ownership is confirmed at the time at which it was sent")
+def then_confirmed_when_sent(context):
+    assert 0.0 <= context.owner.confirmed_at - context.sent_at < 0.2
+
+
+@when("the grant of an agent that has not reported has expired")
+def when_grant_expired(context):
+    owner = context.owner
+    context.stack.callback(owner.stop)
+    owner._spawn(owner._heartbeat_forever)
+    wait_for(lambda: context.store.get(OWNER_HEARTBEAT_KEY).revision)
+    context.heartbeat = context.store.get(OWNER_HEARTBEAT_KEY).revision
+    owner.scheduler.add_worker("agent-1", False, now())
+    owner.links["agent-1"] = mock.Mock(connection=None)
+    gevent.sleep(0.01)
+    owner._plan()
+
+
+@then("a heartbeat is stored within {seconds:f} seconds")
+def then_heartbeat_stored(context, seconds):
+    gevent.sleep(seconds)
+    assert context.store.get(OWNER_HEARTBEAT_KEY).revision > context.heartbeat
+
+
+@then("the agent counts as having reported")
+def then_counts_as_reported(context):
+    context.owner._plan()
+    assert context.owner.scheduler.workers["agent-1"].has_reported
+
+
 @then("it schedules the job")
 def then_scheduled(context):
     assert context.job.job_id in context.owner.scheduler.jobs
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -62,6 +62,19 @@
     When its heartbeat is stored
     Then it connects to the agent
 
+  # A heartbeat that was sent before the end of a grant and answered after it does not show that no other owner
+  # extended the grant.
+  Scenario: A heartbeat confirms the ownership at the time at which it was sent
+    Given an owner whose last heartbeat was stored 1.6 seconds ago
+    When its next heartbeat is stored 0.4 seconds after it was sent
+    Then the ownership is confirmed at the time at which it was sent
+
+  Scenario: An owner sends a heartbeat at once when a grant has expired that another owner may have extended
+    Given an owner whose last heartbeat was stored 1.6 seconds ago
+    When the grant of an agent that has not reported has expired
+    Then a heartbeat is stored within 0.2 seconds
+    And the agent counts as having reported
+
   # The answer to the release was lost. The successor claimed, and both owners started a job that was
   # accepted then.
   Scenario: An owner that hands over starts nothing more
