Signal processes to reload only once they have started in the scenario of SIGHUP

The scenario failed once in a run of its feature beside load, and once in six plays at the same time: its jobs were not completed within 10 s. Cause, by the exit codes of eight plays: the agent had ended by the signal (-1), since it was still being loaded and had no handler yet. The scenario waited for the entry only.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -260,6 +260,8 @@
 @when('every process reloads settings with the log level "{level}"')
 def when_reload(context, level):
     context.process_ids = {n: p.pid for n, p in context.site.processes.items()}
+    # A process that is still being loaded has no handler for the signal.
+    context.site.wait(lambda: all(has_started(context, name) for name in context.site.settings))
     for name, path in context.site.settings.items():
         text = path.read_text(encoding="utf-8")
         path.write_text(f'{text}log_level = "{level}"\n', encoding="utf-8")
@@ -267,6 +269,11 @@
     context.site.wait(lambda: "settings reloaded" in entry_log(context))
 
 
+def has_started(context, name):
+    log = (context.site.folder / f"{name}.log").read_text(encoding="utf-8")
+    return f"{name.partition('-')[0]} started" in log
+
+
 @when("the entry reloads a malformed settings file")
 def when_reload_malformed(context):
     context.site.settings["entry-1"].write_text("entry_id = ", encoding="utf-8")
