Take no job for new in a takeover that has lasted longer than a claim needs

A new owner starts jobs that were accepted after its claim at once, since no former owner can have started them. An owner that stood still after its claim, or whose reads of the store were held up, could have been succeeded by then, and its successor starts the same jobs. Both started them if the former one read the jobs before its next heartbeat failed.

The example of 1.6 s failed without the condition and passes with it.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -248,6 +248,25 @@
     assert context.owner.scheduler.workers["agent-1"].has_reported
 
 
+@when("it reads the jobs, of which one was accepted after its claim")
+def when_reads_jobs(context):
+    context.stack.callback(context.owner.stop)
+    key = JOBS_PREFIX + context.job.job_id
+    context.store.commit({}, {key: encode_job(context.job)})
+    context.store.commit({}, {AGENTS_PREFIX + "agent-1": encode_fields(["127.0.0.1:1", "zone-a"])})
+    assert context.owner._load()
+
+
+@then("it starts that job before the agents have reported")
+def then_job_waits(context):
+    assert list(context.owner.scheduler.waiting) == [f"{context.job.job_id}.0.0.0"]
+
+
+@then("it does not start that job before the agents have reported")
+def then_job_uncertain(context):
+    assert list(context.owner.scheduler.uncertain) == [f"{context.job.job_id}.0.0.0"]
+
+
 @then("it schedules the job")
 def then_scheduled(context):
     assert context.job.job_id in context.owner.scheduler.jobs
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -75,6 +75,17 @@
     Then a heartbeat is stored within 0.2 seconds
     And the agent counts as having reported
 
+  # The process stood still after its claim. Another owner was elected meanwhile and started the job.
+  Scenario Outline: A new owner that has read the jobs <seconds> seconds after its claim <starts> a job accepted since
+    Given an owner whose last heartbeat was stored <seconds> seconds ago
+    When it reads the jobs, of which one was accepted after its claim
+    Then it <starts> that job before the agents have reported
+
+    Examples:
+      | seconds | starts         |
+      | 0.1     | starts         |
+      | 1.6     | does not start |
+
   # The answer to the release was lost. The successor claimed, and both owners started a job that was
   # accepted then.
   Scenario: An owner that hands over starts nothing more
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -194,7 +194,7 @@
         the agent for one on which no former owner has started anything. Without a recent heartbeat,
         the item is therefore kept until the next one shows that there is no other owner.
         """
-        if self.is_releasing or now() - self.confirmed_at > CONFIRMATION_VALID_SECONDS:
+        if self.is_releasing or not self._is_confirmed():
             self.unconfirmed_items[item.key] = item
             return
         if item.key.startswith(JOBS_PREFIX):
@@ -209,6 +209,10 @@
             self._add_agent(item, None)
         self.plan_due.set()
 
+    def _is_confirmed(self) -> bool:
+        """Return whether no other owner had been elected before what was stored just now."""
+        return now() - self.confirmed_at <= CONFIRMATION_VALID_SECONDS
+
     def _add_new_job(self, job_id: str, item: Item) -> None:
         try:
             job = decode_job(job_id, item.value)
@@ -288,6 +292,7 @@
 
     def _load_jobs(self, inbox: list[Item], progress: list[Item]) -> None:
         stored = {item.key[len(PROGRESS_PREFIX) :]: item for item in progress}
+        is_confirmed = self._is_confirmed()
         for item in inbox:
             if not item.key.startswith(JOBS_PREFIX):
                 continue
@@ -297,8 +302,9 @@
             except StoredItemUnreadable as error:
                 self.ignored.record(JOBS_PREFIX, error)
                 continue
-            # Only this owner can have started a job that was accepted after its claim.
-            self.scheduler.add_job(job, certain=item.revision > self.fence)
+            # Only this owner can have started a job that was accepted after its claim, unless
+            # another one has been elected since.
+            self.scheduler.add_job(job, certain=is_confirmed and item.revision > self.fence)
         self.scheduler.check_attempts(now(), now_unix())
         for item in inbox:
             if item.key.startswith(CANCELS_PREFIX):
