Take the poll that shows a stopped run as gone from the answer to a stop sent after its time limit

An agent numbers the polls that have begun, failed ones among them, and reports the number of the last answered one. Found by a reader of the change.

Change: commands to stop are repeated, and each answer has the number of polls begun by then. The answer to the first command that was sent after the longest time that a stop takes gives the position; a poll after it shows the run as gone. The simulated worker counts failed polls as an agent does.

The scenario, which now answers such a poll, failed with the former rule and passes.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -78,6 +78,7 @@
     Given 2 workers of 16 cores
     And a job of 1 task in a queue with max_attempts 3
     When the worker stands still while it stops the run
+    And the worker answers a poll that began before the stop was over
     Then its task has started 1 times
     When the worker goes on and does not list the run
     Then its task has started 2 times
--- a/features/shared_workers.py
+++ b/features/shared_workers.py
@@ -260,7 +260,9 @@
             worker = self.workers[stop.agent_id]
             if stop.task_key in worker.runs:
                 self._end(worker, worker.runs[stop.task_key], "stopped")
-            self.scheduler.process_stop_result(stop.task_key, stop.run, worker.position, self.now)
+            self.scheduler.process_stop_result(
+                stop.task_key, stop.run, worker.position, self.now, self.now
+            )
         self._store_all()
 
     def _store_all(self):
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -224,10 +224,19 @@
     world.scheduler.request_stop(task, world.now)
     world.advance(0.3)
     worker.answers = False
-    world.advance(2.5)
+    world.advance(0.3)
+    context.begun = worker.begun_position
+    world.advance(2.2)
     assert task.stop_confirmed_at
 
 
+@when("the worker answers a poll that began before the stop was over")
+def when_answers_early_poll(context):
+    world, worker = context.world, context.worker
+    worker.poll_number = context.begun.number
+    world.advance(0.2)
+
+
 @when("the worker goes on and does not list the run")
 def when_goes_on(context):
     context.worker.answers = True
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -41,6 +41,7 @@
         self.ended = []
         self.agent_incarnation = 1
         self.poll_number = 0
+        self.polls_begun = 0
         self.drain_seconds = 0.0
         self.last_end_number = 0
         self.started_at = {}
@@ -68,12 +69,18 @@
     def restart_agent(self):
         """Begin another incarnation of the agent, which counts its polls anew."""
         self.agent_incarnation += 1
-        self.poll_number = 0
+        self.poll_number = self.polls_begun = 0
 
     @property
     def position(self):
+        """Position of the last poll that was answered."""
         return PollPosition(self.agent_incarnation, self.poll_number)
 
+    @property
+    def begun_position(self):
+        """Position of the last poll that has begun."""
+        return PollPosition(self.agent_incarnation, self.polls_begun)
+
     def listed_ends(self, acknowledged):
         """Return the ends that a poll lists: all, or a limited number after the acknowledged."""
         if self.max_listed_ends is None:
@@ -153,7 +160,9 @@
         view = self.scheduler.workers[agent_id]
         if worker.crash_report is not None:
             changes = self._crash_changes(worker, view, changes)
-        worker.poll_number += worker.crashed_at is None and worker.answers
+        worker.polls_begun += 1
+        if worker.crashed_at is None and worker.answers:
+            worker.poll_number = worker.polls_begun
         report = AgentReport(
             worker.identity(),
             worker.position,
@@ -270,7 +279,7 @@
         self.answer_start(start, outcome)
 
     def answer_start(self, start, outcome):
-        position = self.workers[start.agent_id].position
+        position = self.workers[start.agent_id].begun_position
         self.scheduler.process_start_result(
             start.task, start.command.run, outcome, position, self.now
         )
@@ -280,9 +289,13 @@
         worker = self.workers[stop.agent_id]
         if stop.agent_id in self.ignored_stops or worker.crashed_at is not None:
             return
+        if not worker.answers:
+            return
         if worker.running.get(stop.task_key) == stop.run:
             worker.end(stop.task_key, "stopped", "saved-at-stop")
-        self.scheduler.process_stop_result(stop.task_key, stop.run, worker.position, self.now)
+        self.scheduler.process_stop_result(
+            stop.task_key, stop.run, worker.begun_position, self.now, self.now
+        )
 
 
 def check_consistency(scheduler):
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -394,9 +394,10 @@
     def _send_stop(self, stop: StopDecision) -> None:
         if self.is_lost or self.authority_seconds <= 0:
             return
+        sent_at = now()
         outcome, position = self.links[stop.agent_id].stop_run(stop.task_key, stop.run)
         if outcome == StartOutcome.STARTED and stop.is_tracked:
-            self.scheduler.process_stop_result(stop.task_key, stop.run, position, now())
+            self.scheduler.process_stop_result(stop.task_key, stop.run, position, sent_at, now())
 
     def _handle_report(self, link: AgentLink, report: AgentReport) -> RunGrant:
         """Apply the report of an agent and return the grant that answers it."""
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -86,7 +86,8 @@
     stop_confirmed_at
         When the worker accepted the command to stop; 0 before.
     stop_is_over
-        Whether a report has arrived after the longest time that the worker takes to stop the run.
+        Whether the agent has answered a command to stop that was sent after the longest time that
+        a stop takes, so that a poll after `after_poll` shows whether the run is gone.
     stop_sent_at
         When the command to stop was last sent.
     last_run_seconds
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -7,7 +7,7 @@
 from acaciastand.workflow.decisions import StopDecision
 from acaciastand.workflow.job import ON_WORKER, StartState, Task, TaskState
 from acaciastand.workflow.moves import runs_outlasting_drain
-from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, PollPosition, RunEnd
+from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, RunEnd
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.worker import LeavingRun, WorkerView
 
@@ -184,7 +184,7 @@
                 task.born_ms = worker.born_ms
                 task.start_state = StartState.CONFIRMED
             elif self._shows_missing(report, task) and (task.key, task.run) not in ended:
-                self._handle_missed_poll(task, report.position, now)
+                self._handle_missed_poll(task, now)
 
     def _shows_missing(self, report: AgentReport, task: Task) -> bool:
         """Return whether a report would list the run of a task if its worker knew of it."""
@@ -251,12 +251,14 @@
         self.state.mark_changed(task.job)
         self.state.record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
 
-    def _handle_missed_poll(self, task: Task, position: PollPosition, now: float) -> None:
+    def _handle_missed_poll(self, task: Task, now: float) -> None:
         former_incarnation = task.born_ms != self.state.workers[task.agent_id].born_ms
         if task.state == TaskState.RUNNING and former_incarnation:
             self.state.mark_lost(task, "worker restarted")
-        elif task.state == TaskState.STOPPING and task.stop_confirmed_at:
-            self._handle_unlisted_stop(task, position, now)
+        elif task.state == TaskState.STOPPING and task.stop_is_over:
+            # A run that is being stopped is listed neither as running nor as ended. Only a poll
+            # that began after the longest time that a stop takes shows that the run is gone.
+            self.state.mark_lost(task, "stopped before it began")
         elif task.state == TaskState.RUNNING:
             task.missed_polls += 1
             if task.missed_polls >= MAX_MISSED_POLLS:
@@ -265,22 +267,6 @@
                 )
                 self.state.request_stop(task, now)
 
-    def _handle_unlisted_stop(self, task: Task, position: PollPosition, now: float) -> None:
-        """Count a run as lost if it is not listed once it must have stopped.
-
-        A run that is being stopped is listed neither as running nor as ended, and an agent repeats
-        its last poll while the worker does not answer. Only a poll that began after the longest
-        time that a stop takes shows that the run is gone.
-        """
-        if now - task.stop_confirmed_at <= self.state.stop_seconds:
-            return
-        if task.stop_is_over:
-            self.state.mark_lost(task, "stopped before it began")
-            return
-        task.stop_is_over = True
-        # The next poll may have begun already; the one after that has not.
-        task.after_poll = PollPosition(position.agent_incarnation, position.number + 1)
-
     def _begin_incarnation(self, worker: WorkerView, report: AgentReport) -> None:
         """Reset a worker that has restarted; runs that it no longer lists are lost."""
         worker.pending_ends.clear()
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -291,11 +291,11 @@
             self.make_waiting(task)
 
     def process_stop_result(
-        self, task_key: str, run: int, position: PollPosition, now: float
+        self, task_key: str, run: int, position: PollPosition, sent_at: float, now: float
     ) -> None:
-        """Record that a worker accepted a command to stop a run.
+        """Record that a worker accepted a command to stop a run that was sent at `sent_at`.
 
-        `position` is the position of the last poll that had begun by then.
+        `position` is the position of the last poll that had begun by the agent's answer.
         """
         task = self.find_task(task_key)
         if task is None or task.run != run or task.state != TaskState.STOPPING:
@@ -304,6 +304,9 @@
         if not task.stop_confirmed_at:
             task.stop_confirmed_at = now
             task.after_poll = position
+        elif not task.stop_is_over and sent_at > task.stop_confirmed_at + self.stop_seconds:
+            task.stop_is_over = True
+            task.after_poll = position
 
     # Decisions
 
