Let the stand-ins serve more agents in one process

Each watch of the store looked at all kept changes every 20 ms, and each poll of a worker woke every 10 ms.

--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -5,6 +5,8 @@
 import base64
 import json
 import random
+from bisect import bisect_right
+from operator import itemgetter
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -16,6 +18,7 @@
 from acaciastand.cluster.keys import OWNER_KEY
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
+    Changes,
     CommitConflict,
     HistoryDropped,
     Item,
@@ -27,6 +30,22 @@
 WATCH_POLL_SECONDS = 0.02
 
 
+class IndexedStore(MemoryTransactionalStore):
+    """Store in memory whose watches look only at later changes.
+
+    Dozens of watches that each looked at all kept changes kept the stand-ins' process busy.
+    """
+
+    def watch(self, prefix: str, after: int, wait_seconds: float) -> Changes:
+        """Return the changes after `after` at once; see `TransactionalStore.watch`."""
+        kept = self.changes
+        self.changes = kept[bisect_right(kept, after, key=itemgetter(0)) :]
+        try:
+            return super().watch(prefix, after, wait_seconds)
+        finally:
+            self.changes = kept
+
+
 class StoreAccess:
     """An address of the store for one host, which the store can turn away.
 
@@ -76,7 +95,7 @@
     """
 
     def __init__(self, address: str = "127.0.0.1:0", seed: int = 1) -> None:
-        self.store = MemoryTransactionalStore()
+        self.store = IndexedStore()
         self.down = False
         self.lost_share = 0.0
         self.delay_seconds = 0.0
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -14,6 +14,7 @@
 
 import gevent
 from gevent import GreenletExit
+from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from acaciastand.errors import AcaciastandError
@@ -109,6 +110,7 @@
         self.crashes = 0
         self.is_down = False
         self.history: list[Run] = []
+        self.end_added = Event()  # wakes the polls that wait for an end
         self.failures: dict[str, int] = {}
         self.tickets: AdviceStandIn | None = None  # checks the tickets of all starts
         self.draining = False
@@ -242,6 +244,8 @@
         self.ends_count += 1
         self.unacknowledged[self.ends_count] = run
         self.ends.append([self.ends_count, run.task, run.run, how, ""])
+        self.end_added.set()
+        self.end_added.clear()
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         if self.gone or self.is_down:
@@ -323,7 +327,7 @@
         self.ends = [row for row in self.ends if row[0] > fields["lastSeen"]]
         with gevent.Timeout(fields.get("waitMs", 0) / 1000, False):
             while not self.ends and fields.get("waitMs"):
-                gevent.sleep(TICK_SECONDS)
+                self.end_added.wait()
         # A run that is being stopped is listed neither as running nor as ended.
         running = [
             [run.task, run.run, "", run.percent, 0]
