Split the commands of a host and the description of a job out of two large modules

The choice of the next call to the worker reads only its attempt and is now host/commands.py; what callers see of a job is shard/description.py. No behaviour changes.

--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -25,12 +25,13 @@
 from acaciastand.placement.worker import WorkerView
 from acaciastand.reasons import Reason
 from acaciastand.resources import Resources
+from acaciastand.shard.errors import job_not_found
 from acaciastand.shard.events import OwnerChanged, event_from_plain
 from acaciastand.shard.job import parse_job
 from acaciastand.shard.limits import MAX_KEY_BYTES
 from acaciastand.shard.runtime_state import AgentContact, AttemptEndReport, ListedAttempt
 from acaciastand.shard.scheduling import Scheduler
-from acaciastand.shard.shard import Shard, job_not_found
+from acaciastand.shard.shard import Shard
 from acaciastand.shard.state import ShardState
 from acaciastand.wire.messages import (
     AttemptName,
--- a/src/acaciastand/host/attempts.py
+++ b/src/acaciastand/host/attempts.py
@@ -318,3 +318,17 @@
         self.result = result
         self.detail = detail
         self.command_in_progress = False
+
+    def begin_stop(self, keep_progress: bool) -> None:
+        """Have the attempt stopped; one that was not started yet ends at once."""
+        if self.state is AttemptState.ENDED:
+            return
+        if self.is_bucket:
+            self.state = AttemptState.STOPPING
+            return
+        if self.state is AttemptState.STARTING and not self.start_sent:
+            self.end(self.stop_result, "stopped before it started")
+            self.end_checkpoint = self.grant.checkpoint
+            return
+        self.keep_progress = self.keep_progress or keep_progress
+        self.state = AttemptState.STOPPING
--- a/src/acaciastand/host/host.py
+++ b/src/acaciastand/host/host.py
@@ -11,6 +11,7 @@
     WorkerCommandKind,
     WorkerTask,
 )
+from acaciastand.host.commands import next_command
 from acaciastand.host.heartbeats import SentHeartbeats
 from acaciastand.host.ledger import Ledger
 from acaciastand.host.requests import RequestAdmission
@@ -18,8 +19,6 @@
 from acaciastand.resources import Resources
 
 MAX_SHARDS = 1024  # Shards whose highest epoch is kept.
-# A lease at the worker is renewed when less than this share of the grant's length is left of it.
-LEASE_RENEWAL_SHARE = 2 / 3
 
 ENDING_STATES = (AttemptState.STOPPING, AttemptState.ENDED)
 RESULT_BY_TASK_STATE = {"finished": AttemptResult.COMPLETED, "failed": AttemptResult.FAILED}
@@ -201,7 +200,7 @@
             return Reason.LEDGER_FULL
         tracked = self.ledger.attempts.get(task_id)
         if tracked is not None and tracked.number <= number:
-            self._begin_stop(tracked, keep_progress)
+            tracked.begin_stop(keep_progress)
         return None
 
     def confirm_result(self, task_id: str, number: int, now: float) -> None:
@@ -221,7 +220,7 @@
         for attempt in self.ledger.active_attempts():
             if attempt.state is not AttemptState.STOPPING:
                 attempt.stop_result = AttemptResult.EVICTED
-            self._begin_stop(attempt, keep_progress=True)
+            attempt.begin_stop(keep_progress=True)
 
     def end_drain(self) -> None:
         """Admit work again."""
@@ -252,7 +251,7 @@
         if attempt is None:
             return False
         attempt.stop_result = AttemptResult.EVICTED
-        self._begin_stop(attempt, keep_progress=True)
+        attempt.begin_stop(keep_progress=True)
         return True
 
     def unconfirmed_attempts(self) -> list[Attempt]:
@@ -415,19 +414,6 @@
         attempt.valid_until = max(attempt.valid_until, valid_until)
         attempt.grant.epoch = max(attempt.grant.epoch, epoch)
 
-    def _begin_stop(self, attempt: Attempt, keep_progress: bool) -> None:
-        if attempt.state is AttemptState.ENDED:
-            return
-        if attempt.is_bucket:
-            attempt.state = AttemptState.STOPPING
-            return
-        if attempt.state is AttemptState.STARTING and not attempt.start_sent:
-            attempt.end(attempt.stop_result, "stopped before it started")
-            attempt.end_checkpoint = attempt.grant.checkpoint
-            return
-        attempt.keep_progress = attempt.keep_progress or keep_progress
-        attempt.state = AttemptState.STOPPING
-
     def _apply_worker_task(self, task: WorkerTask, asked_at: float, now: float) -> None:
         attempt = self.ledger.find_attempt(task.task_id, task.attempt)
         if attempt is None:
@@ -474,60 +460,7 @@
         if attempt.is_bucket:
             self._update_bucket(attempt, now)
             return None
-        if attempt.command_in_progress:
-            return None
-        kind = self._next_command_kind(attempt, now)
-        if kind is None:
-            return None
-        attempt.command_in_progress = True
-        if kind in (WorkerCommandKind.START, WorkerCommandKind.RENEW, WorkerCommandKind.RESUME):
-            attempt.lease_until = attempt.valid_until
-        return WorkerCommand(
-            kind,
-            attempt.task_id,
-            attempt.number,
-            attempt.valid_until,
-            attempt.keep_progress,
-            attempt.limit_cores,
-        )
-
-    def _next_command_kind(self, attempt: Attempt, now: float) -> WorkerCommandKind | None:
-        expired = now >= attempt.valid_until
-        if attempt.state is AttemptState.STOPPING:
-            return WorkerCommandKind.STOP
-        if attempt.state is AttemptState.STARTING:
-            return self._start_command_kind(attempt, expired)
-        if attempt.state is AttemptState.RUNNING and expired:
-            attempt.state = AttemptState.PAUSED
-            return WorkerCommandKind.PAUSE
-        # The worker's clock is estimated low, so a lease ends before its grant by up to the
-        # duration of a status call. A resume for the remaining time would end in another pause.
-        if attempt.state is AttemptState.PAUSED and not expired and attempt.outlasts_lease:
-            attempt.state = AttemptState.RUNNING
-            return WorkerCommandKind.RESUME
-        if attempt.state is not AttemptState.RUNNING:
-            return None
-        is_due = attempt.lease_until - now < attempt.grant.grant_seconds * LEASE_RENEWAL_SHARE
-        if is_due and attempt.outlasts_lease:
-            # Renewed before a throttle call is made, which may fail repeatedly.
-            return WorkerCommandKind.RENEW
-        return self._pressure_command_kind(attempt)
-
-    def _pressure_command_kind(self, attempt: Attempt) -> WorkerCommandKind | None:
-        if attempt.limit_cores != attempt.limit_sent:
-            return WorkerCommandKind.THROTTLE
-        if attempt.checkpoint_requested:
-            attempt.checkpoint_requested = False
-            return WorkerCommandKind.CHECKPOINT
-        return None
-
-    def _start_command_kind(self, attempt: Attempt, expired: bool) -> WorkerCommandKind | None:
-        if not expired:
-            attempt.start_sent = True
-            return WorkerCommandKind.START
-        attempt.stop_result = AttemptResult.EVICTED
-        self._begin_stop(attempt, keep_progress=True)
-        return WorkerCommandKind.STOP if attempt.state is AttemptState.STOPPING else None
+        return next_command(attempt, now)
 
     def _update_bucket(self, attempt: Attempt, now: float) -> None:
         if attempt.state is AttemptState.STOPPING:
--- a/src/acaciastand/shard/errors.py
+++ b/src/acaciastand/shard/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from acaciastand.errors import Refused
+from acaciastand.errors import NotFound, Refused
 from acaciastand.shard.limits import MAX_JOBS, MAX_PENDING_EVENTS, MAX_TASKS
 
 
@@ -34,3 +34,11 @@
         f"{MAX_PENDING_EVENTS} changes of shard {number} are waiting to be committed to the store",
         "send the request again later",
     )
+
+
+def job_not_found(job_id: str) -> NotFound:
+    """Return the error for a job that is unknown or no longer kept."""
+    return NotFound(
+        f"job {job_id!r} does not exist",
+        "check the id; only the most recently finished jobs are kept",
+    )
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -11,10 +11,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from acaciastand.errors import NotFound
 from acaciastand.record import Record
 from acaciastand.resources import Resources
-from acaciastand.shard.errors import commit_queue_full_error, shard_full_error
+from acaciastand.shard.description import describe_job
+from acaciastand.shard.errors import commit_queue_full_error, job_not_found, shard_full_error
 from acaciastand.shard.events import (
     UNREPORTED_ENDS,
     AttemptEnd,
@@ -565,40 +565,4 @@
         NotFound
             No job has this id, or the job finished and is no longer kept.
         """
-        job = self.committed_state.jobs.get(job_id)
-        if job is not None:
-            counts = [job.counts[state] for state in TaskState]
-            return _description(job_id, job.spec.name, job.cancelled, counts)
-        finished = self.committed_state.finished_jobs.get(job_id)
-        if finished is None:
-            raise job_not_found(job_id)
-        return _description(job_id, finished.name, finished.cancelled, finished.counts)
-
-
-def job_not_found(job_id: str) -> NotFound:
-    """Return the error for a job that is unknown or no longer kept."""
-    return NotFound(
-        f"job {job_id!r} does not exist",
-        "check the id; only the most recently finished jobs are kept",
-    )
-
-
-def _description(job_id: str, name: str, cancelled: bool, counts: list[int]) -> dict[str, Any]:
-    by_state = {state.name.lower(): counts[state] for state in TaskState}
-    return {
-        "job_id": job_id,
-        "name": name,
-        "state": _job_state(cancelled, by_state),
-        "tasks": by_state,
-        "reason": "",
-    }
-
-
-def _job_state(cancelled: bool, by_state: dict[str, int]) -> str:
-    if by_state["running"]:
-        return "cancelling" if cancelled else "running"
-    if cancelled:
-        return "cancelled"
-    if by_state["waiting"]:
-        return "waiting"
-    return "failed" if by_state["failed"] else "completed"
+        return describe_job(self.committed_state, job_id)
