Start nothing in zones that the operators drain

The operators' requests to drain a zone were read nowhere, so tasks went on starting there. The owner now reads them in its takeover and follows them through peers where the store refuses it; workers of drained zones are not schedulable. Runs that save progress and continuous ones move where capacity is free. Offered only where the settings have zone_drain_ms.

--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -43,6 +43,7 @@
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.cluster.store_relay import (
     STORE_COMMIT_CALL,
+    STORE_LIST_CALL,
     STORE_READ_CALL,
     STORE_WATCH_CALL,
     RelayedStore,
@@ -296,6 +297,7 @@
             self.metrics,
             self._end_term,
             self.advisor,
+            self.settings.zone_drain_ms / 1000,
         )
         if self.is_stopping:  # The stop was requested while the claim was on its way.
             owner.release()
@@ -410,6 +412,9 @@
             STORE_READ_CALL: lambda request: self.relayed_store.answer_call(
                 STORE_READ_CALL, request
             ),
+            STORE_LIST_CALL: lambda request: self.relayed_store.answer_call(
+                STORE_LIST_CALL, request
+            ),
             STORE_WATCH_CALL: lambda request: self.relayed_store.answer_call(
                 STORE_WATCH_CALL, request
             ),
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -35,6 +35,7 @@
 )
 from acaciastand.cluster.prefix_watch import follow_prefix
 from acaciastand.cluster.supervision import supervised
+from acaciastand.cluster.zone_drain_watch import ZoneDrainWatch
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
     CommitConflict,
@@ -86,6 +87,8 @@
         Called when the ownership is lost.
     advisor
         Placement service; without one, jobs of advised queues wait.
+    zone_drain_seconds
+        Bound for requests to drain a zone; 0 if the operators drain no zones.
 
     Attributes
     ----------
@@ -118,6 +121,7 @@
         metrics: Metrics,
         on_lost: Callable[[Owner], None],
         advisor: PlacementAdvisor | None = None,
+        zone_drain_seconds: float = 0.0,
     ) -> None:
         self.store = store
         self.record = record
@@ -135,6 +139,9 @@
         self.interference_store = InterferenceStore(
             store, self.scheduler.interference, fence, self.ignored
         )
+        self.zone_drain_watch = ZoneDrainWatch(
+            store, self.scheduler, zone_drain_seconds, metrics, self.ignored
+        )
         self.links: dict[str, AgentLink] = {}
         self.plan_due = Event()
         self.heartbeat_due = Event()
@@ -250,6 +257,7 @@
         self._spawn(self._plan_forever)
         self._spawn(self._watch_inbox)
         self._spawn(self._watch_agents)
+        self._spawn(self.zone_drain_watch.follow_forever)
         self._spawn(self.job_retention.remove_forever)
         self._spawn(self.interference_store.store_forever)
         if self.advisor is not None:
@@ -265,6 +273,7 @@
             inbox = self.store.list(INBOX_PREFIX)
             progress = self.store.list(PROGRESS_PREFIX)
             self.interference_store.load()
+            self.zone_drain_watch.load()
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.warning(
                 "takeover delayed: the store cannot be read", extra={"error": str(error)}
@@ -443,20 +452,12 @@
 
     def _watch_inbox(self) -> None:
         follow_prefix(
-            self.store,
-            INBOX_PREFIX,
-            self.inbox_revision,
-            INBOX_WAIT_SECONDS,
-            self._apply_items,
+            self.store, INBOX_PREFIX, self.inbox_revision, INBOX_WAIT_SECONDS, self._apply_items
         )
 
     def _watch_agents(self) -> None:
         follow_prefix(
-            self.store,
-            AGENTS_PREFIX,
-            self.agents_revision,
-            AGENTS_WAIT_SECONDS,
-            self._apply_items,
+            self.store, AGENTS_PREFIX, self.agents_revision, AGENTS_WAIT_SECONDS, self._apply_items
         )
 
     def _apply_items(self, items: list[Item]) -> None:
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -9,6 +9,7 @@
 
 MAX_STOP_TIMEOUT_MS = 60_000
 MAX_LEASE_MS = 600_000
+MAX_ZONE_DRAIN_MS = 600_000
 # The owner of 70 workers uses a third of a core, and a whole core during a takeover.
 MIN_OWNER_CORES = 0.8
 # The reports of 70 agents and the reads of all jobs fill a slower link.
@@ -51,6 +52,7 @@
         "store_url",
         "advice_address",
         "stop_timeout_ms",
+        "zone_drain_ms",
         "processors",
         "processor_share",
         "link_mbps",
@@ -66,6 +68,7 @@
     store_url: str
     advice_address: str
     stop_timeout_ms: int
+    zone_drain_ms: int
     processors: float
     processor_share: float
     link_mbps: float
@@ -86,6 +89,12 @@
         "stop_timeout_ms": Field(
             Integer(1, MAX_STOP_TIMEOUT_MS), "Longest time that a worker takes to stop a run.", 1000
         ),
+        "zone_drain_ms": Field(
+            Integer(0, MAX_ZONE_DRAIN_MS),
+            "Longest time from a request to drain a zone to the last start there; 0 if the"
+            " operators drain no zones.",
+            0,
+        ),
         "processors": Field(Number(), "Processors of the host.", 1.0),
         "processor_share": Field(Number(), "Share of each processor for this process.", 1.0),
         "link_mbps": Field(Number(), "Bandwidth of the host's link in megabits a second.", 1000.0),
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -31,6 +31,7 @@
 # Names of the calls by which one entry reaches the store through another.
 STORE_READ_CALL = "store_read"
 STORE_WATCH_CALL = "store_watch"
+STORE_LIST_CALL = "store_list"
 STORE_COMMIT_CALL = "store_commit"
 # Time to wait for the other entry, which itself waits half a second for the store.
 CALL_TIMEOUT_SECONDS = 0.7
@@ -87,9 +88,22 @@
         )
 
     def list(self, prefix: str, stale: bool = False) -> Listing:
-        """Return all items below `prefix`; this call is never relayed."""
+        """Return all items below `prefix`; this call is never relayed, unlike `list_few`."""
         return self.direct.list(prefix, stale)
 
+    def list_few(self, prefix: str) -> Listing:
+        """Return all items below a prefix that holds few and small ones."""
+        return self._read(
+            lambda: self.direct.list(prefix),
+            lambda link: _decoded(
+                _listing, link.call(STORE_LIST_CALL, {"prefix": prefix}, CALL_TIMEOUT_SECONDS)
+            ),
+        )
+
+    def has_relays(self) -> bool:
+        """Return whether another entry is connected."""
+        return bool(self._relay_links())
+
     def watch(self, prefix: str, after: int, wait_seconds: float) -> Changes:
         """Wait for changes below `prefix`."""
         payload = {"prefix": prefix, "after": after, "wait": wait_seconds}
@@ -154,7 +168,7 @@
         Parameters
         ----------
         name
-            `STORE_READ_CALL`, `STORE_WATCH_CALL` or `STORE_COMMIT_CALL`.
+            `STORE_READ_CALL`, `STORE_LIST_CALL`, `STORE_WATCH_CALL` or `STORE_COMMIT_CALL`.
         payload
             Arguments of the call.
 
@@ -169,6 +183,10 @@
             return self._answer_commit(payload)
         if name == STORE_READ_CALL:
             return {"item": list(self.direct.get(str(payload["key"])).values())}
+        if name == STORE_LIST_CALL:
+            listing = self.direct.list(str(payload["prefix"]))
+            rows = [list(item.values()) for item in listing.items]
+            return {"items": rows, "revision": listing.revision}
         try:
             prefix, after = str(payload["prefix"]), int(payload["after"])
             changes = self.direct.watch(prefix, after, float(payload["wait"]))
@@ -291,6 +309,11 @@
     return Item(check_text(key), check_bytes(value), check_integer(revision))
 
 
+def _listing(reply: dict[str, Any]) -> Listing:
+    items = [_item(row) for row in check_list(reply["items"])]
+    return Listing(items, check_integer(reply["revision"]))
+
+
 def _changes(reply: dict[str, Any], after: int) -> Changes:
     if reply.get("dropped"):
         raise HistoryDropped(after)
--- a/src/acaciastand/coordination/transactions.py
+++ b/src/acaciastand/coordination/transactions.py
@@ -157,6 +157,17 @@
             The items, sorted by key, and the revision from which a watch continues.
         """
 
+    def list_few(self, prefix: str) -> Listing:
+        """Return all items below a prefix that holds few and small ones; see `list`.
+
+        A store that can be reached in several ways tries all of them.
+        """
+        return self.list(prefix)
+
+    def has_relays(self) -> bool:
+        """Return whether calls can reach the store through another process at present."""
+        return False
+
     @abstractmethod
     def watch(self, prefix: str, after: int, wait_seconds: float) -> Changes:
         """Wait for changes of keys that begin with a prefix.
--- a/src/acaciastand/platform/operator.py
+++ b/src/acaciastand/platform/operator.py
@@ -14,15 +14,20 @@
     check_text,
     decode_rows,
     load_json_map,
+    shorten,
 )
+from acaciastand.coordination.transactions import Item
 from acaciastand.errors import InvalidInput
 from acaciastand.resources import Resources
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.spec import StepSpec, WorkflowSpec, check_spec
+from acaciastand.workflow.zone_drains import ZoneDrainRequest
 
 CONFIG_KEY = "op/config"
+ZONE_DRAIN_PREFIX = "op/evacuate/"  # followed by the zone
 DEADLINE_HEADER = "X-Deadline-Ms"  # how long the caller waits for the answer
 MAX_PAYLOAD_BYTES = 4_000
+MAX_ZONE_LENGTH = 200  # characters; the limit of the settings
 
 
 def decode_catalog(data: bytes, on_ignored: Callable[[Exception], None]) -> Catalog:
@@ -74,6 +79,37 @@
     )
 
 
+def drained_zone_of(key: str) -> str:
+    """Return the zone that the key of a request to drain a zone names."""
+    return key.removeprefix(ZONE_DRAIN_PREFIX)
+
+
+def decode_zone_drain(item: Item, on_ignored: Callable[[Exception], None]) -> ZoneDrainRequest:
+    """Return the request to drain a zone in a stored item.
+
+    The key alone is the request. A value that is not understood is reported and does not undo it,
+    since work that starts in a zone by mistake is worse than work that waits.
+
+    Parameters
+    ----------
+    on_ignored
+        Called with the error of a value that is not a JSON object.
+
+    Raises
+    ------
+    InvalidInput
+        The key names no zone.
+    """
+    zone = drained_zone_of(item.key)
+    if not 0 < len(zone) <= MAX_ZONE_LENGTH or not zone.isprintable() or "/" in zone:
+        raise InvalidInput(f"{shorten(item.key)} names no zone", "remove the key")
+    try:
+        load_json_map(item.value)
+    except MALFORMED as error:
+        on_ignored(InvalidInput(f"the value at {item.key} is not an object: {error}", "write {}"))
+    return ZoneDrainRequest(zone, item.revision)
+
+
 def decode_job(data: bytes) -> WorkflowSpec:
     """Return the job in a submission.
 
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -46,6 +46,12 @@
     "configuration_version": ("", "Version of the configuration in use."),
     "configuration_age_seconds": ("", "Time since the store last confirmed the configuration."),
     "waiting_tasks": ("", "Tasks that wait for room."),
+    "drained_zones": ("", "Zones that the operators drain, as the owner knows them."),
+    "drained_zone_runs": ("why", "Runs in drained zones by the reason for which they stay."),
+    "zone_drains_age_seconds": (
+        "",
+        "Time since the store last confirmed to the owner which zones are drained.",
+    ),
 }
 MAX_LABEL_VALUES = 64  # of one metric; later values are counted as "other"
 
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -320,6 +320,7 @@
         confirmed_at
             Latest time at which it is certain that no other owner had been elected.
         """
+        self.zone_drains.mark_workers(self.workers.values(), now)
         self._check_uncertain(now)
         if now - self.last_check_at >= CHECK_INTERVAL_SECONDS:
             self.last_check_at = now
@@ -327,6 +328,7 @@
             self._check_due(now_unix)
             self._check_overdue(now)
             self._move_slowed(now, now_unix)
+            self.zone_moves.request_moves(now)
         self._repeat_stops(now)
         starts = self.start_planner.plan_starts(
             self.waiting,
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -10,6 +10,8 @@
 from acaciastand.workflow.interference import Interference
 from acaciastand.workflow.job import Job, Task, TaskState
 from acaciastand.workflow.worker import WorkerView
+from acaciastand.workflow.zone_drains import NoZoneDrains, ZoneDrains
+from acaciastand.workflow.zone_moves import NoZoneMoves, ZoneMoves
 
 
 class SchedulerState:
@@ -28,6 +30,10 @@
         Advice of the placement service.
     catalog
         Version of the operators' configuration that is in use.
+    zone_drains
+        Availability zones whose workers get no new work.
+    zone_moves
+        Policy on the runs in these zones.
     jobs
         Jobs by id, ended ones included.
     workers
@@ -55,6 +61,8 @@
         self.interference = interference
         self.advice = AdviceCache()
         self.catalog = Catalog()
+        self.zone_drains: ZoneDrains = NoZoneDrains()
+        self.zone_moves: ZoneMoves = NoZoneMoves()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, WorkerView] = {}
         self.waiting: dict[str, Task] = {}
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -52,6 +52,8 @@
         Whether the owner has a connection to the agent.
     worker_unresponsive
         Whether the worker does not answer its agent, by the last report.
+    in_drained_zone
+        Whether the worker gets no new work because the operators drain its zone.
     tasks
         Tasks whose current run is assigned to the worker, by key.
     leaving_runs
@@ -116,6 +118,7 @@
         "granted_until",
         "reachable",
         "worker_unresponsive",
+        "in_drained_zone",
         "tasks",
         "leaving_runs",
         "reserved_cores",
@@ -154,6 +157,7 @@
         self.granted_until = float("-inf")
         self.reachable = False
         self.worker_unresponsive = False
+        self.in_drained_zone = False
         self.tasks: dict[str, Task] = {}
         self.leaving_runs: dict[tuple[str, int], LeavingRun] = {}
         self.reserved_cores = 0.0
@@ -188,6 +192,11 @@
         """Start time of the worker in Unix milliseconds; identifies its incarnation."""
         return self.identity.born_ms if self.identity else 0
 
+    @property
+    def availability_zone(self) -> str:
+        """Availability zone of the worker; empty before its first announcement."""
+        return self.identity.availability_zone if self.identity else ""
+
     @property
     def rack(self) -> str:
         """Rack of the worker; by convention the last label."""
@@ -307,6 +316,7 @@
             and not self.identity.draining
             and self.reachable
             and not self.worker_unresponsive
+            and not self.in_drained_zone
             and now - self.last_report_at <= max_report_age_seconds
             and now >= self.quarantined_until
         )
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -19,6 +19,7 @@
 
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import HttpCaller
+from acaciastand.platform.operator import ZONE_DRAIN_PREFIX
 from acaciastand.record import Record
 from acaciastand_lab.fault_proxy import FaultProxy
 from acaciastand_lab.processes import free_address
@@ -66,6 +67,10 @@
         Seed of the stand-ins' faults.
     proxies
         Whether each connection between processes passes a proxy with faults.
+    zones
+        Number of availability zones; the agents are in each in turn.
+    zone_drain_ms
+        Bound for requests to drain a zone in milliseconds; 0 if they are not served.
 
     Attributes
     ----------
@@ -74,7 +79,15 @@
         ``entry-1 store``, ``agent-1 peer``, ``agent-1 worker`` and ``agent-1 store``.
     """
 
-    def __init__(self, entries: int, agents: int, seed: int = 1, proxies: bool = False) -> None:
+    def __init__(
+        self,
+        entries: int,
+        agents: int,
+        seed: int = 1,
+        proxies: bool = False,
+        zones: int = 1,
+        zone_drain_ms: int = 0,
+    ) -> None:
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         self.store = PlatformStoreStandIn(seed=seed)
@@ -90,12 +103,15 @@
         self.workers: list[PlatformWorkerStandIn] = []
         self.store_access: dict[str, StoreAccess] = {}  # of the entries
         self.with_proxies = proxies
+        self.zones = [f"zone-{chr(ord('a') + number)}" for number in range(zones)]
+        self.zone_drain_ms = zone_drain_ms
         self.links: dict[str, FaultProxy] = {}
         self.stack.callback(self._end_processes)
         for number in range(entries):
             self._add_entry(f"entry-{number + 1}")
         for number in range(agents):
-            self._add_agent(f"agent-{number + 1}", seed + number)
+            zone = self.zones[number % zones]
+            self._add_agent(f"agent-{number + 1}", seed + number, zone)
 
     def close(self) -> None:
         """End all processes that this site started, and its stand-ins."""
@@ -212,6 +228,19 @@
         """All proxies."""
         return list(self.links.values())
 
+    def drain_zone(self, zone: str) -> None:
+        """Request as the operators do that a zone gets no new work."""
+        self.store.write(ZONE_DRAIN_PREFIX + zone, b"{}")
+
+    def end_drain(self, zone: str) -> None:
+        """Remove the request to drain a zone."""
+        self.store.remove(ZONE_DRAIN_PREFIX + zone)
+
+    def zone_of(self, worker_id: str) -> str:
+        """Return the availability zone of a worker."""
+        zones = {worker.worker_id: worker.availability_zone for worker in self.workers}
+        return zones[worker_id]
+
     def isolate(self, entry: str, agent: str) -> None:
         """Cut off an entry, and one agent that only this entry still reaches."""
         for link in self.links_around(entry, agent):
@@ -257,19 +286,20 @@
             store_url=f"http://{self._behind_proxy(f'{name} store', access.address)}",
             advice_address=self.advice.address,
             stop_timeout_ms=STOP_TIMEOUT_MS,
+            zone_drain_ms=self.zone_drain_ms,
         )
 
-    def _add_agent(self, name: str, seed: int) -> None:
+    def _add_agent(self, name: str, seed: int, zone: str) -> None:
         announce = free_address()
         peer = free_address()
-        worker = PlatformWorkerStandIn(f"w-{name}", announce, seed=seed)
+        worker = PlatformWorkerStandIn(f"w-{name}", announce, seed=seed, availability_zone=zone)
         worker.start()
         self.stack.callback(worker.stop)
         self.workers.append(worker)
         self._write_settings(
             name,
             agent_id=name,
-            availability_zone="zone-a",
+            availability_zone=zone,
             announce_address=announce,
             peer_address=peer,
             advertised_address=self._behind_proxy(f"{name} peer", peer),
--- a/src/acaciastand_lab/soak.py
+++ b/src/acaciastand_lab/soak.py
@@ -21,6 +21,8 @@
 
 from acaciastand_lab.partitions import PartitionFaults
 from acaciastand_lab.platform_site import Site, broken_promises, configuration, describe_run
+from acaciastand_lab.soak_checks import early_starts
+from acaciastand_lab.soak_zone_drains import ZONE_DRAIN_MS, ZONES, ZoneDrainFaults
 
 ENTRIES = 3
 AGENTS = 3
@@ -31,8 +33,6 @@
 REFUSALS = frozenset({429, 503})
 CANCELLED_SHARE = 0.12
 REPEATED_SHARE = 0.2
-
-
 # Share of the jobs whose task takes each worker down that starts it, and for how long.
 CRASHING_SHARE = 0.05
 CRASH_SECONDS = 1.5
@@ -98,6 +98,8 @@
         Whether the faults are partitions and freezes instead, under short and long tasks.
     entries, agents
         Number of processes of each kind.
+    zone_drains
+        Whether operators also drain zones at random.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         partitions: bool = False,
         entries: int = ENTRIES,
         agents: int = AGENTS,
+        zone_drains: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.extended = extended
@@ -116,7 +119,9 @@
         self.seconds = seconds
         self.entries = entries
         self.agents = agents
-        self.site = Site(entries, agents, seed, proxies=True)
+        zones = (ZONES, ZONE_DRAIN_MS) if zone_drains else (1, 0)
+        self.site = Site(entries, agents, seed, True, *zones)
+        self.zone_drains = ZoneDrainFaults(self.site, self.random) if zone_drains else None
         self.partitions = PartitionFaults(self.site, self.random) if partitions else None
         self.jobs: list[Submission] = []
         self.problems: list[str] = []
@@ -139,6 +144,8 @@
             self._repair()
             if self.extended:
                 self._check_configuration()
+            if self.zone_drains:
+                self.zone_drains.submit_after_bound(self._submit_new)
             self._check_all()
             if self.problems and self.logs_folder is not None:
                 self._keep_logs(self.logs_folder)
@@ -172,9 +179,11 @@
             self.faults.append(self.partitions.inject())
             return
         extension = (self._mute, self._take_worker_down) if self.extended else ()
+        drains = (self.zone_drains.change,) if self.zone_drains else ()
         fault = self.random.choice(
             (
                 *extension,
+                *drains,
                 self._kill,
                 self._pause,
                 self._stop,
@@ -283,6 +292,8 @@
             repair()
         if self.partitions:
             self.partitions.repair()
+        if self.zone_drains:
+            self.zone_drains.drain_one()
         for proxy in self.site.proxies:
             proxy.heal()
         for name, process in list(self.site.processes.items()):
@@ -293,11 +304,14 @@
 
     def _submit_forever(self) -> None:
         while True:
-            job = self._new_job()
-            self.jobs.append(job)
-            gevent.spawn(self._submit, job, self.random.random(), self.random.random())
+            self._submit_new()
             gevent.sleep(self.random.uniform(0.5, 1.5) * SUBMIT_PAUSE_SECONDS)
 
+    def _submit_new(self) -> None:
+        job = self._new_job()
+        self.jobs.append(job)
+        gevent.spawn(self._submit, job, self.random.random(), self.random.random())
+
     def _new_job(self) -> Submission:
         job_id = f"{len(self.jobs) + 1:016x}"
         if self.partitions:
@@ -375,10 +389,12 @@
             self.problems.append(f"{job.job_id}: accepted, and {state or 'not known'} at the end")
         history = self.site.history()
         self.problems += broken_promises(history, time.monotonic())
-        self._check_order(history)
+        self.problems += early_starts(self.jobs, history)
         self._check_refusals(history)
         self._check_cancels(history)
         self._check_crashes(history)
+        if self.zone_drains:
+            self.problems += self.zone_drains.find_starts(history)
 
     def _has_ended(self, job: Submission) -> bool:
         state = self.site.state(job.job_id)
@@ -415,21 +431,6 @@
             if job.crash_seconds and starts > MAX_CRASHING_STARTS:
                 self.problems.append(f"{job.job_id}: {starts} starts crashed their workers")
 
-    def _check_order(self, history: list[Any]) -> None:
-        done: dict[tuple[str, int], list[float]] = {}
-        for run in history:
-            job_id, _, step, _ = run.task.split(".")
-            if run.how == "done":
-                done.setdefault((job_id, int(step)), []).append(run.ended)
-        counts = {job.job_id: [step["count"] for step in job.steps] for job in self.jobs}
-        for run in history:
-            job_id, _, step, _ = run.task.split(".")
-            if not int(step):
-                continue
-            before = [t for t in done.get((job_id, int(step) - 1), []) if t <= run.began]
-            if len(before) < counts[job_id][int(step) - 1]:
-                self.problems.append(f"{run.task}: began before step {int(step) - 1} was done")
-
     def _check_refusals(self, history: list[Any]) -> None:
         ran = {run.task.partition(".")[0] for run in history}
         for job in self.jobs:
@@ -459,12 +460,13 @@
     ] = False,
     entries: Annotated[int, typer.Option(min=1, help="Number of entries.")] = ENTRIES,
     agents: Annotated[int, typer.Option(min=1, help="Number of agents.")] = AGENTS,
+    zone_drains: Annotated[bool, typer.Option(help="Drain zones at random, too.")] = False,
 ) -> None:
     """Play seeds and print the broken promises of each."""
     failed = 0
     for number in range(seed, seed + runs):
         folder = logs / str(number) if logs else None
-        soak = Soak(number, seconds, extended, folder, partitions, entries, agents)
+        soak = Soak(number, seconds, extended, folder, partitions, entries, agents, zone_drains)
         problems = soak.run()
         failed += bool(problems)
         accepted = sum(job.accepted for job in soak.jobs)
--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -130,6 +130,10 @@
         """Write a key as the operators do."""
         self.store.commit({}, {key: value})
 
+    def remove(self, key: str) -> None:
+        """Remove a key as the operators do."""
+        self.store.commit({}, {}, [key])
+
     def serve(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         """Answer one call."""
         self.calls += 1
@@ -183,8 +187,9 @@
                     break
                 gevent.sleep(WATCH_POLL_SECONDS)
         changes = self.store.watch(query["prefix"], after, 0.0)
-        events = [_plain(item) for item in changes.items]
-        events += [{"key": key, "deleted": True} for key in changes.deleted]
+        # A key that was written again after its deletion is in both lists.
+        events: list[dict[str, Any]] = [{"key": key, "deleted": True} for key in changes.deleted]
+        events += [_plain(item) for item in changes.items]
         return 200, {"events": events, "storeRevision": changes.revision}
 
     def _txn(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -192,7 +197,7 @@
         puts = {
             row["key"]: base64.b64decode(row.get("value", "")) for row in fields.get("setKeys", [])
         }
-        if any(key.startswith("op/") for key in puts):
+        if any(key.startswith("op/") for key in [*puts, *fields.get("remove", [])]):
             return 403, {}
         try:
             revision = self.store.commit(expected, puts, fields.get("remove", []))
--- a/src/acaciastand_standin/platform_worker.py
+++ b/src/acaciastand_standin/platform_worker.py
@@ -100,8 +100,10 @@
         address: str = "127.0.0.1:0",
         cores: float = 16.0,
         seed: int = 1,
+        availability_zone: str = "zone-a",
     ) -> None:
         self.worker_id = worker_id
+        self.availability_zone = availability_zone
         self.caller = HttpCaller(f"http://{announce_address}")
         self.service = service
         self.cores = cores
@@ -200,7 +202,7 @@
         fields = {
             "service": self.service,
             "addr": self.address,
-            "zone": "zone-a",
+            "zone": self.availability_zone,
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.draining else "ready",
