--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -36,6 +36,7 @@
     def __init__(self, agent_id, cores, memory_mb):
         self.agent_id = agent_id
         self.capacity = Resources(cores, memory_mb, 0)
+        self.zone = "zone-a"
         self.born_ms = BORN_MS
         self.running = {}
         self.ended = []
@@ -98,7 +99,7 @@
             self.born_ms,
             "desk",
             "10.0.0.1:1",
-            "zone-a",
+            self.zone,
             self.capacity,
             ["a", "rack-1"],
             bool(self.drain_seconds),
--- a/src/acaciastand/workflow/zone_moves.py
+++ b/src/acaciastand/workflow/zone_moves.py
@@ -28,7 +28,7 @@
 class StayReason(StrEnum):
     """Why a run stays in a drained zone."""
 
-    IN_TRANSITION = "in_transition"  # It is being started or stopped.
+    IN_TRANSITION = "in_transition"  # It is being started or stopped, or is not at work yet.
     GANG = "gang"  # A gang runs as a whole.
     NO_CHECKPOINTS = "no_checkpoints"  # A stop would throw its work away.
     ENDS_SOON = "ends_soon"
@@ -273,7 +273,7 @@
 
 def _reason_of_run(task: Task, now: float) -> StayReason | None:
     """Return why a run itself may not move, or None if it may."""
-    if task.state != TaskState.RUNNING:
+    if not _is_at_work(task):
         return StayReason.IN_TRANSITION
     if task.step.gang:
         return StayReason.GANG
