--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,3 +27,12 @@
     Examples:
       | seed |
       | 5    |
+
+  # Guards against starts in a zone that the operators drain, whatever fails at the time.
+  Scenario Outline: A short run of seed <seed> in which zones are drained
+    When the soak plays seed <seed> with 6 seconds of faults and drained zones
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 3    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,6 +25,12 @@
     context.problems = context.soak.run()
 
 
+@when("the soak plays seed {seed:d} with {seconds:d} seconds of faults and drained zones")
+def when_drains(context, seed, seconds):
+    context.soak = Soak(seed, float(seconds), extended=True, zone_drains=True)
+    context.problems = context.soak.run()
+
+
 @then("no promise was broken")
 def then_kept(context):
     assert not context.problems, (context.problems, context.soak.faults)
--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -2,22 +2,26 @@
 
 import time
 
+import cbor2
 import gevent
 from behave import given, then, when
-from waiting import wait_for
+from waiting import raise_error, wait_for
 from workflow_support import QUEUES, step
 from zone_support import BOUND_SECONDS, OtherEntry, RefusedHost, WatchedStore, ZoneWorld
 
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.keys import OWNER_KEY, OwnerRecord
 from acaciastand.cluster.owner import Owner
+from acaciastand.cluster.run_reports import decode_report, encode_report
 from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.cluster.zone_drain_watch import ZoneDrainWatch
 from acaciastand.platform.operator import ZONE_DRAIN_PREFIX
 from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
+from acaciastand.wire.codec import decode, encode
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.crashes import TaskCrash
+from acaciastand.workflow.reports import AgentReport, WorkerIdentity
 from acaciastand.workflow.scheduler import Scheduler
 from acaciastand_lab.platform_site import Site
 
@@ -140,12 +144,34 @@
     context.world.stuck.add(next(iter(context.job.tasks)))
 
 
-@when("80 tasks wait")
-def when_many(context):
-    context.world.submit("2" * 16, "plans", step(80, seconds=60.0))
+@when("{count:d} tasks wait")
+def when_many(context, count):
+    job_id = f"{len(context.world.scheduler.jobs) + 2:016x}"
+    context.world.submit(job_id, "plans", step(count, seconds=60.0))
     context.world.play(0.5)
 
 
+@when("the drain of zone-b ends while its workers are slow")
+def when_ends_slow(context):
+    for agent_id in ("b1", "b2"):
+        context.world.workers[agent_id].slow_start_seconds = 3.0
+    when_ends(context, "zone-b")
+
+
+@when("an agent of {version} version reports a worker that is slow for {seconds:d} seconds")
+def when_reported(context, version, seconds):
+    identity = WorkerIdentity("w", 5, "desk", "10.0.0.1:1", slow_start_seconds=float(seconds))
+    frame = cbor2.loads(encode(encode_report(AgentReport(identity), 1.0)))
+    if version == "the former":
+        frame.pop()  # The former version knows no such field.
+    context.report = decode_report(decode(cbor2.dumps(frame)).message, raise_error)
+
+
+@then("the owner takes it as slow for {seconds:d} seconds")
+def then_slow(context, seconds):
+    assert context.report.identity.slow_start_seconds == seconds, context.report
+
+
 @when("a gang that both zones could hold waits")
 def when_gang(context):
     context.world.submit("2" * 16, "plans", step(4, cores=6.0, gang=True))
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -37,6 +37,7 @@
         self.agent_id = agent_id
         self.capacity = Resources(cores, memory_mb, 0)
         self.zone = "zone-a"
+        self.slow_start_seconds = 0.0
         self.born_ms = BORN_MS
         self.running = {}
         self.ended = []
@@ -104,6 +105,7 @@
             ["a", "rack-1"],
             bool(self.drain_seconds),
             self.drain_seconds,
+            self.slow_start_seconds,
         )
 
     def end(self, key, how, checkpoint=""):
--- a/features/zone_drains.feature
+++ b/features/zone_drains.feature
@@ -39,6 +39,25 @@
       | a gang that both zones could hold |
       | a suspect of a crash              |
 
+  # Guards against tasks that start on slow workers while others have capacity.
+  Scenario: Workers that come back are used last while they are slow
+    Given two zones of 2 workers each, of which zone-b is drained
+    When 8 tasks wait
+    And the drain of zone-b ends while its workers are slow
+    And 8 tasks wait
+    Then runs start in zone-a only
+    When 80 tasks wait
+    Then runs start in zone-b as well
+
+  Scenario Outline: A report <kind> tells how long the worker is slow
+    When an agent <kind> reports a worker that is slow for 3 seconds
+    Then the owner takes it as slow for <seconds> seconds
+
+    Examples:
+      | kind                    | seconds |
+      | of this version         | 3       |
+      | of the former version   | 0       |
+
   Scenario: Advice is not requested on workers of a drained zone
     Given two zones of 2 workers each, of which zone-b is drained
     When a task of an advised queue waits
--- a/src/acaciastand/cluster/run_reports.py
+++ b/src/acaciastand/cluster/run_reports.py
@@ -51,6 +51,7 @@
         report.position.agent_incarnation,
         report.has_more_ends,
         report.alive_seconds,
+        report.identity.slow_start_seconds if report.identity else 0.0,
     )
 
 
@@ -69,7 +70,7 @@
     """
     check_number(message.sent_at)
     return AgentReport(
-        _decode_identity(message.identity),
+        _decode_identity(message.identity, message.slow_start_seconds),
         PollPosition(check_integer(message.agent_incarnation), check_integer(message.look)),
         decode_rows(message.running, _decode_active_run, on_ignored),
         decode_rows(message.ended, _decode_ended_run, on_ignored),
@@ -119,10 +120,11 @@
 def _encode_identity(identity: WorkerIdentity | None) -> list[Any]:
     if identity is None:
         return []
-    return [list(v.values()) if isinstance(v, Resources) else v for v in identity.values()]
+    values = identity.values()[:-1]  # A field of `RunReport` has the last.
+    return [list(v.values()) if isinstance(v, Resources) else v for v in values]
 
 
-def _decode_identity(items: list[Any]) -> WorkerIdentity | None:
+def _decode_identity(items: list[Any], slow_start_seconds: float) -> WorkerIdentity | None:
     if not items:
         return None
     worker_id, born_ms, service, address, zone, capacity, labels, draining, remaining = items
@@ -137,6 +139,7 @@
         [check_text(label) for label in check_list(labels)],
         check_flag(draining),
         check_number(remaining),
+        check_number(slow_start_seconds),
     )
 
 
--- a/src/acaciastand/platform/tasks.py
+++ b/src/acaciastand/platform/tasks.py
@@ -220,6 +220,7 @@
             [check_text(label) for label in check_list(fields.get("labels", []))],
             fields["state"] == "draining",
             check_number(fields.get("remainingMs", 0)) / 1000,
+            check_number(fields.get("coldLeftMs", 0)) / 1000,
         )
         return identity, check_integer(fields["seq"])
     except MALFORMED as error:
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -56,7 +56,8 @@
     sent_at
         Time on the agent's clock in seconds; the grant that answers the report counts from it.
     identity
-        Fields of `acaciastand.workflow.reports.WorkerIdentity` in order; empty if it is unknown.
+        Fields of `acaciastand.workflow.reports.WorkerIdentity` in order, except the last; empty if
+        it is unknown.
     look
         Number of the poll that `running` and `ended` come from; 0 if there was none.
     running, ended
@@ -83,6 +84,9 @@
         Whether `ended` may be incomplete.
     alive_seconds
         Time after `sent_at` for which runs can be alive without another grant.
+    slow_start_seconds
+        Last field of `WorkerIdentity`. It is not in `identity`, since owners of former versions
+        accept no further field there.
     """
 
     __slots__ = (
@@ -101,6 +105,7 @@
         "agent_incarnation",
         "has_more_ends",
         "alive_seconds",
+        "slow_start_seconds",
     )
     type_number = 21
 
@@ -121,6 +126,7 @@
         agent_incarnation: int = 0,
         has_more_ends: bool = False,
         alive_seconds: float = 0.0,
+        slow_start_seconds: float = 0.0,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -137,6 +143,7 @@
         self.agent_incarnation = agent_incarnation
         self.has_more_ends = has_more_ends
         self.alive_seconds = alive_seconds
+        self.slow_start_seconds = slow_start_seconds
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -101,7 +101,12 @@
     def _score(self, task: Task, worker: WorkerView) -> tuple[float, ...]:
         is_near_data = bool(task.step.data_rack) and worker.rack == task.step.data_rack
         is_avoided = worker.agent_id == task.avoided_agent_id
-        return (not is_avoided, is_near_data, worker.leftover_cores())
+        return (
+            not is_avoided,
+            is_near_data,
+            not worker.in_slow_start,
+            worker.leftover_cores(),
+        )
 
 
 def has_leftover(task: Task, worker: WorkerView) -> bool:
@@ -227,11 +232,18 @@
         return (
             not is_avoided,
             is_near_data,
+            not worker.in_slow_start,
             has_same_image,
             serving_cores,
             worker.leftover_cores(),
         )
-    return (not is_avoided, is_near_data, bool(serving_cores), worker.leftover_cores())
+    return (
+        not is_avoided,
+        is_near_data,
+        not worker.in_slow_start,
+        bool(serving_cores),
+        worker.leftover_cores(),
+    )
 
 
 def _leftover_score(
@@ -244,6 +256,7 @@
         return (
             not is_avoided,
             is_near_data,
+            not worker.in_slow_start,
             0.0,
             bool(worker.serving_images),
             worker.leftover_cores(),
@@ -251,4 +264,11 @@
     expected_interference = (
         worker.serving_cores if headroom_taken is None else headroom_taken * worker.serving_cores
     )
-    return (not is_avoided, is_near_data, -expected_interference, 0.0, worker.leftover_cores())
+    return (
+        not is_avoided,
+        is_near_data,
+        not worker.in_slow_start,
+        -expected_interference,
+        0.0,
+        worker.leftover_cores(),
+    )
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -243,6 +243,8 @@
         Whether the worker has announced that it will leave.
     remaining_seconds
         Minimum time until a draining worker leaves.
+    slow_start_seconds
+        How much longer the worker is slow after its start.
     """
 
     __slots__ = (
@@ -255,6 +257,7 @@
         "labels",
         "draining",
         "remaining_seconds",
+        "slow_start_seconds",
     )
 
     def __init__(
@@ -268,6 +271,7 @@
         labels: list[str] | None = None,
         draining: bool = False,
         remaining_seconds: float = 0.0,
+        slow_start_seconds: float = 0.0,
     ) -> None:
         self.worker_id = worker_id
         self.born_ms = born_ms
@@ -278,6 +282,7 @@
         self.labels = labels or []
         self.draining = draining
         self.remaining_seconds = remaining_seconds
+        self.slow_start_seconds = slow_start_seconds
 
 
 class PollResult(Record):
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -54,6 +54,8 @@
         Whether the worker does not answer its agent, by the last report.
     in_drained_zone
         Whether the worker gets no new work because the operators drain its zone.
+    in_slow_start
+        Whether other workers are preferred because the worker is slow after its start.
     tasks
         Tasks whose current run is assigned to the worker, by key.
     leaving_runs
@@ -119,6 +121,7 @@
         "reachable",
         "worker_unresponsive",
         "in_drained_zone",
+        "in_slow_start",
         "tasks",
         "leaving_runs",
         "reserved_cores",
@@ -158,6 +161,7 @@
         self.reachable = False
         self.worker_unresponsive = False
         self.in_drained_zone = False
+        self.in_slow_start = False
         self.tasks: dict[str, Task] = {}
         self.leaving_runs: dict[tuple[str, int], LeavingRun] = {}
         self.reserved_cores = 0.0
--- a/src/acaciastand/workflow/zone_drains.py
+++ b/src/acaciastand/workflow/zone_drains.py
@@ -70,7 +70,7 @@
 
     @abstractmethod
     def mark_workers(self, workers: Iterable[WorkerView], now: float) -> None:
-        """Set `in_drained_zone` of all workers for the next round of scheduling."""
+        """Set `in_drained_zone` and `in_slow_start` of all workers for the next plan."""
 
     @abstractmethod
     def is_confirmed(self, now: float) -> bool:
@@ -175,12 +175,17 @@
             self.outage_at = now
 
     def mark_workers(self, workers: Iterable[WorkerView], now: float) -> None:
-        """Mark the workers of drained zones, or all of them while starts are held back."""
+        """Mark the workers of drained zones, or all of them while starts are held back.
+
+        Workers that come back to a zone are marked while they are slow, so that work goes to others
+        first.
+        """
         self._update_hold(now)
         zones_of_workers = set()
         for worker in workers:
             zones_of_workers.add(worker.availability_zone)
             worker.in_drained_zone = self.is_holding or self.is_drained(worker)
+            worker.in_slow_start = bool(worker.identity and worker.identity.slow_start_seconds)
         self._log_unknown_zones(zones_of_workers, now)
 
     def is_confirmed(self, now: float) -> bool:
