--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	$(BIN)/python -m acaciastand_lab.experiment $(NAME)
 
 # Real programs under random faults; RUNS seeds from SEED on. SOAK=--extended adds more kinds
-# of faults, SOAK=--partitions plays partitions and freezes instead.
+# of faults, SOAK=--zone-drains drained zones; SOAK=--partitions plays partitions and freezes.
 soak: $(STAMP)
 	$(BIN)/python -m acaciastand_lab.soak --seed $(SEED) --runs $(RUNS) $(SOAK)
 
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -11,6 +11,7 @@
 from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
 
 A, B, C, E, F, G = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16, "1" * 16
+MOVED = "2" * 16
 LINES = (
     {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
     {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
@@ -43,6 +44,8 @@
     {"time": "11", "message": "crash suspected", "subject": f"{G}.0.0.0", "run": 2, "ran_s": 0.01},
     {"time": "12", "message": "job failed", "subject": G, "task": f"{G}.0.0.0", "crashes": 2},
     {"time": "13", "message": "job over", "subject": G, "state": "failed"},
+    {"time": "14", "message": "run moved", "subject": f"{MOVED}.0.0.0", "zone": "zone-b"},
+    {"time": "15", "message": "job over", "subject": MOVED, "state": "completed"},
 )
 
 
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -47,7 +47,10 @@
     if answer is not None and _is_refused_submission(answer.content):
         return _cause_of_refusal(answer.content, found)
     if _last(found, "start") is None:
-        return "accepted, and no task has started: look at waiting_tasks and the workers' room"
+        return (
+            "accepted, and no task has started: look at waiting_tasks, drained_zones and the"
+            " workers' room"
+        )
     return "not over: its tasks have started; the last line tells what it waits for"
 
 
@@ -58,6 +61,8 @@
         message = str(line.content.get("message"))
         if message == "run ended" and line.content.get("how") != "done":
             message = f"run {line.content.get('how')}"
+        if message == "run moved" and "zone" in line.content:
+            message = MOVED_FROM_ZONE
         if message in TROUBLE:
             trouble[message] = trouble.get(message, 0) + 1
     listed = ", ".join(f"{count} x {what}" for what, count in sorted(trouble.items()))
@@ -73,11 +78,12 @@
     return f"{line.get('failures')} runs of {task} failed"
 
 
+MOVED_FROM_ZONE = "run moved out of a drained zone"
 TROUBLE = frozenset(
     {
         *("run failed", "run stopped", "run lapsed", "run lost", "run moved", "run overdue"),
         *("run missing", "start refused", "start unknown", "start unanswered", "run adopted"),
-        *("crash suspected", "suspicion cleared"),
+        *("crash suspected", "suspicion cleared", MOVED_FROM_ZONE),
     }
 )
 
