Check a configuration before it is sent

The operators had no way to see before sending which entries of a configuration the daemons skip, which queues no call can match, and what changes against the version in force.

--- a/src/acaciastand/platform/operator.py
+++ b/src/acaciastand/platform/operator.py
@@ -40,7 +40,7 @@
     """
     try:
         fields = load_json_map(data)
-        queues = decode_rows(fields.get("routes"), _queue, on_ignored)
+        queues = decode_rows(fields.get("routes"), decode_queue, on_ignored)
         services = decode_rows(fields.get("services"), _guarded_service, on_ignored)
         limits = check_map(fields.get("limits") or {})
         max_body = check_count(limits.get("maxBodyBytes", 262_144))
@@ -57,7 +57,8 @@
     return check_text(fields["name"]) if fields.get("rejectsOverload") else ""
 
 
-def _queue(route: dict[str, Any]) -> Queue:
+def decode_queue(route: dict[str, Any]) -> Queue:
+    """Return one queue; any of `MALFORMED` is raised if that fails."""
     advice = check_map(route.get("advice") or {})
     return Queue(
         check_text(route["name"]),
--- a/src/acaciastand/programs/cli.py
+++ b/src/acaciastand/programs/cli.py
@@ -12,7 +12,7 @@
 import typer
 
 from acaciastand.errors import AcaciastandError
-from acaciastand.programs import cli_jobs, cli_settings
+from acaciastand.programs import cli_config, cli_jobs, cli_settings
 from acaciastand.programs.cli_common import EntryOption, JsonOption, client_of, show
 from acaciastand.programs.client import EntryClient
 from acaciastand.programs.explain import cause, lines_of
@@ -24,6 +24,7 @@
 )
 app.add_typer(cli_settings.app, name="settings")
 app.add_typer(cli_jobs.app, name="job")
+app.add_typer(cli_config.app, name="config")
 
 
 def _print_version(wanted: bool) -> None:
