Test and document the check of a configuration

The check had no scenarios and no pages. They cover a table of faulty configurations with the exact findings, differences, JSON form, exit codes, odd values, and a store that fails; two properties compare the check with the daemons' decoder and with find_queue.

Fixed meanwhile: a refusal of the decoder that nothing else explains was lost, since an empty list of findings was replaced before the decoder ran.

--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -1,19 +1,13 @@
 """Steps on the command line, against a small HTTP server with planned answers."""
 
-import io
 import json
-import os
-import sys
 import tempfile
 import threading
-from contextlib import redirect_stderr, redirect_stdout
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from unittest import mock
 
 from behave import given, then, when
-
-from acaciastand.programs.cli import main
+from command_line_support import run
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -89,23 +83,6 @@
     start(context, answers)
 
 
-def run(context, arguments, **environment):
-    output = io.StringIO()
-    output.buffer = io.BytesIO()
-    context.code = None
-    with (
-        mock.patch.object(sys, "argv", ["acaciastand", *arguments]),
-        mock.patch.dict(os.environ, {"USER": "ann", **environment}),
-        redirect_stdout(output),
-        redirect_stderr(output),
-    ):
-        try:
-            main()
-        except SystemExit as end:
-            context.code = end.code or 0
-    context.output = output.getvalue() + output.buffer.getvalue().decode()
-
-
 @when('"{command}" is run')
 def step_run(context, command):
     run(context, command.split(), ACACIASTAND_ENTRY=context.entry)
--- a/src/acaciastand/platform/catalog_draft.py
+++ b/src/acaciastand/platform/catalog_draft.py
@@ -15,14 +15,13 @@
 from acaciastand.checks import (
     MALFORMED,
     check_count,
-    check_list,
-    check_map,
     check_number,
     check_text,
     shorten,
 )
 from acaciastand.errors import InvalidInput
 from acaciastand.platform.operator import MAX_PAYLOAD_BYTES, decode_catalog, decode_queue
+from acaciastand.platform.strict_json import load_strict_json_map
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.catalog_draft import (
     CatalogDraft,
@@ -33,8 +32,6 @@
     Severity,
 )
 
-MAX_NESTING = 16  # The deepest field of a configuration is at level 4.
-
 # Names that the operators use for the fields named in findings.
 OPERATOR_FIELDS = {
     "max_attempts": "maxAttempts",
@@ -96,53 +93,41 @@
 
     def read(self, data: bytes) -> CatalogDraft:
         try:
-            fields = self._load(data)
+            fields = load_strict_json_map(data, self._duplicate)
         except MALFORMED as error:
             raise InvalidInput(
                 f"it is not a JSON object: {error}", "correct it where the message says"
             ) from error
         self._check_unknown("", fields, "")
-        draft = CatalogDraft(
-            self._version(fields),
-            [self._queue(*row) for row in self._rows(fields, "routes")],
-            [self._service(*row) for row in self._rows(fields, "services")],
-            self._limits(fields),
+        version = self._version(fields)
+        queues = [self._queue(*row) for row in self._rows(fields, "routes")]
+        services = [self._service(*row) for row in self._rows(fields, "services")]
+        limits = self._limits(fields)
+        self._check_decoder(data)
+        return CatalogDraft(
+            version,
+            queues,
+            services,
+            limits,
             {name: value for name, value in fields.items() if name not in ("version", *PARTS)},
             MAX_PAYLOAD_BYTES,
             self.findings,
         )
-        self._check_decoder(data)
-        return draft
 
     def _add(
         self, severity: Severity, code: str, entry: str, field: str, message: str, remedy: str
     ) -> None:
         self.findings.append(Finding(severity, code, entry, field, message, remedy))
 
-    def _load(self, data: bytes) -> dict[str, Any]:
-        fields = json.loads(
-            data,
-            object_pairs_hook=self._object,
-            parse_float=_finite,
-            parse_constant=_refuse_constant,
+    def _duplicate(self, name: str) -> None:
+        self._add(
+            Severity.ERROR,
+            "field_duplicate",
+            "",
+            name,
+            "the field occurs twice in one object; the last one counts",
+            "remove one of them",
         )
-        _check_plain(fields)
-        return check_map(fields)
-
-    def _object(self, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-        fields: dict[str, Any] = {}
-        for name, value in pairs:
-            if name in fields:
-                self._add(
-                    Severity.ERROR,
-                    "field_duplicate",
-                    "",
-                    name,
-                    f"the field {shorten(name)} occurs twice in one object; the last one counts",
-                    "remove one of them",
-                )
-            fields[name] = value
-        return fields
 
     def _version(self, fields: dict[str, Any]) -> int | None:
         if "version" not in fields:
@@ -172,20 +157,7 @@
         rows = fields.get(part)
         if rows is not None and not isinstance(rows, list):
             self._undecodable(part, f"{shorten(rows)} is not a list", "write a list")
-        if not isinstance(rows, list) or not rows:
-            self._check_empty(part, rows)
             return
-        for number, row in enumerate(check_list(rows)):
-            label = f"{part}[{number}]"
-            if not isinstance(row, dict):
-                self._left_out(label, "", f"{shorten(row)} is not a map", "write a map")
-                continue
-            name = row.get("name")
-            if isinstance(name, str):
-                label += f" {json.dumps(name)}"
-            yield label, name if isinstance(name, str) else "", row
-
-    def _check_empty(self, part: str, rows: Any) -> None:
         if part == "routes" and not rows:
             self._add(
                 Severity.WARNING,
@@ -195,6 +167,15 @@
                 "there is no queue, so that every call is answered as not found",
                 "add the queues unless all of them are to be removed",
             )
+        for number, row in enumerate(rows or []):
+            label = f"{part}[{number}]"
+            if not isinstance(row, dict):
+                self._left_out(label, "", f"{shorten(row)} is not a map", "write a map")
+                continue
+            name = row.get("name")
+            if isinstance(name, str):
+                label += f" {json.dumps(name)}"
+            yield label, name if isinstance(name, str) else "", row
 
     def _left_out(self, label: str, field: str, message: str, remedy: str) -> None:
         self._add(
@@ -359,29 +340,3 @@
 
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
-
-
-def _finite(text: str) -> float:
-    value = float(text)
-    if not math.isfinite(value):
-        raise ValueError(f"{text[:20]} is too large a number")
-    return value
-
-
-def _refuse_constant(text: str) -> float:
-    raise ValueError(f"{text} is no JSON value")
-
-
-def _check_plain(value: Any, level: int = 0) -> None:
-    """Raise `ValueError` if a value is nested too deeply or has text without an encoding."""
-    if level > MAX_NESTING:
-        raise ValueError(f"it is nested more deeply than {MAX_NESTING} levels")
-    if isinstance(value, str):
-        value.encode()
-    elif isinstance(value, dict):
-        for name, item in value.items():
-            name.encode()
-            _check_plain(item, level + 1)
-    elif isinstance(value, list):
-        for item in value:
-            _check_plain(item, level + 1)
--- a/src/acaciastand/programs/cli_config.py
+++ b/src/acaciastand/programs/cli_config.py
@@ -16,7 +16,7 @@
 from acaciastand.platform.operator import CONFIG_KEY
 from acaciastand.programs.cli_common import JsonOption, progress, show
 from acaciastand.record import Record
-from acaciastand.workflow.catalog_changes import CatalogChange, check_changes, list_changes
+from acaciastand.workflow.catalog_changes import Action, CatalogChange, check_changes, list_changes
 from acaciastand.workflow.catalog_check import check_draft, sort_findings
 from acaciastand.workflow.catalog_draft import CatalogDraft, Finding, Severity
 
@@ -146,7 +146,12 @@
     """Return the URL of a store, checked, since a connection to half of one goes elsewhere."""
     try:
         parts = urlsplit(url)
-        valid = parts.scheme == "http" and bool(parts.hostname) and parts.port is not None
+        valid = (
+            parts.scheme == "http"
+            and bool(parts.hostname)
+            and parts.port is not None
+            and parts.path in ("", "/")
+        )
     except ValueError:
         valid = False
     if url and not valid:
@@ -245,9 +250,7 @@
     line = f"{change.action.value} {change.subject.value} {json.dumps(change.name)}"
     if change.field:
         line += f" {_plain(change.field)}"
-    if change.before is not None and change.after is not None:
-        return f"{line}: {_shown(change.before)} -> {_shown(change.after)}"
-    if change.field:
+    if change.action is Action.CHANGED:
         return f"{line}: {_shown(change.before)} -> {_shown(change.after)}"
     return f"{line}: {_shown(change.after if change.before is None else change.before)}"
 
--- a/src/acaciastand/workflow/catalog_changes.py
+++ b/src/acaciastand/workflow/catalog_changes.py
@@ -38,7 +38,7 @@
     action
         Whether it is added, removed or changed.
     field
-        Changed field of the queue or service as it is written, such as ``advice.decideMs``; empty
+        Changed field of the queue or service as it is written; empty
         if the whole entry is meant.
     before, after
         Values in the version in force and in the new one; None if absent. A queue or service that
@@ -120,7 +120,7 @@
         "",
         "the new version has no such queue; no task of its accepted jobs starts, and calls for them"
         " are answered as not found",
-        "wait until its jobs have ended, or keep the queue",
+        "wait until its jobs have ended (GET of its prefix counts the waiting ones), or keep it",
     )
 
 
--- a/src/acaciastand/workflow/catalog_check.py
+++ b/src/acaciastand/workflow/catalog_check.py
@@ -100,8 +100,8 @@
                 "service_unknown",
                 entry.label,
                 "service",
-                f"no service is named {queue.service!r}, so that its tasks wait for workers of no"
-                " known service",
+                f"no service is named {queue.service!r}; its tasks wait unless workers of that name"
+                " register anyway",
                 "name an existing service or add this one",
             )
         elif services[queue.service].powered_off:
@@ -110,8 +110,9 @@
                 "service_powered_off",
                 entry.label,
                 "service",
-                f"the machines of service {queue.service!r} are off, so that its tasks wait",
-                "name a service whose machines are on, or switch these on",
+                f"the machines of service {queue.service!r} are off; its tasks wait until some"
+                " join it",
+                "name a service whose machines are on or switch these on",
             )
     for service in draft.services:
         if service.name and service.name not in used and not service.powered_off:
@@ -132,7 +133,7 @@
             "max_attempts_zero",
             entry.label,
             "max_attempts",
-            "a task may not fail even 0 times; its job fails at the first failure, as with 1",
+            "0 failures are allowed, but a job fails only at the first failure, as with 1",
             "set it to 1 or more",
         )
     if entry.timeout_seconds == 0:
--- a/src/acaciastand/workflow/catalog_draft.py
+++ b/src/acaciastand/workflow/catalog_draft.py
@@ -27,7 +27,7 @@
     code
         Stable identifier of the kind of finding.
     entry
-        Entry that it concerns, such as ``routes[2] "prints"``; empty for the whole configuration.
+        Entry that it concerns, by its place and name; empty for the whole configuration.
     field
         Name of the field that it concerns; empty for the whole entry.
     message, remedy
--- a/src/acaciastand/workflow/catalog_reach.py
+++ b/src/acaciastand/workflow/catalog_reach.py
@@ -158,8 +158,8 @@
         "some_ids_never_match",
         entry.label,
         "prefix",
-        f"calls for jobs whose id begins with {' or '.join(digits[:3])} go to {shown} and are"
-        " answered there as not found",
+        f"calls for jobs whose id begins with {' or '.join(digits[:3])} go to {shown}, which"
+        " has no such jobs",
         remedy,
     )
 
