--- a/src/acaciastand/workflow/catalog_changes.py
+++ b/src/acaciastand/workflow/catalog_changes.py
@@ -38,8 +38,8 @@
     action
         Whether it is added, removed or changed.
     field
-        Changed field of the queue or service as it is written; empty
-        if the whole entry is meant.
+        Changed field of the queue or service as it is written; empty if the whole entry is
+        meant.
     before, after
         Values in the version in force and in the new one; None if absent. A queue or service that
         is added or removed has its fields here.
