Test that an owner that the store refuses sees drained zones through a peer

The scenario now waits until jobs were completed, as the scenario on the same fault in platform_processes does.

--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -49,7 +49,8 @@
     context.stack.callback(context.site.close)
     context.site.start_all()
     context.site.wait_ready()
-    context.job_count = 0
+    context.jobs = []
+    context.job_count = 100  # The numbers before are those of other steps.
 
 
 def submit_for(context, seconds):
--- a/features/zone_drains.feature
+++ b/features/zone_drains.feature
@@ -19,6 +19,16 @@
     And zone-b is drained and jobs are submitted for 8 seconds
     Then nothing starts in zone-b later than 5 seconds after the request
 
+  # Guards against an owner that keeps the jobs while the store refuses it, and learns of no request.
+  Scenario: An owner that the store refuses sees a request through another entry
+    Given a site of 2 entries and 4 agents in 2 zones that can be drained
+    When 2 jobs of 2 tasks of 0.2 seconds are submitted
+    Then the jobs are "completed" within 10 seconds at every entry
+    When the store refuses the owner
+    And zone-b is drained and jobs are submitted for 8 seconds
+    Then nothing starts in zone-b later than 5 seconds after the request
+    And the owner is still the same after 0 seconds
+
   # Guards against a start in the zone under full load, when every worker is wanted.
   Scenario: Work for all workers stays outside the drained zone and uses it again afterwards
     Given two zones of 2 workers each, of which zone-b is drained
