--- a/src/acaciastand_standin/platform_store.py
+++ b/src/acaciastand_standin/platform_store.py
@@ -177,21 +177,24 @@
 
     def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
-        with gevent.Timeout(int(query["waitMs"]) / 1000, False):
-            while True:
-                try:
-                    changes = self.store.watch(query["prefix"], after, 0.0)
-                except HistoryDropped:
-                    return 410, {}
-                if changes.items or changes.deleted or self.down:
-                    break
-                gevent.sleep(WATCH_POLL_SECONDS)
-        changes = self.store.watch(query["prefix"], after, 0.0)
+        try:
+            with gevent.Timeout(int(query["waitMs"]) / 1000, False):
+                self._wait_for_change(query["prefix"], after)
+            changes = self.store.watch(query["prefix"], after, 0.0)
+        except HistoryDropped:  # It may be dropped during the wait.
+            return 410, {}
         # A key that was written again after its deletion is in both lists.
         events: list[dict[str, Any]] = [{"key": key, "deleted": True} for key in changes.deleted]
         events += [_plain(item) for item in changes.items]
         return 200, {"events": events, "storeRevision": changes.revision}
 
+    def _wait_for_change(self, prefix: str, after: int) -> None:
+        while not self.down:
+            changes = self.store.watch(prefix, after, 0.0)
+            if changes.items or changes.deleted:
+                return
+            gevent.sleep(WATCH_POLL_SECONDS)
+
     def _txn(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         expected = {row["key"]: row["revision"] for row in fields.get("expectedRev", [])}
         puts = {
