--- a/src/acaciastand/workflow/zone_moves.py
+++ b/src/acaciastand/workflow/zone_moves.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from enum import StrEnum
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from acaciastand.record import Record
@@ -229,10 +230,10 @@
         group = (task.job.job_id, task.name.step)
         if queue.service in destinations.contended_services or group in destinations.exhausted:
             return StayReason.NO_CAPACITY
-        willing = sum(self._takes(worker, task, queue, now) for worker in destinations.workers)
         # Each move on its way takes the capacity of one worker at most.
-        promised = sum(move.waits() for move in self.moves)
-        if willing > promised:
+        needed = 1 + sum(move.waits() for move in self.moves)
+        willing = (w for w in destinations.workers if self._takes(w, task, queue, now))
+        if len(list(islice(willing, needed))) == needed:
             return None
         destinations.exhausted.add(group)
         return StayReason.NO_CAPACITY
