Rank by the work that serves a caller while there is too little room

By slack alone, a burst that exceeds the room lets most jobs begin and most become late. The backlog tracker finds priorities that are short of room, and LeastCostFirst then prefers the least remaining work for its worth.

--- /dev/null
+++ b/src/acaciastand/workflow/finished_runs.py
@@ -0,0 +1,108 @@
+"""What finished runs tell: how good the callers' estimates are, and how fast work is done."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from statistics import median
+
+from acaciastand.workflow.job import Task
+
+MAX_RATIO_RUNS = 64  # Finished runs that are kept for each queue.
+MIN_RATIO_RUNS = 8  # Fewer finished runs say too little about a queue.
+MAX_RATIO = 10.0  # A run that took longer still counts as this multiple of its estimate.
+MAX_QUEUES = 64  # Queues for which run times are kept; the oldest is dropped for a new one.
+# A loss of workers often ends within this time, so the drain rate before it still counts in part.
+DRAIN_MEMORY_SECONDS = 10.0
+RELEASE_WINDOW_SECONDS = 5.0  # Time over which the work of finished runs is averaged.
+
+
+class FinishedRuns:
+    """Work of the runs that are done, and the ratios of their run times to the estimates.
+
+    The median of the last ratios of a queue is used, since a few of its runs take many times their
+    estimate.
+
+    Attributes
+    ----------
+    ratios
+        The last ratios by queue.
+    core_seconds
+        Work of the runs that were recorded since it was last taken.
+    """
+
+    def __init__(self) -> None:
+        self.ratios: dict[str, deque[float]] = {}
+        self.core_seconds = 0.0
+
+    def record(self, task: Task, pace_percent: int) -> None:
+        """Record the run of a task that is done; its duration is `Task.last_run_seconds`.
+
+        Parameters
+        ----------
+        pace_percent
+            Pace at which interfering batch tasks may work on the worker.
+        """
+        step = task.step
+        is_slowed = step.uses_leftover and pace_percent < 100
+        is_resumed = step.saves_progress and task.run > 1
+        seconds = step.estimate_seconds if is_slowed else task.last_run_seconds
+        self.core_seconds += step.size.cores * seconds
+        if not is_slowed and not is_resumed and seconds > 0 and step.estimate_seconds > 0:
+            self._record_ratio(task.job.queue, seconds / step.estimate_seconds)
+
+    def _record_ratio(self, queue: str, ratio: float) -> None:
+        if queue not in self.ratios and len(self.ratios) >= MAX_QUEUES:
+            del self.ratios[next(iter(self.ratios))]
+        last = self.ratios.setdefault(queue, deque(maxlen=MAX_RATIO_RUNS))
+        last.append(min(ratio, MAX_RATIO))
+
+    def median_ratios(self) -> dict[str, float]:
+        """Return the median ratio of each queue with enough finished runs."""
+        return {
+            queue: median(last)
+            for queue, last in self.ratios.items()
+            if len(last) >= MIN_RATIO_RUNS
+        }
+
+    def take_core_seconds(self) -> float:
+        """Return the work that was recorded since the last call."""
+        core_seconds, self.core_seconds = self.core_seconds, 0.0
+        return core_seconds
+
+
+class DrainRate:
+    """Rate at which the workers do work, in cores.
+
+    Attributes
+    ----------
+    released_cores
+        Average rate of the work of finished runs.
+    cores
+        The rate by the last update.
+    """
+
+    def __init__(self) -> None:
+        self.released_cores = 0.0
+        self.cores = 0.0
+
+    def update(
+        self, released_core_seconds: float, cores_in_use: float, free_cores: float, seconds: float
+    ) -> None:
+        """Update the rate.
+
+        Parameters
+        ----------
+        released_core_seconds
+            Work of the runs that finished since the last update.
+        cores_in_use, free_cores
+            Cores of the runs that end by themselves, and cores that are free for such runs.
+        seconds
+            Time since the last update; 0 at the first.
+        """
+        if seconds > 0:
+            weight = math.exp(-seconds / RELEASE_WINDOW_SECONDS)
+            rate = released_core_seconds / seconds
+            self.released_cores = weight * self.released_cores + (1.0 - weight) * rate
+        remembered = self.cores * math.exp(-seconds / DRAIN_MEMORY_SECONDS)
+        self.cores = max(cores_in_use + free_cores, self.released_cores, remembered)
--- a/src/acaciastand/workflow/ranking.py
+++ b/src/acaciastand/workflow/ranking.py
@@ -6,13 +6,19 @@
 
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.job import Job, Task
+from acaciastand.workflow.work import remaining_core_seconds, total_core_seconds
 
 # A job that completes after this multiple of its objective has no value to the caller.
 LATE_FACTOR = 3.0
+# Age, as a multiple of its objective, from which a job that has no value any more may go first.
+MAX_WAIT_FACTOR = 2 * LATE_FACTOR
 
 
 class RankingPolicy(ABC):
-    """Policy on the order in which waiting tasks are considered."""
+    """Policy on the order in which waiting tasks are considered.
+
+    All tasks of one step and occurrence of a job have the same rank.
+    """
 
     @abstractmethod
     def rank(self, task: Task, queue: Queue, now_unix: float) -> tuple[float, ...]:
@@ -45,9 +51,86 @@
         return (queue.priority, 2, task.job.accepted_unix)
 
 
-def objective_seconds(job: Job, queue: Queue) -> float:
+class Shortage:
+    """What is known of the load when tasks are ranked.
+
+    Attributes
+    ----------
+    priorities
+        Priorities whose work exceeds the room: many of their jobs are late already.
+    mean_core_seconds
+        Mean work of the unfinished jobs of each queue.
+    run_time_ratios
+        Factor by which run times of each queue exceed the callers' estimates.
+    longest_waiting
+        For each priority, the id of the oldest job that has waited for too long.
+    """
+
+    __slots__ = ("priorities", "mean_core_seconds", "run_time_ratios", "longest_waiting")
+
+    def __init__(self) -> None:
+        self.priorities: set[int] = set()
+        self.mean_core_seconds: dict[str, float] = {}
+        self.run_time_ratios: dict[str, float] = {}
+        self.longest_waiting: dict[int, str] = {}
+
+
+class LeastCostFirst(RankingPolicy):
+    """Ranks by priority and, when not all jobs can be in time, by the work that serves a caller.
+
+    Designed for bursts of jobs of very different sizes that exceed the room for seconds. By slack
+    alone, all cores are spread over jobs that all become late together. While a priority is short
+    of room, the job with the least remaining work for its worth goes first, so that begun jobs
+    complete before others of their size begin. The worth of a job has a part that is the same for
+    each job of its queue and a part that grows with its work, so that large jobs are not starved.
+    Late jobs that are still worth something follow, then those worth nothing, the oldest first. One
+    of these at a time may go first once it has waited for long.
+
+    Parameters
+    ----------
+    shortage
+        What is known of the load; the caller keeps it up to date.
+    """
+
+    def __init__(self, shortage: Shortage) -> None:
+        self.shortage = shortage
+
+    def rank(self, task: Task, queue: Queue, now_unix: float) -> tuple[float, ...]:
+        """Return the priority, the class of the task and its key within the class."""
+        job = task.job
+        if task.step.continuous:
+            return (queue.priority, 0, job.accepted_unix)
+        if self.shortage.longest_waiting.get(queue.priority) == job.job_id:
+            return (queue.priority, 1, 0.0)
+        ratio = self.shortage.run_time_ratios.get(queue.name, 1.0)
+        slack = occurrence_slack_seconds(
+            job, queue, now_unix, task.name.occurrence, task.name.step, ratio
+        )
+        if slack >= 0 and queue.priority not in self.shortage.priorities:
+            return (queue.priority, 2, slack)
+        if slack >= 0:
+            return (queue.priority, 2, self._cost(task))
+        if slack >= -late_seconds(job, queue, ratio):
+            return (queue.priority, 3, self._cost(task))
+        return (queue.priority, 4, job.accepted_unix)
+
+    def _cost(self, task: Task) -> float:
+        """Return the remaining work of a job in proportion to its worth."""
+        total = total_core_seconds(task.job.spec)
+        mean = self.shortage.mean_core_seconds.get(task.job.queue, total)
+        remaining = remaining_core_seconds(task.job, task.name.occurrence)
+        return remaining / (mean + total) if total else 0.0
+
+
+def objective_seconds(job: Job, queue: Queue, run_time_ratio: float = 1.0) -> float:
     """Return the time in seconds within which a job should complete."""
-    return queue.stretch * max(job.critical_path_seconds, default=0.0) + queue.target_seconds
+    longest_path = max(job.critical_path_seconds, default=0.0)
+    return queue.stretch * run_time_ratio * longest_path + queue.target_seconds
+
+
+def late_seconds(job: Job, queue: Queue, run_time_ratio: float = 1.0) -> float:
+    """Return for how many seconds after its objective a job is still worth something."""
+    return (LATE_FACTOR - 1.0) * objective_seconds(job, queue, run_time_ratio)
 
 
 def slack_seconds(job: Job, queue: Queue, now_unix: float, step: int) -> float:
@@ -57,3 +140,18 @@
     """
     due_unix = job.accepted_unix + objective_seconds(job, queue)
     return due_unix - now_unix - job.critical_path_seconds[step]
+
+
+def occurrence_slack_seconds(
+    job: Job, queue: Queue, now_unix: float, occurrence: int, step: int, run_time_ratio: float
+) -> float:
+    """Return how many seconds a step can still wait for its occurrence to complete in time.
+
+    Parameters
+    ----------
+    run_time_ratio
+        Factor by which run times exceed the callers' estimates.
+    """
+    begin_unix = max(job.accepted_unix, job.spec.due_unix(occurrence))
+    due_unix = begin_unix + objective_seconds(job, queue, run_time_ratio)
+    return due_unix - now_unix - run_time_ratio * job.critical_path_seconds[step]
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -121,6 +121,8 @@
         )
         if is_current and task.state in ON_WORKER:
             task.last_run_seconds = now - task.started_at
+            if end.how == RunEnd.DONE:
+                self.state.finished_runs.record(task, worker.pace_percent)
             self.state.release(task)
         if end.how == RunEnd.DONE and not task.step.continuous:
             self._handle_done(worker, task, now, now_unix)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -13,6 +13,7 @@
 
 from acaciastand.workflow import crashes
 from acaciastand.workflow.advice import Advice, AdviceRequest, has_advised_queue
+from acaciastand.workflow.backlog import BacklogTracker
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import StartDecision, StopDecision
 from acaciastand.workflow.interference import (
@@ -27,7 +28,7 @@
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
 from acaciastand.workflow.pacing import BatchCost, RunLimits
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
-from acaciastand.workflow.ranking import LeastSlackFirst, RankingPolicy
+from acaciastand.workflow.ranking import LeastCostFirst, RankingPolicy
 from acaciastand.workflow.report_processing import ReportProcessor
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -64,6 +65,8 @@
 
     Attributes
     ----------
+    backlog
+        Estimate of the work that waits.
     start_planner
         Placement of waiting tasks on workers.
     report_processor
@@ -85,8 +88,9 @@
         interference: Interference | None = None,
     ) -> None:
         super().__init__(stop_seconds, interference or LearnedInterference())
+        self.backlog = BacklogTracker(self)
         self.start_planner = StartPlanner(
-            ranking or LeastSlackFirst(),
+            ranking or LeastCostFirst(self.backlog.shortage),
             placement or SeparatingPlacement(self.interference),
             self.advice,
         )
@@ -327,6 +331,7 @@
             self._check_due(now_unix)
             self._check_overdue(now)
             self._move_slowed(now, now_unix)
+            self.backlog.update(now, now_unix)
         self._repeat_stops(now)
         starts = self.start_planner.plan_starts(
             self.waiting,
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -7,6 +7,7 @@
 from acaciastand.workflow.advice import AdviceCache
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import DecisionRecord, StopDecision
+from acaciastand.workflow.finished_runs import FinishedRuns
 from acaciastand.workflow.interference import Interference
 from acaciastand.workflow.job import Job, Task, TaskState
 from acaciastand.workflow.worker import WorkerView
@@ -44,6 +45,8 @@
         Decisions to stop runs that the next plan returns.
     decisions
         Decisions to be logged; the owner empties the list.
+    finished_runs
+        What is known of the runs that are done.
     last_check_at
         When the time limits were last checked.
     event_count
@@ -63,6 +66,7 @@
         self.dirty: dict[str, Job] = {}
         self.pending_stops: list[StopDecision] = []
         self.decisions: list[DecisionRecord] = []
+        self.finished_runs = FinishedRuns()
         self.last_check_at = float("-inf")
         self.event_count = 0
 
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -122,10 +122,16 @@
     ) -> list[tuple[tuple[float, ...], Task, Queue]]:
         """Return ranks, tasks and queues of the tasks that may start now, the most urgent first."""
         rows = []
+        rank_by_step: dict[tuple[str, int, int], tuple[float, ...]] = {}
         for task in tasks:
             queue = catalog.by_name(task.job.queue)
-            if queue is not None and now >= task.not_before:
-                rows.append((self.ranking.rank(task, queue, now_unix), task, queue))
+            if queue is None or now < task.not_before:
+                continue
+            key = (task.job.job_id, task.name.occurrence, task.name.step)
+            rank = rank_by_step.get(key)
+            if rank is None:
+                rank = rank_by_step[key] = self.ranking.rank(task, queue, now_unix)
+            rows.append((rank, task, queue))
         rows.sort(key=lambda row: row[0])
         return rows
 
