Refuse jobs that would be worth nothing by the owner's estimate of the backlog

The estimate travels in the status of the pings. A refusal is decided before this call stores anything, and never for a job that may have been stored.

--- a/src/acaciastand/cluster/callers.py
+++ b/src/acaciastand/cluster/callers.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import Any
 
 import falcon
 
+from acaciastand.cluster.admission_control import AdmissionControl, JobRefused
 from acaciastand.cluster.catalog_copy import CatalogCopy
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.job_api import RETRY_AFTER_SECONDS, JobApi
@@ -35,12 +37,21 @@
     ----------
     job_api
         Carries out the calls.
+    admission
+        Decides which jobs are refused for lack of room.
     configuration
         Copy of the operators' configuration.
     """
 
-    def __init__(self, job_api: JobApi, configuration: CatalogCopy, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        job_api: JobApi,
+        admission: AdmissionControl,
+        configuration: CatalogCopy,
+        metrics: Metrics,
+    ) -> None:
         self.job_api = job_api
+        self.admission = admission
         self.configuration = configuration
         self.metrics = metrics
 
@@ -113,13 +124,17 @@
             raise InvalidInput(
                 "the request body is too large", f"send at most {catalog.max_body_bytes} bytes"
             )
-        self.job_api.submit(job_id, queue.name, decode_job(body), deadline)
+        spec = decode_job(body)
+        self.admission.check(job_id, queue, spec)
+        self.job_api.submit(job_id, queue.name, spec, deadline)
         response.media = {}
 
     def _write_error(self, error: AcaciastandError, response: falcon.Response) -> None:
         response.status = falcon.code_to_http_status(error.http_status)
         response.media = {"error": error.code, "message": error.message, "remedy": error.remedy}
-        if error.outcome is Outcome.NOT_RUN and error.http_status == 503:
+        if isinstance(error, JobRefused):
+            response.set_header("Retry-After", str(math.ceil(error.retry_after_seconds)))
+        elif error.outcome is Outcome.NOT_RUN and error.http_status == 503:
             response.set_header("Retry-After", str(RETRY_AFTER_SECONDS))
 
 
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -14,6 +14,7 @@
 from gevent.pywsgi import WSGIServer
 
 from acaciastand.checks import MALFORMED, check_bytes, check_integer, check_text
+from acaciastand.cluster.admission_control import AdmissionControl
 from acaciastand.cluster.callers import CallerSink
 from acaciastand.cluster.catalog_copy import CATALOG_CALL, CatalogCopy
 from acaciastand.cluster.claim import claim, decode_owner
@@ -56,7 +57,9 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
+from acaciastand.workflow.admission import AcceptAll, AdmissionPolicy, RefuseWorthless
 from acaciastand.workflow.advice import PlacementAdvisor
+from acaciastand.workflow.backlog import BacklogEstimate
 from acaciastand.workflow.catalog import Catalog
 
 RETRY_SECONDS = 0.15  # Pause after a failed call to the store.
@@ -66,6 +69,11 @@
 UNREADY_NOTICE_SECONDS = 2.2
 MAX_DRAIN_SECONDS = 3.0  # Longest wait for calls in progress during a stop.
 CONFIGURATION_AGE_INTERVAL_SECONDS = 0.5  # Interval between two updates of this metric.
+# Policies on the jobs that are refused, by their names in the settings.
+ADMISSION_POLICIES: dict[str, type[AdmissionPolicy]] = {
+    "accept_all": AcceptAll,
+    "refuse_worthless": RefuseWorthless,
+}
 DRAIN_POLL_SECONDS = 0.02  # Interval between checks whether calls are in progress.
 
 logger = logging.getLogger(__name__)
@@ -126,7 +134,14 @@
         self.relayed_store = RelayedStore(store, lambda: list(self.peers.values()), metrics)
         self.job_api = JobApi(self.relayed_store, lambda: self.owner, self.owner_link)
         app = falcon.App()
-        app.add_sink(CallerSink(self.job_api, self.configuration, metrics), "/")
+        self.admission = AdmissionControl(
+            ADMISSION_POLICIES[settings.admission](),
+            lambda: self.owner,
+            self.job_api.may_be_stored,
+            metrics,
+        )
+        sink = CallerSink(self.job_api, self.admission, self.configuration, metrics)
+        app.add_sink(sink, "/")
         self.http = CallerServer(settings.http_address, app)
         self.ready_server = WSGIServer(
             split_address(settings.ready_address), self._serve_readiness, log=None
@@ -374,11 +389,13 @@
         gevent.killall(list(self.peer_greenlets.values()))
 
     def _status(self) -> dict[str, Any]:
+        estimate = self.admission.own_estimate()
         return PeerStatus(
             self.settings.entry_id,
             self.settings.dialled_address,
             self.configuration.version,
             self.owner_record.encode() if self.owner_record else b"",
+            estimate.to_list() if estimate else None,
         ).to_map()
 
     def _answer_ping(self, status: dict[str, Any]) -> dict[str, Any]:
@@ -395,11 +412,19 @@
             peer = PeerStatus.from_map(status)
         except MALFORMED as error:
             return self.ignored.record(PING_CALL, error)
+        if peer.backlog is not None:
+            self._record_backlog(peer.backlog)
         owner = decode_owner(Item(OWNER_KEY, peer.owner), self.ignored.recorder(PING_CALL))
         if owner is not None:
             self._apply_peer_owner(owner)
         self.configuration.fetch(peer.configuration, link.entry_id, link.call)
 
+    def _record_backlog(self, fields: list[Any]) -> None:
+        try:
+            self.admission.record_estimate(BacklogEstimate.from_list(fields))
+        except MALFORMED as error:
+            self.ignored.record(PING_CALL, error)
+
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
         return answer_forward(self._answer_call, message)
 
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -36,6 +36,8 @@
 RETRY_AFTER_SECONDS = 1
 # Time for a commit from this entry and one through a peer, after which the caller is answered.
 MAX_WRITE_SECONDS = 1.3
+# An unanswered write has reached the store after this time, or never does.
+MAX_LOST_WRITE_SECONDS = 30.0
 
 # Names of the calls to the owner.
 JOB_STATE_CALL = "state"
@@ -76,6 +78,8 @@
         Number of jobs that have not begun, by queue, as the owner last reported.
     waiting_jobs_at
         When the owner last reported them.
+    unanswered
+        Keys whose writes have begun and have no known outcome, with the time of the beginning.
     """
 
     def __init__(
@@ -89,6 +93,21 @@
         self.owner_link = owner_link
         self.waiting_jobs: dict[str, int] = {}
         self.waiting_jobs_at = float("-inf")
+        self.unanswered: dict[str, float] = {}
+
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether an earlier attempt may have stored a job.
+
+        That is assumed while the store cannot be read.
+        """
+        key = JOBS_PREFIX + job_id
+        if key in self.unanswered:
+            return True
+        try:
+            return bool(self.store.get(key).revision)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.info("submission not read", extra={"key": key, "error": str(error)})
+            return True
 
     def submit(self, job_id: str, queue: str, spec: WorkflowSpec, deadline: float) -> None:
         """Store a job; a repeated call with the same id changes nothing.
@@ -183,6 +202,7 @@
         """
         deadline = min(deadline, now() + MAX_WRITE_SECONDS)
         may_be_written = False
+        self._remember_write(key)
         while True:
             try:
                 revision = self.store.commit({key: 0}, {key: value})
@@ -196,15 +216,28 @@
                 revision = 0
                 logger.info("store turned away", extra={"key": key, "error": str(error)})
                 if not may_be_written:
+                    self.unanswered.pop(key, None)
                     raise JobApiUnavailable(
                         "the store cannot be reached", "send it again"
                     ) from error
             if revision:
+                self.unanswered.pop(key, None)
                 return self._notify_owner(Item(key, value, revision))
             if now() + RETRY_SECONDS >= deadline:
                 raise OutcomeUnknown("the outcome of the write is unknown", "send it again")
             gevent.sleep(RETRY_SECONDS)
 
+    def _remember_write(self, key: str) -> None:
+        """Remember a write that begins, and forget those that can have no effect any more."""
+        began_at = now()
+        while self.unanswered:
+            oldest = next(iter(self.unanswered))
+            if began_at - self.unanswered[oldest] <= MAX_LOST_WRITE_SECONDS:
+                break
+            del self.unanswered[oldest]
+        self.unanswered.pop(key, None)
+        self.unanswered[key] = began_at
+
     def _notify_owner(self, item: Item) -> None:
         owner = self.owner()
         if owner is not None and owner.is_ready:
--- a/src/acaciastand/cluster/peers.py
+++ b/src/acaciastand/cluster/peers.py
@@ -8,7 +8,14 @@
 
 import gevent
 
-from acaciastand.checks import MALFORMED, check_address, check_bytes, check_integer, check_text
+from acaciastand.checks import (
+    MALFORMED,
+    check_address,
+    check_bytes,
+    check_integer,
+    check_list,
+    check_text,
+)
 from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
 from acaciastand.record import Record
 from acaciastand.wire.connection import Connection, NotSent, dial
@@ -37,15 +44,26 @@
         Version of its configuration; 0 before the first.
     owner
         The owner key as it was written, if the entry knows an owner; empty otherwise.
+    backlog
+        Estimate of the backlog if the entry is the owner, as `BacklogEstimate.to_list` returns it;
+        None otherwise, and from entries of former versions.
     """
 
-    __slots__ = ("entry_id", "address", "configuration", "owner")
+    __slots__ = ("entry_id", "address", "configuration", "owner", "backlog")
 
-    def __init__(self, entry_id: str, address: str, configuration: int, owner: bytes) -> None:
+    def __init__(
+        self,
+        entry_id: str,
+        address: str,
+        configuration: int,
+        owner: bytes,
+        backlog: list[Any] | None = None,
+    ) -> None:
         self.entry_id = entry_id
         self.address = address
         self.configuration = configuration
         self.owner = owner
+        self.backlog = backlog
 
     def to_map(self) -> dict[str, Any]:
         """Return the fields as the call carries them."""
@@ -65,6 +83,7 @@
             check_address(fields["address"]),
             check_integer(fields["configuration"]),
             check_bytes(fields["owner"]),
+            check_list(fields["backlog"]) if fields.get("backlog") is not None else None,
         )
 
 
--- a/src/acaciastand/cluster/settings.py
+++ b/src/acaciastand/cluster/settings.py
@@ -50,6 +50,7 @@
         "advertised_address",
         "store_url",
         "advice_address",
+        "admission",
         "stop_timeout_ms",
         "processors",
         "processor_share",
@@ -65,6 +66,7 @@
     advertised_address: str
     store_url: str
     advice_address: str
+    admission: str
     stop_timeout_ms: int
     processors: float
     processor_share: float
@@ -83,6 +85,11 @@
         "advice_address": Field(
             Address(empty=True), "Address of the placement service; empty for none.", ""
         ),
+        "admission": Field(
+            Choice("accept_all", "refuse_worthless"),
+            "Jobs that are refused while there is too little room.",
+            "accept_all",
+        ),
         "stop_timeout_ms": Field(
             Integer(1, MAX_STOP_TIMEOUT_MS), "Longest time that a worker takes to stop a run.", 1000
         ),
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -47,6 +47,9 @@
     if answer is not None and _is_refused_submission(answer.content):
         return _cause_of_refusal(answer.content, found)
     if _last(found, "start") is None:
+        waits = _last(found, "job late before its start")
+        if waits is not None:
+            return _cause_of_wait(waits.content)
         return "accepted, and no task has started: look at waiting_tasks and the workers' room"
     return "not over: its tasks have started; the last line tells what it waits for"
 
@@ -96,6 +99,9 @@
             f"answered with 404: version {answer.get('config')} of the configuration has no such "
             f"queue; the store had confirmed it {answer.get('config_age_s')} s before"
         )
+    refused = _last(found, "job refused")
+    if status == "429" and refused is not None:
+        return _cause_of_no_room(refused.content)
     for message in REFUSALS:
         line = _last(found, message)
         if line is not None:
@@ -105,6 +111,22 @@
     return f"answered with {status}: see the fields of its line"
 
 
+def _cause_of_no_room(line: dict[str, Any]) -> str:
+    return (
+        f"answered with 429: its wait for room was predicted as {line.get('wait_s')} s, more than "
+        f"the {line.get('limit_s')} s after which it is worth nothing; the workers did the work "
+        f"of {line.get('drain_cores')} cores"
+    )
+
+
+def _cause_of_wait(line: dict[str, Any]) -> str:
+    return (
+        f"accepted, and no task has started in time: what goes before it at priority "
+        f"{line.get('priority')} takes {line.get('wait_s')} s more, and the workers do the work of "
+        f"{line.get('drain_cores')} cores"
+    )
+
+
 def _last(found: list[LogLine], message: str) -> LogLine | None:
     return next((line for line in reversed(found) if line.content.get("message") == message), None)
 
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -29,6 +29,10 @@
         "loop",
         "Loops that failed with an unexpected error and were begun again.",
     ),
+    "refusals": (
+        "outcome",
+        "Jobs that there was no room for, as outcome.queue: refused, or possibly stored before.",
+    ),
     "values_ignored": (
         "source",
         "Stored items and parts of messages that cannot be decoded and were skipped.",
@@ -46,6 +50,8 @@
     "configuration_version": ("", "Version of the configuration in use."),
     "configuration_age_seconds": ("", "Time since the store last confirmed the configuration."),
     "waiting_tasks": ("", "Tasks that wait for room."),
+    "backlog_core_seconds": ("priority", "Accepted work that is still worth something."),
+    "drain_cores": ("", "Core-seconds of work that the workers do in a second."),
 }
 MAX_LABEL_VALUES = 64  # of one metric; later values are counted as "other"
 
--- a/src/acaciastand/workflow/ranking.py
+++ b/src/acaciastand/workflow/ranking.py
@@ -10,8 +10,10 @@
 
 # A job that completes after this multiple of its objective has no value to the caller.
 LATE_FACTOR = 3.0
-# Age, as a multiple of its objective, from which a job that has no value any more may go first.
-MAX_WAIT_FACTOR = 2 * LATE_FACTOR
+# A job that is late by this multiple of the time for which it was worth something may go first.
+MAX_WAIT_FACTOR = 2.0
+# Worth of a job that does not depend on its work, as a share of the mean work of its queue.
+FIXED_WORTH = 0.4
 
 
 class RankingPolicy(ABC):
@@ -118,8 +120,20 @@
         """Return the remaining work of a job in proportion to its worth."""
         total = total_core_seconds(task.job.spec)
         mean = self.shortage.mean_core_seconds.get(task.job.queue, total)
-        remaining = remaining_core_seconds(task.job, task.name.occurrence)
-        return remaining / (mean + total) if total else 0.0
+        return work_cost(remaining_core_seconds(task.job, task.name.occurrence), total, mean)
+
+
+def work_cost(remaining: float, total: float, mean: float) -> float:
+    """Return the remaining work of a job in proportion to its worth, from 0 to 1.
+
+    Parameters
+    ----------
+    remaining, total
+        Remaining and total work of the job in core-seconds.
+    mean
+        Mean work of a job of its queue.
+    """
+    return remaining / (FIXED_WORTH * mean + total) if total else 0.0
 
 
 def objective_seconds(job: Job, queue: Queue, run_time_ratio: float = 1.0) -> float:
