--- /dev/null
+++ b/features/room_support.py
@@ -0,0 +1,68 @@
+"""Load that exceeds the room for batch jobs, replayed by the simulated scheduler."""
+
+import random
+
+from workflow_support import WorkflowWorld, step
+
+from acaciastand.workflow.ranking import objective_seconds
+from acaciastand.workflow.work import total_core_seconds
+
+WORKERS, CORES = 6, 16.0
+MEAN_CORE_SECONDS = {"plans": 120.0, "checks": 8.0}
+SHARES = {"plans": 0.8, "checks": 0.2}
+BURST, BURST_SECONDS = 1.4, (6.0, 12.0)
+
+
+def spread(rnd, mean, sigma, most):
+    """Return a positive number around a mean with a long upper tail."""
+    return min(most, mean * rnd.lognormvariate(-sigma * sigma / 2, sigma))
+
+
+def batch_steps(rnd):
+    """Return two steps of twenty tasks on average, on leftover processor time."""
+    steps = []
+    for number in range(max(1, round(spread(rnd, 2.0, 0.4, 5)))):
+        count, cores = round(spread(rnd, 20.0, 0.6, 80)) or 1, spread(rnd, 1.5, 0.3, 3.0)
+        after = [number - 1] if number else []
+        seconds = spread(rnd, 2.0, 0.5, 20.0)
+        steps.append(step(count, cores, seconds=seconds, after=after, uses_leftover=True))
+    return steps
+
+
+def urgent_steps(rnd):
+    return [step(round(spread(rnd, 16.0, 0.8, 57)) or 1, 0.5, seconds=spread(rnd, 1.0, 0.5, 5.0))]
+
+
+def replay(ranking, excess, seconds, seed=1):
+    """Return the jobs of a load, all of which have ended or will never be in time."""
+    rnd = random.Random(seed)
+    world = WorkflowWorld(ranking)
+    world.completes = True
+    for number in range(WORKERS):
+        world.add_worker(f"agent-{number}", CORES, 10**7)
+    rates = {
+        queue: WORKERS * CORES * (1 + excess) * share / MEAN_CORE_SECONDS[queue]
+        for queue, share in SHARES.items()
+    }
+    due = {queue: rnd.expovariate(rate) for queue, rate in rates.items()}
+    jobs, began = [], world.now
+    while world.now < began + seconds + 15:
+        world.advance(0.2, 0.2)
+        now = world.now - began
+        factor = BURST if BURST_SECONDS[0] <= now < BURST_SECONDS[1] else 1.0
+        for queue, rate in rates.items():
+            while due[queue] < min(now, seconds):
+                due[queue] += rnd.expovariate(rate * factor)
+                steps = batch_steps(rnd) if queue == "plans" else urgent_steps(rnd)
+                jobs.append(world.submit(f"{len(jobs):016x}", queue, *steps))
+    return world, jobs
+
+
+def in_time(world, jobs, queue):
+    """Return the jobs of a queue by size, the largest first, with whether each was in time."""
+    rows = []
+    for job in sorted(jobs, key=lambda job: -total_core_seconds(job.spec)):
+        if job.queue == queue:
+            limit = objective_seconds(job, world.scheduler.catalog.by_name(queue))
+            rows.append(0 < job.ended_unix <= job.accepted_unix + limit)
+    return rows
--- a/src/acaciastand/workflow/admission.py
+++ b/src/acaciastand/workflow/admission.py
@@ -180,7 +180,7 @@
         Time after which the backlog is small enough.
     """
     spread = 1.0 + int(job_id[-4:], 16) / 0xFFFF
-    return math.ceil(min(MAX_RETRY_AFTER_SECONDS, max(1.0, excess_seconds) * spread))
+    return math.ceil(min(MAX_RETRY_AFTER_SECONDS / 2, max(0.5, excess_seconds)) * spread)
 
 
 class AcceptedShare:
--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -10,7 +10,7 @@
 from acaciastand.record import Record
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.finished_runs import DrainRate
-from acaciastand.workflow.job import Job, TaskState
+from acaciastand.workflow.job import Job
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.ranking import (
     MAX_WAIT_FACTOR,
@@ -277,7 +277,7 @@
             task.step.size.cores
             for worker in workers
             for task in worker.tasks.values()
-            if not task.step.continuous and task.state in (TaskState.STARTING, TaskState.RUNNING)
+            if not task.step.continuous
         )
         free_cores = sum(max(0.0, worker.leftover_cores()) for worker in workers)
         if self.shortage.priorities:
