--- a/features/room_support.py
+++ b/features/room_support.py
@@ -33,20 +33,20 @@
     return [step(round(spread(rnd, 16.0, 0.8, 57)) or 1, 0.5, seconds=spread(rnd, 1.0, 0.5, 5.0))]
 
 
-def replay(ranking, excess, seconds, seed=1):
-    """Return the jobs of a load, all of which have ended or will never be in time."""
+def replay(ranking, load, seconds, seed):
+    """Return the jobs of a load, of which those that have not ended are worth nothing any more."""
     rnd = random.Random(seed)
     world = WorkflowWorld(ranking)
     world.completes = True
     for number in range(WORKERS):
         world.add_worker(f"agent-{number}", CORES, 10**7)
     rates = {
-        queue: WORKERS * CORES * (1 + excess) * share / MEAN_CORE_SECONDS[queue]
+        queue: WORKERS * CORES * load * share / MEAN_CORE_SECONDS[queue]
         for queue, share in SHARES.items()
     }
     due = {queue: rnd.expovariate(rate) for queue, rate in rates.items()}
     jobs, began = [], world.now
-    while world.now < began + seconds + 15:
+    while world.now < began + seconds + 30:
         world.advance(0.2, 0.2)
         now = world.now - began
         factor = BURST if BURST_SECONDS[0] <= now < BURST_SECONDS[1] else 1.0
@@ -58,11 +58,11 @@
     return world, jobs
 
 
-def in_time(world, jobs, queue):
-    """Return the jobs of a queue by size, the largest first, with whether each was in time."""
+def served(world, jobs, queue, factor):
+    """Return whether each job of a queue ended within `factor` objectives, the largest first."""
     rows = []
     for job in sorted(jobs, key=lambda job: -total_core_seconds(job.spec)):
         if job.queue == queue:
-            limit = objective_seconds(job, world.scheduler.catalog.by_name(queue))
+            limit = factor * objective_seconds(job, world.scheduler.catalog.by_name(queue))
             rows.append(0 < job.ended_unix <= job.accepted_unix + limit)
     return rows
--- a/src/acaciastand/workflow/admission.py
+++ b/src/acaciastand/workflow/admission.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
+import zlib
 from abc import ABC, abstractmethod
-from collections import deque
 
 from acaciastand.record import Record
 from acaciastand.workflow.backlog import BacklogEstimate, QueueWork
@@ -17,12 +17,9 @@
 MAX_ESTIMATE_AGE_SECONDS = 2.0
 # Factor by which the wait may be overestimated, since estimates of run times are rough.
 SAFETY_FACTOR = 1.5
-# Least share of the jobs of each queue and size that is accepted in any case.
+# Share of the jobs that is accepted in any case.
 MIN_ACCEPTED_SHARE = 0.25
 MAX_RETRY_AFTER_SECONDS = 10.0
-COUNT_WINDOW = 64.0  # Submissions of a queue and size over which the accepted share is taken.
-MAX_SIZES = 200  # Sizes of the last jobs of a queue, by which a job counts as large.
-MAX_QUEUES = 64  # Queues that are counted; the oldest is dropped for a new one.
 
 
 class BacklogView(Record):
@@ -112,39 +109,16 @@
 
     Designed for load that exceeds the room several times over for longer than jobs can wait. The
     caller hears at once that the job is not going to be of use, and its work takes no room from
-    jobs that are. A minimum share of the jobs of each queue and size is accepted in any case. Jobs
-    with continuous steps and repeated jobs are never refused.
-
-    Attributes
-    ----------
-    counts
-        What was submitted lately, by queue.
+    jobs that are. A share of the jobs of each queue, availability zone and size is accepted in any
+    case. Jobs with continuous steps and repeated jobs are never refused.
     """
 
-    def __init__(self) -> None:
-        self.counts: dict[str, QueueCounts] = {}
-
     def refusal(
         self, job_id: str, queue: Queue, spec: WorkflowSpec, view: BacklogView | None
     ) -> Refusal | None:
         """Return why a job is refused, or None if it is accepted."""
-        if is_continuous(spec) or spec.repeats:
+        if is_continuous(spec) or spec.repeats or _is_always_accepted(job_id):
             return None
-        share = self._counts_of(queue).share_of(total_core_seconds(spec))
-        refusal = self._refusal_by_wait(job_id, queue, spec, view)
-        if refusal is not None and not share.allows_refusal():
-            refusal = None
-        share.record(accepted=refusal is None)
-        return refusal
-
-    def _counts_of(self, queue: Queue) -> QueueCounts:
-        if queue.name not in self.counts and len(self.counts) >= MAX_QUEUES:
-            del self.counts[next(iter(self.counts))]
-        return self.counts.setdefault(queue.name, QueueCounts())
-
-    def _refusal_by_wait(
-        self, job_id: str, queue: Queue, spec: WorkflowSpec, view: BacklogView | None
-    ) -> Refusal | None:
         if view is None or view.age_seconds > MAX_ESTIMATE_AGE_SECONDS:
             return None
         total = total_core_seconds(spec)
@@ -179,49 +153,19 @@
     excess_seconds
         Time after which the backlog is small enough.
     """
-    spread = 1.0 + int(job_id[-4:], 16) / 0xFFFF
+    spread = 1.0 + _fraction(job_id[::-1])
     return math.ceil(min(MAX_RETRY_AFTER_SECONDS / 2, max(0.5, excess_seconds)) * spread)
 
 
-class AcceptedShare:
-    """Decaying counts of submitted and accepted jobs of one queue and size."""
-
-    __slots__ = ("submitted", "accepted")
+def _is_always_accepted(job_id: str) -> bool:
+    """Return whether a job belongs to the share that is accepted in any case.
 
-    def __init__(self) -> None:
-        self.submitted = 0.0
-        self.accepted = 0.0
-
-    def allows_refusal(self) -> bool:
-        """Return whether the accepted share stays large enough if one more job is refused."""
-        return self.accepted >= MIN_ACCEPTED_SHARE * (self.submitted + 1.0)
-
-    def record(self, accepted: bool) -> None:
-        """Count a submission."""
-        self.submitted += 1.0
-        self.accepted += accepted
-        if self.submitted > COUNT_WINDOW:
-            self.accepted *= COUNT_WINDOW / self.submitted
-            self.submitted = COUNT_WINDOW
-
-
-class QueueCounts:
-    """Sizes and accepted shares of the jobs of one queue.
-
-    The largest tenth of the jobs, the fifth below it and the other ones are counted by themselves.
+    The id decides, so that all entries agree on repeated submissions, and the share is the same for
+    each queue, zone and size.
     """
+    return _fraction(job_id) < MIN_ACCEPTED_SHARE
 
-    __slots__ = ("sizes", "shares")
-
-    def __init__(self) -> None:
-        self.sizes: deque[float] = deque(maxlen=MAX_SIZES)
-        self.shares = (AcceptedShare(), AcceptedShare(), AcceptedShare())
 
-    def share_of(self, core_seconds: float) -> AcceptedShare:
-        """Record the size of a job and return the counts of the jobs of its size."""
-        larger = sum(1 for size in self.sizes if size > core_seconds)
-        count = len(self.sizes)
-        self.sizes.append(core_seconds)
-        if larger < 0.1 * count:
-            return self.shares[0]
-        return self.shares[1] if larger < 0.3 * count else self.shares[2]
+def _fraction(text: str) -> float:
+    """Return a number from 0 to 1 that is spread evenly over different texts."""
+    return zlib.crc32(text.encode()) / 0xFFFFFFFF
