--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -52,6 +52,12 @@
     "waiting_tasks": ("", "Tasks that wait for room."),
     "backlog_core_seconds": ("priority", "Accepted work that is still worth something."),
     "drain_cores": ("", "Core-seconds of work that the workers do in a second."),
+    "drained_zones": ("", "Zones that the operators drain, as the owner knows them."),
+    "drained_zone_runs": ("why", "Runs in drained zones by the reason for which they stay."),
+    "zone_drains_age_seconds": (
+        "",
+        "Time since the store last confirmed to the owner which zones are drained.",
+    ),
 }
 MAX_LABEL_VALUES = 64  # of one metric; later values are counted as "other"
 
