Judge the shortage and the refusals by the work that can start, by service

Jobs were refused although cores were free: long runs, steps that were not eligible and jobs without a fitting worker all counted as work before a new job, and one late job that can never start made its priority short of room. The estimate now holds for each service the work of the jobs that wait for room, and its drain rate. A drain rate of 0 gives no estimate instead of an infinite wait. Priorities are short of room by service, without jobs that are worth nothing or that no worker can take, and these no longer keep the place of the job that has waited longest.

Runs whose start was not confirmed counted as long as the clock, and adopted runs as short; both now count as estimated and give no ratio.

Equal costs are ordered by age. A priority that is not short of room is ranked by LeastSlackFirst itself.

--- a/features/room_support.py
+++ b/features/room_support.py
@@ -5,7 +5,7 @@
 from workflow_support import WorkflowWorld, step
 
 from acaciastand.workflow.ranking import objective_seconds
-from acaciastand.workflow.work import total_core_seconds
+from acaciastand.workflow.spec import total_core_seconds
 
 WORKERS, CORES = 6, 16.0
 MEAN_CORE_SECONDS = {"plans": 120.0, "checks": 8.0}
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -89,9 +89,9 @@
 def given_waiting(context):
     context.now_unix = START_UNIX + 1_000.0
     context.shortage = Shortage()
-    context.shortage.priorities = {2}
+    context.shortage.priorities = {("desk", 2)}
     context.shortage.mean_core_seconds = {"plans": 100.0}
-    context.shortage.longest_waiting = {2: "waiting longest"}
+    context.shortage.longest_waiting = {("desk", 2): ("waiting longest", 0)}
     # Each takes 10 s in its two steps, has an objective of 21 s and is worth something until 63 s.
     ages = {"tight": 10.9, "begun": 1.0, "late": 30.0, "worthless": 90.0, "waiting longest": 200.0}
     ages["underestimated"] = 10.0
@@ -153,6 +153,7 @@
     task = next(iter(job.tasks.values()))
     now_unix = START_UNIX + 3.5
     assert LeastSlackFirst().rank(task, PLANS, now_unix)[1] == 2
+    context.backlog.shortage.priorities = {("desk", 2)}
     assert ranking.LeastCostFirst(context.backlog.shortage).rank(task, PLANS, now_unix)[1] == 2
 
 
@@ -294,7 +295,7 @@
         entry.hear(None)
     if "owner itself" in case:
         entry.hear(None)
-        entry.owner = mock.Mock(is_ready=True)
+        entry.owner = mock.Mock(is_ready=True, authority_seconds=1.0)
         entry.owner.scheduler.backlog.estimate = entry.estimate
         entry.owner.scheduler.backlog.updated_at = now()
     context.response = entry.submit(job_id, queue, **fields)
--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from acaciastand.checks import check_integer, check_list, check_number, check_text
@@ -12,8 +12,14 @@
 from acaciastand.workflow.finished_runs import DrainRate
 from acaciastand.workflow.job import Job
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
+from acaciastand.workflow.open_work import (
+    OpenWork,
+    longest_waiting,
+    occurrence_key,
+    short_priorities,
+    startable_occurrences,
+)
 from acaciastand.workflow.ranking import (
-    MAX_WAIT_FACTOR,
     Shortage,
     late_seconds,
     occurrence_slack_seconds,
@@ -24,14 +30,12 @@
     is_continuous,
     open_occurrences,
     remaining_core_seconds,
-    total_core_seconds,
 )
+from acaciastand.workflow.worker import WorkerView
 
 UPDATE_INTERVAL_SECONDS = 0.5
-# Share of the work of a priority that is late from which on the priority is short of room. Single
-# jobs that are late after a failed run are no shortage.
-MIN_LATE_SHARE = 0.25
-MAX_SENT_QUEUES = 16  # Queues in the messages between entries, which are kept short.
+# Queues and services in the messages between entries, which are kept short.
+MAX_SENT_QUEUES, MAX_SENT_SERVICES = 16, 8
 COST_BANDS = 8  # Bands of cost by which the work of a priority is told.
 
 
@@ -53,6 +57,24 @@
         self.mean_core_seconds = mean_core_seconds
 
 
+class ServiceWork(Record):
+    """Work of one service that goes before new jobs, and the rate at which its workers do it.
+
+    Parameters
+    ----------
+    drain_cores
+        Core-seconds of work that the workers do in a second; more than 0.
+    core_seconds
+        Remaining work of the jobs that wait for room, as in `BacklogEstimate`.
+    """
+
+    __slots__ = ("drain_cores", "core_seconds")
+
+    def __init__(self, drain_cores: float, core_seconds: dict[int, list[float]]) -> None:
+        self.drain_cores = drain_cores
+        self.core_seconds = core_seconds
+
+
 class BacklogEstimate(Record):
     """Accepted work that is still worth something, and the rate at which it is done.
 
@@ -64,43 +86,62 @@
         Remaining work by priority, and there by the cost of its jobs: equal bands from 0 to 1.
     queues
         Queues of the unfinished jobs, by name.
+    services
+        The part that goes before new jobs, by the name of the service; without the services that
+        have no workers. None if the sums above hold for each service.
     """
 
-    __slots__ = ("drain_cores", "core_seconds", "queues")
+    __slots__ = ("drain_cores", "core_seconds", "queues", "services")
 
     def __init__(
         self,
         drain_cores: float,
         core_seconds: dict[int, list[float]],
         queues: dict[str, QueueWork] | None = None,
+        services: dict[str, ServiceWork] | None = None,
     ) -> None:
         self.drain_cores = drain_cores
         self.core_seconds = core_seconds
         self.queues = queues or {}
+        self.services = services
 
-    def wait_seconds(self, priority: int, cost: float) -> float:
+    def wait_seconds(self, service: str, priority: int, cost: float) -> float:
         """Return the time until the work is done that goes before a job.
 
+        It is 0 for a service of which nothing is known.
+
         Parameters
         ----------
-        priority
-            Priority of the job.
+        service, priority
+            Service and priority of the job.
         cost
             Its remaining work in proportion to its worth, as `work_cost` returns it.
         """
-        before = sum(sum(bands) for p, bands in self.core_seconds.items() if p < priority)
-        before += sum(self.core_seconds.get(priority, [])[: _band(cost) + 1])
-        if not before:
+        work = ServiceWork(self.drain_cores, self.core_seconds)
+        if self.services is not None:
+            work = self.services.get(service, ServiceWork(0.0, {}))
+        if work.drain_cores <= 0:
             return 0.0
-        return before / self.drain_cores if self.drain_cores > 0 else math.inf
+        before = sum(sum(bands) for p, bands in work.core_seconds.items() if p < priority)
+        before += sum(work.core_seconds.get(priority, [])[: _band(cost) + 1])
+        return before / work.drain_cores
 
     def to_list(self) -> list[Any]:
-        """Return the estimate as entries send it to each other."""
+        """Return the estimate as entries send it to each other.
+
+        The sums over all services are left out if each service has its own.
+        """
         queues = sorted(self.queues.items())[:MAX_SENT_QUEUES]
+        services = sorted((self.services or {}).items())[:MAX_SENT_SERVICES]
         return [
             round(self.drain_cores, 2),
-            [[p, [round(band) for band in bands]] for p, bands in self.core_seconds.items()],
+            _rows(self.core_seconds) if self.services is None else [],
             [[q, round(w.run_time_ratio, 2), round(w.mean_core_seconds, 2)] for q, w in queues],
+            (
+                [[s, round(w.drain_cores, 2), _rows(w.core_seconds)] for s, w in services]
+                if self.services is not None
+                else None
+            ),
         ]
 
     @classmethod
@@ -112,67 +153,38 @@
         ValueError
             It holds what no estimate holds.
         """
-        drain_cores, work, queues = check_list(fields)
+        drain_cores, work, queues, services = check_list(fields)
         return cls(
             check_number(drain_cores),
-            {
-                check_integer(priority): [check_number(band) for band in check_list(bands)]
-                for priority, bands in check_list(work)
-            },
+            _decode_rows(work),
             {
                 check_text(queue): QueueWork(check_number(ratio), check_number(mean))
                 for queue, ratio, mean in check_list(queues)
             },
+            (
+                None
+                if services is None
+                else {
+                    check_text(service): ServiceWork(check_number(drain), _decode_rows(rows))
+                    for service, drain, rows in check_list(services)
+                }
+            ),
         )
 
 
-def _band(cost: float) -> int:
-    return min(COST_BANDS - 1, int(cost * COST_BANDS))
+def _rows(core_seconds: Mapping[int, list[float]]) -> list[Any]:
+    return [[priority, [round(band) for band in bands]] for priority, bands in core_seconds.items()]
 
 
-class OpenWork(Record):
-    """Remaining work of an occurrence of a job that is due.
+def _decode_rows(rows: Any) -> dict[int, list[float]]:
+    return {
+        check_integer(priority): [check_number(band) for band in check_list(bands)]
+        for priority, bands in check_list(rows)
+    }
 
-    Parameters
-    ----------
-    job, queue
-        The job and its queue.
-    core_seconds
-        The work, by corrected estimates.
-    cost
-        The work in proportion to the worth of the job.
-    slack_seconds, late_seconds
-        Time that the occurrence can still wait to complete in time, and time after its objective
-        for which it is worth something.
-    """
-
-    __slots__ = ("job", "queue", "core_seconds", "cost", "slack_seconds", "late_seconds")
 
-    def __init__(
-        self,
-        job: Job,
-        queue: Queue,
-        core_seconds: float,
-        cost: float,
-        slack_seconds: float,
-        late_seconds: float,
-    ) -> None:
-        self.job = job
-        self.queue = queue
-        self.core_seconds = core_seconds
-        self.cost = cost
-        self.slack_seconds = slack_seconds
-        self.late_seconds = late_seconds
-
-    @property
-    def is_late(self) -> bool:
-        """Whether the occurrence cannot complete in time any more."""
-        return self.slack_seconds < 0
-
-    @property
-    def is_worthless(self) -> bool:
-        """Whether the occurrence is worth nothing when it completes."""
-        return self.slack_seconds < -self.late_seconds
+def _band(cost: float) -> int:
+    return min(COST_BANDS - 1, int(cost * COST_BANDS))
 
 
 class BacklogTracker:
@@ -190,8 +202,8 @@
         is in service.
     shortage
         What the ranking of tasks knows of the load.
-    drain_rate
-        Rate at which the workers do work.
+    drain_rate, service_rates
+        Rate at which all workers do work, and those of each service.
     updated_at
         When the estimate was last updated.
     late_starts
@@ -203,6 +215,7 @@
         self.estimate: BacklogEstimate | None = None
         self.shortage = Shortage()
         self.drain_rate = DrainRate()
+        self.service_rates: dict[str, DrainRate] = {}
         self.updated_at = float("-inf")
         self.late_starts: set[str] = set()
 
@@ -214,15 +227,24 @@
         self.updated_at = now
         self.shortage.run_time_ratios = self.state.finished_runs.median_ratios()
         self.shortage.mean_core_seconds = self._mean_core_seconds()
-        open_work = list(self._open_work(now_unix))
-        self.shortage.priorities = _short_priorities(open_work)
-        self.shortage.longest_waiting = _longest_waiting(open_work)
-        has_workers = self._update_drain_rate(now, seconds)
-        is_known = has_workers and not self.state.uncertain
+        workers = self._workers_by_service(now)
+        open_work = list(self._open_work(now_unix, workers))
+        self.shortage.priorities = short_priorities(open_work)
+        self.shortage.longest_waiting = longest_waiting(open_work)
+        self._update_drain_rates(workers, open_work, seconds)
+        is_known = any(workers.values()) and not self.state.uncertain
         self.estimate = self._estimate_of(open_work) if is_known else None
         if self.estimate is not None:
             self._record_late_starts(open_work, self.estimate)
 
+    def _workers_by_service(self, now: float) -> dict[str, list[WorkerView]]:
+        """Return the workers in service, by the services of all queues and workers."""
+        workers: dict[str, list[WorkerView]] = {q.service: [] for q in self.state.catalog.queues}
+        for worker in self.state.workers.values():
+            if worker.identity and worker.is_schedulable(now, MAX_REPORT_AGE_SECONDS):
+                workers.setdefault(worker.identity.service, []).append(worker)
+        return workers
+
     def _unfinished_jobs(self) -> Iterator[tuple[Job, Queue]]:
         for job in self.state.jobs.values():
             if job.ended_unix or is_continuous(job.spec):
@@ -234,57 +256,93 @@
     def _mean_core_seconds(self) -> dict[str, float]:
         totals: dict[str, list[float]] = {}
         for job, queue in self._unfinished_jobs():
-            totals.setdefault(queue.name, []).append(total_core_seconds(job.spec))
+            totals.setdefault(queue.name, []).append(job.total_core_seconds)
         return {name: sum(work) / len(work) for name, work in totals.items()}
 
-    def _open_work(self, now_unix: float) -> Iterator[OpenWork]:
+    def _open_work(
+        self, now_unix: float, workers: Mapping[str, list[WorkerView]]
+    ) -> Iterator[OpenWork]:
+        startable = startable_occurrences(self.state.waiting.values(), workers, self.state.catalog)
+        running = {
+            occurrence_key(task)
+            for worker in self.state.workers.values()
+            for task in worker.tasks.values()
+        }
         for job, queue in self._unfinished_jobs():
             ratio = self.shortage.run_time_ratios.get(queue.name, 1.0)
             mean = self.shortage.mean_core_seconds[queue.name]
-            total = total_core_seconds(job.spec)
+            total = job.total_core_seconds
             for occurrence, step in open_occurrences(job, now_unix).items():
                 remaining = remaining_core_seconds(job, occurrence)
                 yield OpenWork(
                     job,
                     queue,
+                    occurrence,
                     ratio * remaining,
                     work_cost(remaining, total, mean),
                     occurrence_slack_seconds(job, queue, now_unix, occurrence, step, ratio),
                     late_seconds(job, queue, ratio),
+                    (job.job_id, occurrence) in startable,
+                    (job.job_id, occurrence) in running,
                 )
 
-    def _estimate_of(self, open_work: Iterable[OpenWork]) -> BacklogEstimate:
+    def _estimate_of(self, open_work: Iterable[OpenWork]) -> BacklogEstimate | None:
+        """Return the estimate; None while the workers do no work."""
+        if self.drain_rate.cores <= 0:
+            return None
         core_seconds: dict[int, list[float]] = {}
+        services = {
+            name: ServiceWork(rate.cores, {})
+            for name, rate in self.service_rates.items()
+            if rate.cores > 0
+        }
         for work in open_work:
-            if not work.is_worthless:
-                bands = core_seconds.setdefault(work.queue.priority, [0.0] * COST_BANDS)
-                bands[_band(work.cost)] += work.core_seconds
+            if work.is_worthless:
+                continue
+            _add_work(core_seconds, work)
+            if work.is_startable and work.queue.service in services:
+                _add_work(services[work.queue.service].core_seconds, work)
         queues = {
             name: QueueWork(self.shortage.run_time_ratios.get(name, 1.0), mean)
             for name, mean in self.shortage.mean_core_seconds.items()
         }
-        return BacklogEstimate(self.drain_rate.cores, core_seconds, queues)
-
-    def _update_drain_rate(self, now: float, seconds: float) -> bool:
-        """Update the drain rate and return whether any worker is in service.
+        return BacklogEstimate(self.drain_rate.cores, core_seconds, queues, services)
 
-        Cores that are free although a priority is short of room cannot be used by what waits.
-        """
-        workers = [
-            w for w in self.state.workers.values() if w.is_schedulable(now, MAX_REPORT_AGE_SECONDS)
-        ]
-        cores_in_use = sum(
-            task.step.size.cores
-            for worker in workers
-            for task in worker.tasks.values()
-            if not task.step.continuous
-        )
-        free_cores = sum(max(0.0, worker.leftover_cores()) for worker in workers)
-        if self.shortage.priorities:
-            free_cores = 0.0
-        released = self.state.finished_runs.take_core_seconds()
-        self.drain_rate.update(released, cores_in_use, free_cores, seconds)
-        return bool(workers)
+    def _update_drain_rates(
+        self,
+        workers: Mapping[str, list[WorkerView]],
+        open_work: Iterable[OpenWork],
+        seconds: float,
+    ) -> None:
+        """Update the rates of all workers and of those of each service."""
+        released = self._released_core_seconds()
+        short_services = {
+            work.queue.service
+            for work in open_work
+            if work.is_startable and self.shortage.affects(work.queue)
+        }
+        self.service_rates = {s: self.service_rates.get(s, DrainRate()) for s in workers}
+        sum_in_use, sum_free = 0.0, 0.0
+        for service, rate in self.service_rates.items():
+            in_use = _cores_in_use(workers[service])
+            free = sum(max(0.0, worker.leftover_cores()) for worker in workers[service])
+            # Cores that stay free although a priority is short of room cannot be used by what
+            # waits. That shows only after the first round of starts.
+            if service in short_services and rate.cores > 0:
+                free = 0.0
+            rate.update(released.get(service, 0.0), in_use, free, seconds)
+            sum_in_use += in_use
+            sum_free += free
+        self.drain_rate.update(sum(released.values()), sum_in_use, sum_free, seconds)
+
+    def _released_core_seconds(self) -> dict[str, float]:
+        """Return the work of the runs that finished since the last update, by service."""
+        released: dict[str, float] = {}
+        for name, core_seconds in self.state.finished_runs.take_core_seconds().items():
+            queue = self.state.catalog.by_name(name)
+            if queue is not None:
+                released[queue.service] = released.get(queue.service, 0.0) + core_seconds
+        return released
 
     def _record_late_starts(self, open_work: Iterable[OpenWork], estimate: BacklogEstimate) -> None:
         """Log once for each job that it can no longer complete in time and has not begun."""
@@ -298,27 +356,25 @@
                 "job late before its start",
                 job_id,
                 priority=work.queue.priority,
-                wait_s=round(estimate.wait_seconds(work.queue.priority, work.cost), 1),
+                wait_s=round(_wait_seconds(estimate, work), 1),
                 drain_cores=round(estimate.drain_cores, 1),
             )
 
 
-def _short_priorities(open_work: Iterable[OpenWork]) -> set[int]:
-    """Return the priorities of which much of the work is late."""
-    sums: dict[int, list[float]] = {}
-    for work in open_work:
-        late_and_all = sums.setdefault(work.queue.priority, [0.0, 0.0])
-        late_and_all[0] += work.core_seconds if work.is_late else 0.0
-        late_and_all[1] += work.core_seconds
-    return {p for p, (late, total) in sums.items() if late >= MIN_LATE_SHARE * total > 0}
-
-
-def _longest_waiting(open_work: Iterable[OpenWork]) -> dict[int, str]:
-    """Return for each priority the oldest job that has waited for too long."""
-    oldest: dict[int, Job] = {}
-    for work in open_work:
-        has_waited = work.slack_seconds < -MAX_WAIT_FACTOR * work.late_seconds
-        first = oldest.get(work.queue.priority)
-        if has_waited and (first is None or work.job.accepted_unix < first.accepted_unix):
-            oldest[work.queue.priority] = work.job
-    return {priority: job.job_id for priority, job in oldest.items()}
+def _add_work(core_seconds: dict[int, list[float]], work: OpenWork) -> None:
+    bands = core_seconds.setdefault(work.queue.priority, [0.0] * COST_BANDS)
+    bands[_band(work.cost)] += work.core_seconds
+
+
+def _cores_in_use(workers: Iterable[WorkerView]) -> float:
+    """Return the cores of the runs on workers that end by themselves."""
+    return sum(
+        task.step.size.cores
+        for worker in workers
+        for task in worker.tasks.values()
+        if not task.step.continuous
+    )
+
+
+def _wait_seconds(estimate: BacklogEstimate, work: OpenWork) -> float:
+    return estimate.wait_seconds(work.queue.service, work.queue.priority, work.cost)
--- a/src/acaciastand/workflow/finished_runs.py
+++ b/src/acaciastand/workflow/finished_runs.py
@@ -10,7 +10,8 @@
 
 MAX_RATIO_RUNS = 64  # Finished runs that are kept for each queue.
 MIN_RATIO_RUNS = 8  # Fewer finished runs say too little about a queue.
-MAX_RATIO = 10.0  # A run that took longer still counts as this multiple of its estimate.
+# Runs that took less or longer still count as these multiples of their estimates.
+MIN_RATIO, MAX_RATIO = 0.5, 10.0
 MAX_QUEUES = 64  # Queues for which run times are kept; the oldest is dropped for a new one.
 # A loss of workers often ends within this time, so the drain rate before it still counts in part.
 DRAIN_MEMORY_SECONDS = 10.0
@@ -28,16 +29,18 @@
     ratios
         The last ratios by queue.
     core_seconds
-        Work of the runs that were recorded since it was last taken.
+        Work of the runs that were recorded since it was last taken, by queue.
     """
 
     def __init__(self) -> None:
         self.ratios: dict[str, deque[float]] = {}
-        self.core_seconds = 0.0
+        self.core_seconds: dict[str, float] = {}
 
     def record(self, task: Task, pace_percent: int) -> None:
         """Record the run of a task that is done; its duration is `Task.last_run_seconds`.
 
+        A run of which this owner does not know the start counts as estimated.
+
         Parameters
         ----------
         pace_percent
@@ -46,16 +49,18 @@
         step = task.step
         is_slowed = step.uses_leftover and pace_percent < 100
         is_resumed = step.saves_progress and task.run > 1
-        seconds = step.estimate_seconds if is_slowed else task.last_run_seconds
-        self.core_seconds += step.size.cores * seconds
-        if not is_slowed and not is_resumed and seconds > 0 and step.estimate_seconds > 0:
-            self._record_ratio(task.job.queue, seconds / step.estimate_seconds)
+        is_known = task.is_run_timed and not is_slowed
+        seconds = task.last_run_seconds if is_known else step.estimate_seconds
+        queue = task.job.queue
+        self.core_seconds[queue] = self.core_seconds.get(queue, 0.0) + step.size.cores * seconds
+        if is_known and not is_resumed and seconds > 0 and step.estimate_seconds > 0:
+            self._record_ratio(queue, seconds / step.estimate_seconds)
 
     def _record_ratio(self, queue: str, ratio: float) -> None:
         if queue not in self.ratios and len(self.ratios) >= MAX_QUEUES:
             del self.ratios[next(iter(self.ratios))]
         last = self.ratios.setdefault(queue, deque(maxlen=MAX_RATIO_RUNS))
-        last.append(min(ratio, MAX_RATIO))
+        last.append(min(max(ratio, MIN_RATIO), MAX_RATIO))
 
     def median_ratios(self) -> dict[str, float]:
         """Return the median ratio of each queue with enough finished runs."""
@@ -65,9 +70,9 @@
             if len(last) >= MIN_RATIO_RUNS
         }
 
-    def take_core_seconds(self) -> float:
-        """Return the work that was recorded since the last call."""
-        core_seconds, self.core_seconds = self.core_seconds, 0.0
+    def take_core_seconds(self) -> dict[str, float]:
+        """Return the work that was recorded since the last call, by queue."""
+        core_seconds, self.core_seconds = self.core_seconds, {}
         return core_seconds
 
 
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -10,7 +10,12 @@
 from acaciastand.record import Record
 from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.reports import PollPosition, TaskName
-from acaciastand.workflow.spec import StepSpec, WorkflowSpec, critical_path_seconds
+from acaciastand.workflow.spec import (
+    StepSpec,
+    WorkflowSpec,
+    critical_path_seconds,
+    total_core_seconds,
+)
 
 
 class TaskState(IntEnum):
@@ -78,7 +83,9 @@
         Agent whose worker the next run avoids if possible, because the last run failed, took too
         long or was slowed down there; empty for none.
     started_at
-        When the current run was confirmed as started.
+        When the current run was confirmed as started, or else decided on.
+    is_run_timed
+        Whether this owner was told of the start of the current run, so that its duration is known.
     ended_runs
         Numbers of the runs whose ends have been processed.
     after_poll
@@ -117,6 +124,7 @@
         "not_before",
         "avoided_agent_id",
         "started_at",
+        "is_run_timed",
         "ended_runs",
         "after_poll",
         "stop_confirmed_at",
@@ -146,6 +154,7 @@
         self.not_before = 0.0
         self.avoided_agent_id = ""
         self.started_at = 0.0
+        self.is_run_timed = False
         self.ended_runs: set[int] = set()
         self.after_poll = PollPosition()
         self.stop_confirmed_at = 0.0
@@ -270,6 +279,8 @@
         Number of tasks that are not done, by occurrence and step.
     critical_path_seconds
         Critical path from each step to the end of the job, by estimated run times.
+    total_core_seconds
+        Work of one occurrence, by estimated run times.
     version, stored_version
         Number of changes, and number of changes that are stored.
     stored_state
@@ -295,6 +306,7 @@
         "tasks",
         "open_task_counts",
         "critical_path_seconds",
+        "total_core_seconds",
         "version",
         "stored_version",
         "stored_state",
@@ -320,6 +332,7 @@
             step_key = (task.name.occurrence, task.name.step)
             self.open_task_counts[step_key] = self.open_task_counts.get(step_key, 0) + 1
         self.critical_path_seconds = critical_path_seconds(spec)
+        self.total_core_seconds = total_core_seconds(spec)
         self.version = 0
         self.stored_version = 0
         self.stored_state = JobState.PENDING
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -13,6 +13,7 @@
     reference_cores,
 )
 from acaciastand.workflow.job import Task, TaskState
+from acaciastand.workflow.spec import StepSpec
 from acaciastand.workflow.worker import WorkerView, services_by_step
 
 # Maximum share of the unreserved cores that batch tasks may ask for together.
@@ -72,6 +73,13 @@
     return worker.has_capacity(step.reserved)
 
 
+def could_hold(step: StepSpec, worker: WorkerView) -> bool:
+    """Return whether a worker would meet the requirements of a step if it were empty."""
+    assert worker.identity is not None
+    has_label = not step.required_label or step.required_label in worker.identity.labels
+    return has_label and step.reserved.fits_in(worker.identity.capacity)
+
+
 def _count_same_step(task: Task, worker: WorkerView) -> int:
     step_key = (task.name.occurrence, task.name.step)
     return sum(
--- a/src/acaciastand/workflow/ranking.py
+++ b/src/acaciastand/workflow/ranking.py
@@ -6,7 +6,7 @@
 
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.job import Job, Task
-from acaciastand.workflow.work import remaining_core_seconds, total_core_seconds
+from acaciastand.workflow.work import remaining_core_seconds
 
 # A job that completes after this multiple of its objective has no value to the caller.
 LATE_FACTOR = 3.0
@@ -15,6 +15,9 @@
 # A job with less work than this share of the mean of its queue counts as small.
 SMALL_JOB_SHARE = 0.5
 
+# Service whose workers are asked for, and priority of the queue.
+PriorityKey = tuple[str, int]
+
 
 class RankingPolicy(ABC):
     """Policy on the order in which waiting tasks are considered.
@@ -53,40 +56,52 @@
         return (queue.priority, 2, task.job.accepted_unix)
 
 
+def priority_key(queue: Queue) -> PriorityKey:
+    """Return the service and the priority of a queue."""
+    return (queue.service, queue.priority)
+
+
 class Shortage:
     """What is known of the load when tasks are ranked.
 
     Attributes
     ----------
     priorities
-        Priorities whose work exceeds the room: many of their jobs are late already.
+        Services and priorities whose work exceeds the room: much of it is late already.
     mean_core_seconds
         Mean work of the unfinished jobs of each queue.
     run_time_ratios
         Factor by which run times of each queue exceed the callers' estimates.
     longest_waiting
-        For each priority, the id of the oldest job that has waited for too long.
+        For each service and priority, the id of the oldest job that has waited for too long, and
+        the number of its occurrence.
     """
 
     __slots__ = ("priorities", "mean_core_seconds", "run_time_ratios", "longest_waiting")
 
     def __init__(self) -> None:
-        self.priorities: set[int] = set()
+        self.priorities: set[PriorityKey] = set()
         self.mean_core_seconds: dict[str, float] = {}
         self.run_time_ratios: dict[str, float] = {}
-        self.longest_waiting: dict[int, str] = {}
+        self.longest_waiting: dict[PriorityKey, tuple[str, int]] = {}
+
+    def affects(self, queue: Queue) -> bool:
+        """Return whether the priority of a queue is short of room on the workers of its service."""
+        return priority_key(queue) in self.priorities
 
 
 class LeastCostFirst(RankingPolicy):
     """Ranks by priority and, when not all jobs can be in time, by the work that serves a caller.
 
+    A priority that is not short of room is ranked by `LeastSlackFirst`.
+
     Designed for bursts of jobs of very different sizes that exceed the room for seconds. By slack
     alone, all cores are spread over jobs that all become late together. While a priority is short
     of room, the job with the least remaining work for its worth goes first, so that begun jobs
     complete before others begin, and small jobs before large ones. Jobs that are not small are
     worth their work, so that the largest are not starved. Late jobs that are still worth something
     follow, then those worth nothing, the oldest first. One of these at a time may go first once it
-    has waited for long.
+    has waited for long. Of jobs with equal cost, the oldest goes first.
 
     Parameters
     ----------
@@ -96,29 +111,25 @@
 
     def __init__(self, shortage: Shortage) -> None:
         self.shortage = shortage
+        self.baseline = LeastSlackFirst()
 
     def rank(self, task: Task, queue: Queue, now_unix: float) -> tuple[float, ...]:
         """Return the priority, the class of the task and its key within the class."""
-        job = task.job
-        if task.step.continuous:
-            return (queue.priority, 0, job.accepted_unix)
-        if self.shortage.longest_waiting.get(queue.priority) == job.job_id:
+        if task.step.continuous or not self.shortage.affects(queue):
+            return self.baseline.rank(task, queue, now_unix)
+        job, occurrence = task.job, task.name.occurrence
+        if self.shortage.longest_waiting.get(priority_key(queue)) == (job.job_id, occurrence):
             return (queue.priority, 1, 0.0)
         ratio = self.shortage.run_time_ratios.get(queue.name, 1.0)
-        slack = occurrence_slack_seconds(
-            job, queue, now_unix, task.name.occurrence, task.name.step, ratio
-        )
-        if slack >= 0 and queue.priority not in self.shortage.priorities:
-            return (queue.priority, 2, slack)
-        if slack >= 0:
-            return (queue.priority, 2, self._cost(task))
-        if slack >= -late_seconds(job, queue, ratio):
-            return (queue.priority, 3, self._cost(task))
-        return (queue.priority, 4, job.accepted_unix)
+        slack = occurrence_slack_seconds(job, queue, now_unix, occurrence, task.name.step, ratio)
+        if slack < -late_seconds(job, queue, ratio):
+            return (queue.priority, 4, job.accepted_unix)
+        is_late = slack < 0
+        return (queue.priority, 3 if is_late else 2, self._cost(task), job.accepted_unix)
 
     def _cost(self, task: Task) -> float:
         """Return the remaining work of a job in proportion to its worth."""
-        total = total_core_seconds(task.job.spec)
+        total = task.job.total_core_seconds
         mean = self.shortage.mean_core_seconds.get(task.job.queue, total)
         return work_cost(remaining_core_seconds(task.job, task.name.occurrence), total, mean)
 
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -247,6 +247,7 @@
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
         task.started_at = now
+        task.is_run_timed = False
         task.missed_polls = 0
         task.job.has_started = True
         worker.assign(task)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -280,6 +280,7 @@
             if task.state == TaskState.STARTING:
                 task.state = TaskState.RUNNING
                 task.started_at = now
+                task.is_run_timed = True
                 if worker.observed_task == task.key:
                     worker.observe(task, now + crashes.observation_seconds(task.crashes))
         else:
@@ -332,7 +333,6 @@
             self._check_due(now_unix)
             self._check_overdue(now)
             self._move_slowed(now, now_unix)
-            self.backlog.update(now, now_unix)
             self.zone_moves.request_moves(now)
         self._repeat_stops(now)
         starts = self.start_planner.plan_starts(
@@ -343,6 +343,7 @@
             now,
             now_unix,
         )
+        self.backlog.update(now, now_unix)
         stops, self.pending_stops = self.pending_stops, []
         return starts, stops
 
@@ -372,6 +373,8 @@
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
         task.start_state = StartState.PENDING
+        task.started_at = now
+        task.is_run_timed = False
         task.missed_polls = 0
         task.forget_stop()
         task.percent = 0.0 if task.step.continuous else 100.0
--- a/src/acaciastand/workflow/spec.py
+++ b/src/acaciastand/workflow/spec.py
@@ -226,6 +226,21 @@
         check_flag(flag)
 
 
+def step_core_seconds(step: StepSpec, task_count: int) -> float:
+    """Return the work of some tasks of a step by the estimated run time.
+
+    Continuous steps have no work: they run until their job is cancelled.
+    """
+    if step.continuous:
+        return 0.0
+    return task_count * step.size.cores * step.estimate_seconds
+
+
+def total_core_seconds(spec: WorkflowSpec) -> float:
+    """Return the work of one occurrence of a job."""
+    return sum(step_core_seconds(step, step.count) for step in spec.steps)
+
+
 def critical_path_seconds(spec: WorkflowSpec, seconds_of: Any = None) -> list[float]:
     """Return for each step the critical path from its start to the end of the job, in seconds.
 
--- a/src/acaciastand/workflow/work.py
+++ b/src/acaciastand/workflow/work.py
@@ -1,24 +1,9 @@
-"""Work of jobs in core-seconds, by the run times that their callers estimate.
-
-Continuous steps have no work: they run until their job is cancelled.
-"""
+"""Work of jobs in core-seconds, by the run times that their callers estimate."""
 
 from __future__ import annotations
 
 from acaciastand.workflow.job import Job
-from acaciastand.workflow.spec import StepSpec, WorkflowSpec
-
-
-def step_core_seconds(step: StepSpec, task_count: int) -> float:
-    """Return the work of some tasks of a step."""
-    if step.continuous:
-        return 0.0
-    return task_count * step.size.cores * step.estimate_seconds
-
-
-def total_core_seconds(spec: WorkflowSpec) -> float:
-    """Return the work of one occurrence of a job."""
-    return sum(step_core_seconds(step, step.count) for step in spec.steps)
+from acaciastand.workflow.spec import WorkflowSpec, step_core_seconds
 
 
 def remaining_core_seconds(job: Job, occurrence: int) -> float:
