Keep entries from refusing by estimates and attempts that are out of date

An entry takes over an estimate only from the newest owner that it knows, and an owner sends none that it no longer updates. The attempts to write a key are counted, so that one with a known outcome does not hide another without. The read before a refusal is one direct call of at most 0.1 s, and none while commits show that the store is down. The gauges of the backlog are set from new estimates only and are 0 while the entry has none.

--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -89,3 +89,62 @@
     Given the status of an owner with 30 queues
     Then the status takes at most 700 bytes more than one without an estimate
     And an entry of the former version reads it
+
+  # Guards against refusals while cores are free and nothing waits.
+  Scenario Outline: A job that could start at once is accepted <case>
+    Given 1 worker with 16 cores, most of them free <case>
+    Then 8 jobs of one core-second are accepted
+
+    Examples:
+      | case                                          |
+      | beside 10 long runs of a more urgent queue    |
+      | beside a long job of dependent steps          |
+      | while another service is short of room        |
+
+  # Guards against refusals by a drain rate of 0 at the first estimate of a new owner.
+  Scenario: A new owner whose workers are free has a drain rate
+    Given a new owner of 20 late jobs whose runs have all lapsed
+    Then its first estimate has the rate of its free workers
+
+  # Guards against sizes of runs that are counted from the start of the clock.
+  Scenario: A run that ends before its start is answered does not raise the drain rate
+    Given a worker with 4 cores whose run ends before its start is answered
+    Then the drain rate is at most 8 cores
+
+  # Guards against short run times, since a new owner does not know when adopted runs started.
+  Scenario: Adopted runs do not correct the estimates
+    Given a new owner that adopts 20 runs of 10 seconds 2 seconds before they end
+    Then the run times of the queue count as estimated
+
+  # Guards against a waiting job that is starved by one that can never start.
+  Scenario: A late job goes first although an older one can never start
+    Given 150 seconds of load that exceeds the room, after a job without workers and a large job
+    Then the large job has ended
+
+  # Guards against a day on which large jobs are served less than half as often as all.
+  Scenario: Large jobs are accepted at least half as often as all
+    Given a backlog that is too long for jobs that are not small
+    When 3000 jobs of very different sizes are submitted
+    Then the largest tenth and the fifth below it are accepted at least half as often as all
+
+  # Guards against a refusal of a job that an earlier attempt is storing.
+  Scenario: A second attempt that the store turns away does not hide the first
+    Given an attempt to store a job that has no answer yet
+    When the store turns a second attempt away
+    Then the job may still be stored
+
+  # Guards against refusals by what a former owner believes.
+  Scenario: The estimate of a former owner is ignored
+    Given an entry that knows the owner of term 7 and its estimate
+    When the owner of term 6 sends another estimate
+    Then the entry still has the estimate of term 7
+
+  Scenario: An owner does not send an estimate that it no longer updates
+    Given an owner whose estimate is 20 seconds old
+    Then it sends no estimate
+
+  # Guards against an order by id after a takeover, since a new owner reads the jobs by id.
+  Scenario: Of jobs with equal cost the oldest starts first under a new owner
+    Given a new owner of 3 equal jobs, of which the one read last is the oldest
+    When it plans while their priority is short of room
+    Then the oldest job starts first
--- a/src/acaciastand/cluster/admission_control.py
+++ b/src/acaciastand/cluster/admission_control.py
@@ -9,7 +9,12 @@
 from acaciastand.cluster.owner import Owner
 from acaciastand.errors import Refused
 from acaciastand.telemetry.metrics import Metrics
-from acaciastand.workflow.admission import AdmissionPolicy, BacklogView, Refusal
+from acaciastand.workflow.admission import (
+    MAX_ESTIMATE_AGE_SECONDS,
+    AdmissionPolicy,
+    BacklogView,
+    Refusal,
+)
 from acaciastand.workflow.backlog import BacklogEstimate
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.spec import WorkflowSpec
@@ -52,6 +57,8 @@
         Last estimate that the owner sent; None before the first.
     heard_at
         When it arrived.
+    heard_epoch
+        Highest epoch of an owner that has sent an estimate.
     """
 
     def __init__(
@@ -67,18 +74,33 @@
         self.metrics = metrics
         self.heard: BacklogEstimate | None = None
         self.heard_at = float("-inf")
+        self.heard_epoch = 0
 
-    def record_estimate(self, estimate: BacklogEstimate | None) -> None:
-        """Record what the owner sent with its status."""
+    def record_estimate(self, estimate: BacklogEstimate | None, epoch: int = 0) -> None:
+        """Record what an owner sent with its status, unless a newer owner has sent an estimate.
+
+        Parameters
+        ----------
+        epoch
+            Epoch of the owner.
+        """
+        if epoch < self.heard_epoch:
+            return
         self.heard = estimate
         self.heard_at = now()
+        self.heard_epoch = epoch
 
     def own_estimate(self) -> BacklogEstimate | None:
-        """Return the estimate of this entry if it is the owner and has one."""
+        """Return the estimate of this entry if it is the owner and keeps one up to date.
+
+        An owner without authority plans nothing, so that its estimate stays as it was.
+        """
         owner = self.owner()
         if owner is None or not owner.is_ready:
             return None
-        return owner.scheduler.backlog.estimate
+        backlog = owner.scheduler.backlog
+        is_fresh = now() - backlog.updated_at <= MAX_ESTIMATE_AGE_SECONDS
+        return backlog.estimate if is_fresh and owner.authority_seconds > 0 else None
 
     def view(self) -> BacklogView | None:
         """Return what this entry knows of the backlog; None if it knows nothing."""
--- a/src/acaciastand/cluster/decision_log.py
+++ b/src/acaciastand/cluster/decision_log.py
@@ -10,7 +10,6 @@
 from acaciastand.workflow.decisions import DecisionRecord
 from acaciastand.workflow.job import Job
 from acaciastand.workflow.ranking import objective_seconds
-from acaciastand.workflow.scheduler import Scheduler
 
 logger = logging.getLogger("acaciastand.decisions")
 
@@ -31,18 +30,6 @@
     )
 
 
-def set_room_metrics(scheduler: Scheduler, metrics: Metrics) -> None:
-    """Set the gauges of what waits for room."""
-    metrics.set("waiting_tasks", len(scheduler.waiting))
-    estimate = scheduler.backlog.estimate
-    if estimate is None:
-        return
-    metrics.set("drain_cores", estimate.drain_cores)
-    for queue in scheduler.catalog.queues:
-        work = sum(estimate.core_seconds.get(queue.priority, ()))
-        metrics.set("backlog_core_seconds", work, str(queue.priority))
-
-
 def log_decisions(
     decisions: Iterable[DecisionRecord], metrics: Metrics, epoch: int, heartbeat_age_seconds: float
 ) -> None:
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -40,6 +40,7 @@
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PING_CALL, PeerLink, PeerStatus, answer_forward
+from acaciastand.cluster.room_gauges import RoomGauges
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.cluster.store_relay import (
@@ -69,7 +70,7 @@
 # load balancer needs two checks, one second apart, to notice.
 UNREADY_NOTICE_SECONDS = 2.2
 MAX_DRAIN_SECONDS = 3.0  # Longest wait for calls in progress during a stop.
-CONFIGURATION_AGE_INTERVAL_SECONDS = 0.5  # Interval between two updates of this metric.
+GAUGES_INTERVAL_SECONDS = 0.5  # Interval between two updates of the gauges of an entry.
 # Policies on the jobs that are refused, by their names in the settings.
 ADMISSION_POLICIES: dict[str, type[AdmissionPolicy]] = {
     "accept_all": AcceptAll,
@@ -141,6 +142,7 @@
             self.job_api.may_be_stored,
             metrics,
         )
+        self.room_gauges = RoomGauges(metrics)
         sink = CallerSink(self.job_api, self.admission, self.configuration, metrics)
         app.add_sink(sink, "/")
         self.http = CallerServer(settings.http_address, app)
@@ -161,7 +163,7 @@
                 self.configuration.follow_forever,
                 self._elect_forever,
                 self._follow_members,
-                self._measure_configuration_age,
+                self._set_gauges,
                 partial(measure_loop_lag, self.metrics),
             )
             for loop in loops:
@@ -204,10 +206,11 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _measure_configuration_age(self) -> None:
+    def _set_gauges(self) -> None:
         while True:
-            gevent.sleep(CONFIGURATION_AGE_INTERVAL_SECONDS)
+            gevent.sleep(GAUGES_INTERVAL_SECONDS)
             self.metrics.set("configuration_age_seconds", self.configuration.age_seconds)
+            self.room_gauges.update(self.admission.own_estimate())
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         if self.owner is not None:
@@ -414,16 +417,19 @@
             peer = PeerStatus.from_map(status)
         except MALFORMED as error:
             return self.ignored.record(PING_CALL, error)
-        if peer.backlog is not None:
-            self._record_backlog(peer.backlog)
         owner = decode_owner(Item(OWNER_KEY, peer.owner), self.ignored.recorder(PING_CALL))
         if owner is not None:
             self._apply_peer_owner(owner)
+            if peer.backlog is not None and owner.entry_id == peer.entry_id:
+                self._record_backlog(peer.backlog, owner.epoch)
         self.configuration.fetch(peer.configuration, link.entry_id, link.call)
 
-    def _record_backlog(self, fields: list[Any]) -> None:
+    def _record_backlog(self, fields: list[Any], epoch: int) -> None:
+        """Record the estimate of an owner, unless a newer one is known."""
+        if self.owner_record is not None and epoch < self.owner_record.epoch:
+            return
         try:
-            self.admission.record_estimate(BacklogEstimate.from_list(fields))
+            self.admission.record_estimate(BacklogEstimate.from_list(fields), epoch)
         except MALFORMED as error:
             self.ignored.record(PING_CALL, error)
 
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -24,6 +24,7 @@
 )
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PeerLink
+from acaciastand.cluster.unanswered_writes import UnansweredWrites
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import CommitConflict, Item, TransactionalStore
 from acaciastand.errors import AcaciastandError, NotFound, OutcomeUnknown, Refused
@@ -36,8 +37,8 @@
 RETRY_AFTER_SECONDS = 1
 # Time for a commit from this entry and one through a peer, after which the caller is answered.
 MAX_WRITE_SECONDS = 1.3
-# An unanswered write has reached the store after this time, or never does.
-MAX_LOST_WRITE_SECONDS = 30.0
+# Longest time to read the store before a job is refused; the caller waits for the answer.
+MAX_REFUSAL_READ_SECONDS = 0.1
 
 # Names of the calls to the owner.
 JOB_STATE_CALL = "state"
@@ -79,7 +80,7 @@
     waiting_jobs_at
         When the owner last reported them.
     unanswered
-        Keys whose writes have begun and have no known outcome, with the time of the beginning.
+        Writes that have begun and have no known outcome.
     """
 
     def __init__(
@@ -93,18 +94,24 @@
         self.owner_link = owner_link
         self.waiting_jobs: dict[str, int] = {}
         self.waiting_jobs_at = float("-inf")
-        self.unanswered: dict[str, float] = {}
+        self.unanswered = UnansweredWrites()
 
     def may_be_stored(self, job_id: str) -> bool:
         """Return whether an earlier attempt may have stored a job.
 
-        That is assumed while the store cannot be read.
+        That is assumed unless a direct read of the store shows otherwise within
+        `MAX_REFUSAL_READ_SECONDS`, and while an attempt has no answer.
         """
         key = JOBS_PREFIX + job_id
         if key in self.unanswered:
             return True
+        read = gevent.spawn(self._may_be_written, key)
+        read.join(MAX_REFUSAL_READ_SECONDS)
+        return not read.ready() or bool(read.value) or key in self.unanswered
+
+    def _may_be_written(self, key: str) -> bool:
         try:
-            return bool(self.store.get(key).revision)
+            return bool(self.store.get_directly(key).revision)
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.info("submission not read", extra={"key": key, "error": str(error)})
             return True
@@ -202,7 +209,7 @@
         """
         deadline = min(deadline, now() + MAX_WRITE_SECONDS)
         may_be_written = False
-        self._remember_write(key)
+        self.unanswered.begin(key)
         while True:
             try:
                 revision = self.store.commit({key: 0}, {key: value})
@@ -216,28 +223,17 @@
                 revision = 0
                 logger.info("store turned away", extra={"key": key, "error": str(error)})
                 if not may_be_written:
-                    self.unanswered.pop(key, None)
+                    self.unanswered.end(key)
                     raise JobApiUnavailable(
                         "the store cannot be reached", "send it again"
                     ) from error
             if revision:
-                self.unanswered.pop(key, None)
+                self.unanswered.end(key)
                 return self._notify_owner(Item(key, value, revision))
             if now() + RETRY_SECONDS >= deadline:
                 raise OutcomeUnknown("the outcome of the write is unknown", "send it again")
             gevent.sleep(RETRY_SECONDS)
 
-    def _remember_write(self, key: str) -> None:
-        """Remember a write that begins, and forget those that can have no effect any more."""
-        began_at = now()
-        while self.unanswered:
-            oldest = next(iter(self.unanswered))
-            if began_at - self.unanswered[oldest] <= MAX_LOST_WRITE_SECONDS:
-                break
-            del self.unanswered[oldest]
-        self.unanswered.pop(key, None)
-        self.unanswered[key] = began_at
-
     def _notify_owner(self, item: Item) -> None:
         owner = self.owner()
         if owner is not None and owner.is_ready:
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -14,7 +14,7 @@
 from acaciastand.cluster.batch_costs import encode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import Committer, OwnershipLost
-from acaciastand.cluster.decision_log import log_accepted, log_decisions, set_room_metrics
+from acaciastand.cluster.decision_log import log_accepted, log_decisions
 from acaciastand.cluster.election import CONFIRMATION_VALID_SECONDS, OWNER_HEARTBEAT_SECONDS
 from acaciastand.cluster.interference_store import InterferenceStore
 from acaciastand.cluster.job_retention import JobRetention
@@ -385,7 +385,7 @@
             self.committer.commit_due.set()
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
         log_decisions(decisions, self.metrics, self.record.epoch, now() - self.confirmed_at)
-        set_room_metrics(self.scheduler, self.metrics)
+        self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
 
     def _send_start(self, start: StartDecision) -> None:
         decided_at = now()
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -87,6 +87,12 @@
             ),
         )
 
+    def get_directly(self, key: str) -> Item:
+        """Return the item at `key` without a relay, unless commits show that the store is down."""
+        if self.circuit_breaker.is_open:
+            raise StoreUnavailable("the store did not answer the last commits", "try again later")
+        return self.direct.get(key)
+
     def list(self, prefix: str, stale: bool = False) -> Listing:
         """Return all items below `prefix`; this call is never relayed, unlike `list_few`."""
         return self.direct.list(prefix, stale)
--- a/src/acaciastand/coordination/transactions.py
+++ b/src/acaciastand/coordination/transactions.py
@@ -140,6 +140,13 @@
             The item; its revision is 0 when the key does not exist.
         """
 
+    def get_directly(self, key: str) -> Item:
+        """Return the item at a key by a single call; see `get`.
+
+        A store that can be reached in several ways tries only the first.
+        """
+        return self.get(key)
+
     @abstractmethod
     def list(self, prefix: str, stale: bool = False) -> Listing:
         """Return all items whose keys begin with a prefix.
