--- a/features/steps/room_estimate_steps.py
+++ b/features/steps/room_estimate_steps.py
@@ -6,22 +6,27 @@
 
 import gevent
 from behave import given, then, when
-from workflow_support import WorkflowWorld, step
+from workflow_support import QUEUES, WorkflowWorld, step
 
 from acaciastand.cluster.admission_control import AdmissionControl
+from acaciastand.cluster.circuit_breaker import FAILURES_TO_OPEN
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.entry import JobEntry
 from acaciastand.cluster.job_api import JobApi, JobApiUnavailable
 from acaciastand.cluster.keys import OwnerRecord
 from acaciastand.cluster.peers import PeerStatus
+from acaciastand.cluster.room_gauges import RoomGauges
+from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.coordination.store import StoreUnavailable
-from acaciastand.coordination.transactions import MemoryTransactionalStore
+from acaciastand.coordination.transactions import Item, MemoryTransactionalStore
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.admission import AcceptAll, BacklogView, RefuseWorthless
 from acaciastand.workflow.backlog import BacklogEstimate, QueueWork
 from acaciastand.workflow.catalog import Catalog, Queue
+from acaciastand.workflow.ranking import LeastCostFirst, LeastSlackFirst
 from acaciastand.workflow.spec import WorkflowSpec
 
+PLANS = QUEUES[1]
 SMALL = WorkflowSpec("", [step(1, seconds=1.0)])
 
 
@@ -223,16 +228,63 @@
     receive(context, context.former, BacklogEstimate(1.0, {2: [9999.0] * 8}))
 
 
+@when("another entry that knows the owner of term 7 sends an estimate")
+def when_other_entry(context):
+    sender = SimpleNamespace(
+        entry_id="e6", address=context.former.address, encode=context.current.encode
+    )
+    receive(context, sender, BacklogEstimate(1.0, {2: [9999.0] * 8}))
+
+
 @then("the entry still has the estimate of term 7")
 def then_current(context):
     assert context.entry.admission.view().estimate.drain_cores == 100.0
 
 
-@given("an owner whose estimate is 20 seconds old")
-def given_frozen(context):
-    backlog = SimpleNamespace(estimate=BacklogEstimate(1.0, {}), updated_at=now() - 20.0)
-    owner = SimpleNamespace(is_ready=True, scheduler=SimpleNamespace(backlog=backlog))
-    context.admission = AdmissionControl(AcceptAll(), lambda: owner, lambda _: False, Metrics())
+@given("an owner whose estimate is {seconds:d} seconds old")
+def given_frozen(context, seconds):
+    estimate = BacklogEstimate(10.0, {2: [10.0] * 8})
+    backlog = SimpleNamespace(estimate=estimate, updated_at=now() - seconds)
+    scheduler = SimpleNamespace(backlog=backlog)
+    context.owner = SimpleNamespace(is_ready=True, scheduler=scheduler, authority_seconds=1.0)
+    context.metrics = Metrics()
+    context.gauges = RoomGauges(context.metrics)
+    context.admission = AdmissionControl(
+        AcceptAll(), lambda: context.owner, lambda _: False, context.metrics
+    )
+
+
+@when("it has no authority any more")
+def when_no_authority(context):
+    context.owner.authority_seconds = 0.0
+
+
+@then("it sends an estimate")
+def then_sent(context):
+    assert context.admission.own_estimate() is not None
+
+
+@when("the term ends")
+def when_term_ends(context):
+    context.owner = None
+
+
+@when("the gauges are set")
+def when_gauges(context):
+    context.gauges.update(context.admission.own_estimate())
+
+
+@then(
+    "the gauge of priority {priority:d} shows {work:d} core-seconds, and that of the drain rate "
+    "{cores:d} cores"
+)
+def then_gauges(context, priority, work, cores):
+    lines = [line.split() for line in context.metrics.text().decode().splitlines()]
+    shown = {line[0]: float(line[-1]) for line in lines if line[0] != "#"}
+    by_priority = [name for name in shown if "backlog_core_seconds" in name]
+    assert len(by_priority) == 1 and f'"{priority}"' in by_priority[0], shown
+    assert shown[by_priority[0]] == work, shown
+    assert [shown[name] for name in shown if "drain_cores" in name] == [cores], shown
 
 
 @then("it sends no estimate")
@@ -263,3 +315,38 @@
 @then("the oldest job starts first")
 def then_oldest(context):
     assert context.world.started[0][0].startswith(context.oldest.job_id), context.world.started
+
+
+@when("the shortage is on the workers of another service")
+def when_other_service(context):
+    context.shortage.priorities = {("other", 2)}
+
+
+@then("the waiting jobs are ranked as by LeastSlackFirst")
+def then_as_by_slack(context):
+    order, baseline = LeastCostFirst(context.shortage), LeastSlackFirst()
+    for task in context.tasks.values():
+        ranks = [policy.rank(task, PLANS, context.now_unix) for policy in (order, baseline)]
+        assert ranks[0] == ranks[1], ranks
+
+
+@given("an entry beside another one, whose store is such that {case}")
+def given_store(context, case):
+    direct, context.link = mock.Mock(), mock.Mock()
+    direct.get.return_value = Item("key")
+    if "takes" in case:
+        direct.get.side_effect = lambda key: gevent.sleep(2.0)
+    if "refused" in case:
+        direct.get.side_effect = StoreUnavailable("busy", "try again later")
+    store = RelayedStore(direct, lambda: [context.link], Metrics())
+    if "commits" in case:
+        store.circuit_breaker.failures = FAILURES_TO_OPEN
+    context.job_api = JobApi(store, lambda: None, lambda: None)
+
+
+@then("a job may be stored, as the entry says within {seconds:f} seconds without the other one")
+def then_in_time(context, seconds):
+    asked_at = now()
+    assert context.job_api.may_be_stored("00000000000000ff")
+    assert now() - asked_at <= seconds
+    assert not context.link.call.called
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -24,7 +24,7 @@
 from acaciastand.programs.explain import cause, lines_of
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow import admission, ranking
-from acaciastand.workflow.backlog import BacklogEstimate, QueueWork
+from acaciastand.workflow.backlog import BacklogEstimate, QueueWork, ServiceWork
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.job import Job
 from acaciastand.workflow.ranking import LeastSlackFirst, Shortage
@@ -384,7 +384,9 @@
 @given("the status of an owner with {count:d} queues")
 def given_status(context, count):
     queues = {f"queue-{n:02d}": QueueWork(1.234, 5678.9) for n in range(count)}
-    estimate = BacklogEstimate(1234.5, {p: [9999.5] * 8 for p in range(3)}, queues)
+    work = {p: [9999.5] * 8 for p in range(3)}
+    services = {f"service-{n}": ServiceWork(617.25, work) for n in range(2)}
+    estimate = BacklogEstimate(1234.5, work, queues, services)
     context.statuses = [
         cbor2.dumps(PeerStatus("entry-1", "10.0.0.1:1", 5, b"owner", backlog).to_map())
         for backlog in (None, estimate.to_list())
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -148,3 +148,40 @@
     Given a new owner of 3 equal jobs, of which the one read last is the oldest
     When it plans while their priority is short of room
     Then the oldest job starts first
+
+  # Guards against an order for a shortage where there is none.
+  Scenario: A shortage on the workers of another service changes no order
+    Given jobs that wait while priority 2 is short of room
+    When the shortage is on the workers of another service
+    Then the waiting jobs are ranked as by LeastSlackFirst
+
+  # Guards against callers that wait for a slow store before a refusal.
+  Scenario Outline: Before a refusal, a job counts as possibly stored if <case>
+    Given an entry beside another one, whose store is such that <case>
+    Then a job may be stored, as the entry says within 0.3 seconds without the other one
+
+    Examples:
+      | case                                     |
+      | a read takes 2 seconds                   |
+      | a read is refused                        |
+      | the last commits found the store down    |
+
+  Scenario: The estimate of an entry that does not own the jobs is ignored
+    Given an entry that knows the owner of term 7 and its estimate
+    When another entry that knows the owner of term 7 sends an estimate
+    Then the entry still has the estimate of term 7
+
+  Scenario: An owner without authority sends no estimate
+    Given an owner whose estimate is 1 seconds old
+    Then it sends an estimate
+    When it has no authority any more
+    Then it sends no estimate
+
+  # Guards against gauges that show the backlog of a term that has ended.
+  Scenario: The gauges of the backlog are 0 after the term
+    Given an owner whose estimate is 1 seconds old
+    When the gauges are set
+    Then the gauge of priority 2 shows 80 core-seconds, and that of the drain rate 10 cores
+    When the term ends
+    And the gauges are set
+    Then the gauge of priority 2 shows 0 core-seconds, and that of the drain rate 0 cores
