--- a/features/steps/room_estimate_steps.py
+++ b/features/steps/room_estimate_steps.py
@@ -350,3 +350,21 @@
     assert context.job_api.may_be_stored("00000000000000ff")
     assert now() - asked_at <= seconds
     assert not context.link.call.called
+
+
+@given("a worker that is full of work that is in time, and a late job that {case}")
+def given_late(context, case):
+    world = context.world = WorkflowWorld()
+    world.add_worker("agent-1", 4.0)
+    world.submit(f"{1:016x}", "plans", step(4, seconds=100.0))
+    world.advance(0.2)
+    label, late = ("none", 150.0) if "never" in case else ("", 1000.0)
+    job = world.submit(f"{2:016x}", "plans", step(4, seconds=100.0, required_label=label))
+    job.accepted_unix -= late
+    world.advance(0.6)
+
+
+@then("no priority is short of room")
+def then_not_short(context):
+    shortage = context.world.scheduler.backlog.shortage
+    assert not shortage.priorities, shortage.priorities
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -185,3 +185,13 @@
     When the term ends
     And the gauges are set
     Then the gauge of priority 2 shows 0 core-seconds, and that of the drain rate 0 cores
+
+  # Guards against a shortage that no room would end.
+  Scenario Outline: A late job that <case> makes no priority short of room
+    Given a worker that is full of work that is in time, and a late job that <case>
+    Then no priority is short of room
+
+    Examples:
+      | case                         |
+      | can never start              |
+      | is worth nothing any more    |
