--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -198,8 +198,8 @@
     Attributes
     ----------
     estimate
-        The last estimate; None while it is not known what former owners started, or while no worker
-        is in service.
+        The last estimate; None while it is not known what former owners started, while no worker is
+        in service, or while the drain rate is 0.
     shortage
         What the ranking of tasks knows of the load.
     drain_rate, service_rates
