--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -14,6 +14,7 @@
 from gevent.pywsgi import WSGIServer
 
 from acaciastand.checks import MALFORMED, check_bytes, check_integer, check_text
+from acaciastand.cluster.admission_control import AdmissionControl
 from acaciastand.cluster.callers import CallerSink
 from acaciastand.cluster.catalog_copy import CATALOG_CALL, CatalogCopy
 from acaciastand.cluster.claim import claim, decode_owner
@@ -39,6 +40,7 @@
 from acaciastand.cluster.members import Registration
 from acaciastand.cluster.owner import Owner
 from acaciastand.cluster.peers import PING_CALL, PeerLink, PeerStatus, answer_forward
+from acaciastand.cluster.room_gauges import RoomGauges
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.cluster.store_relay import (
@@ -57,7 +59,9 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.connection import Connection, Listener, split_address
 from acaciastand.wire.messages import Message
+from acaciastand.workflow.admission import AcceptAll, AdmissionPolicy, RefuseWorthless
 from acaciastand.workflow.advice import PlacementAdvisor
+from acaciastand.workflow.backlog import BacklogEstimate
 from acaciastand.workflow.catalog import Catalog
 
 RETRY_SECONDS = 0.15  # Pause after a failed call to the store.
@@ -66,7 +70,12 @@
 # load balancer needs two checks, one second apart, to notice.
 UNREADY_NOTICE_SECONDS = 2.2
 MAX_DRAIN_SECONDS = 3.0  # Longest wait for calls in progress during a stop.
-CONFIGURATION_AGE_INTERVAL_SECONDS = 0.5  # Interval between two updates of this metric.
+GAUGES_INTERVAL_SECONDS = 0.5  # Interval between two updates of the gauges of an entry.
+# Policies on the jobs that are refused, by their names in the settings.
+ADMISSION_POLICIES: dict[str, type[AdmissionPolicy]] = {
+    "accept_all": AcceptAll,
+    "refuse_worthless": RefuseWorthless,
+}
 DRAIN_POLL_SECONDS = 0.02  # Interval between checks whether calls are in progress.
 
 logger = logging.getLogger(__name__)
@@ -127,7 +136,15 @@
         self.relayed_store = RelayedStore(store, lambda: list(self.peers.values()), metrics)
         self.job_api = JobApi(self.relayed_store, lambda: self.owner, self.owner_link)
         app = falcon.App()
-        app.add_sink(CallerSink(self.job_api, self.configuration, metrics), "/")
+        self.admission = AdmissionControl(
+            ADMISSION_POLICIES[settings.admission](),
+            lambda: self.owner,
+            self.job_api.may_be_stored,
+            metrics,
+        )
+        self.room_gauges = RoomGauges(metrics)
+        sink = CallerSink(self.job_api, self.admission, self.configuration, metrics)
+        app.add_sink(sink, "/")
         self.http = CallerServer(settings.http_address, app)
         self.ready_server = WSGIServer(
             split_address(settings.ready_address), self._serve_readiness, log=None
@@ -146,7 +163,7 @@
                 self.configuration.follow_forever,
                 self._elect_forever,
                 self._follow_members,
-                self._measure_configuration_age,
+                self._set_gauges,
                 partial(measure_loop_lag, self.metrics),
             )
             for loop in loops:
@@ -189,10 +206,11 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _measure_configuration_age(self) -> None:
+    def _set_gauges(self) -> None:
         while True:
-            gevent.sleep(CONFIGURATION_AGE_INTERVAL_SECONDS)
+            gevent.sleep(GAUGES_INTERVAL_SECONDS)
             self.metrics.set("configuration_age_seconds", self.configuration.age_seconds)
+            self.room_gauges.update(self.admission.own_estimate())
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         if self.owner is not None:
@@ -376,11 +394,13 @@
         gevent.killall(list(self.peer_greenlets.values()))
 
     def _status(self) -> dict[str, Any]:
+        estimate = self.admission.own_estimate()
         return PeerStatus(
             self.settings.entry_id,
             self.settings.dialled_address,
             self.configuration.version,
             self.owner_record.encode() if self.owner_record else b"",
+            estimate.to_list() if estimate else None,
         ).to_map()
 
     def _answer_ping(self, status: dict[str, Any]) -> dict[str, Any]:
@@ -400,8 +420,19 @@
         owner = decode_owner(Item(OWNER_KEY, peer.owner), self.ignored.recorder(PING_CALL))
         if owner is not None:
             self._apply_peer_owner(owner)
+            if peer.backlog is not None and owner.entry_id == peer.entry_id:
+                self._record_backlog(peer.backlog, owner.epoch)
         self.configuration.fetch(peer.configuration, link.entry_id, link.call)
 
+    def _record_backlog(self, fields: list[Any], epoch: int) -> None:
+        """Record the estimate of an owner, unless a newer one is known."""
+        if self.owner_record is not None and epoch < self.owner_record.epoch:
+            return
+        try:
+            self.admission.record_estimate(BacklogEstimate.from_list(fields), epoch)
+        except MALFORMED as error:
+            self.ignored.record(PING_CALL, error)
+
     def _handle(self, _connection: Connection, message: Message) -> Message | None:
         return answer_forward(self._answer_call, message)
 
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -121,6 +121,8 @@
         )
         if is_current and task.state in ON_WORKER:
             task.last_run_seconds = now - task.started_at
+            if end.how == RunEnd.DONE:
+                self.state.finished_runs.record(task, worker.pace_percent)
             self.state.release(task)
         if end.how == RunEnd.DONE and not task.step.continuous:
             self._handle_done(worker, task, now, now_unix)
@@ -245,6 +247,7 @@
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
         task.started_at = now
+        task.is_run_timed = False
         task.missed_polls = 0
         task.job.has_started = True
         worker.assign(task)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -13,6 +13,7 @@
 
 from acaciastand.workflow import crashes
 from acaciastand.workflow.advice import Advice, AdviceRequest, has_advised_queue
+from acaciastand.workflow.backlog import BacklogTracker
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import StartDecision, StopDecision
 from acaciastand.workflow.interference import (
@@ -27,7 +28,7 @@
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
 from acaciastand.workflow.pacing import BatchCost, RunLimits
 from acaciastand.workflow.placement import Placement, SeparatingPlacement
-from acaciastand.workflow.ranking import LeastSlackFirst, RankingPolicy
+from acaciastand.workflow.ranking import LeastCostFirst, RankingPolicy
 from acaciastand.workflow.report_processing import ReportProcessor
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -64,6 +65,8 @@
 
     Attributes
     ----------
+    backlog
+        Estimate of the work that waits.
     start_planner
         Placement of waiting tasks on workers.
     report_processor
@@ -85,8 +88,9 @@
         interference: Interference | None = None,
     ) -> None:
         super().__init__(stop_seconds, interference or LearnedInterference())
+        self.backlog = BacklogTracker(self)
         self.start_planner = StartPlanner(
-            ranking or LeastSlackFirst(),
+            ranking or LeastCostFirst(self.backlog.shortage),
             placement or SeparatingPlacement(self.interference),
             self.advice,
         )
@@ -276,6 +280,7 @@
             if task.state == TaskState.STARTING:
                 task.state = TaskState.RUNNING
                 task.started_at = now
+                task.is_run_timed = True
                 if worker.observed_task == task.key:
                     worker.observe(task, now + crashes.observation_seconds(task.crashes))
         else:
@@ -338,6 +343,7 @@
             now,
             now_unix,
         )
+        self.backlog.update(now, now_unix)
         stops, self.pending_stops = self.pending_stops, []
         return starts, stops
 
@@ -367,6 +373,8 @@
         task.agent_id = worker.agent_id
         task.born_ms = worker.born_ms
         task.start_state = StartState.PENDING
+        task.started_at = now
+        task.is_run_timed = False
         task.missed_polls = 0
         task.forget_stop()
         task.percent = 0.0 if task.step.continuous else 100.0
