--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -214,6 +214,22 @@
         )
 
 
+@when("the last of them has waited for {seconds:d} seconds")
+def when_waited(context, seconds):
+    context.jobs[2].accepted_unix -= seconds
+    context.world.advance(2.0)
+
+
+@then("that is logged once, and explained with the work before it")
+def then_logged(context):
+    job_id = context.jobs[2].job_id
+    decisions = [d for d in context.world.scheduler.decisions if d.subject == job_id]
+    assert [d.what for d in decisions] == ["job late before its start"], decisions
+    line = {"message": decisions[0].what, "subject": job_id, **decisions[0].inputs}
+    text = cause(job_id, lines_of(job_id, [json.dumps(line)]))
+    assert "takes 30.0 s more, and the workers do the work of 4.0 cores" in text, text
+
+
 class RoomEntry:
     """What an entry has for the submission of jobs, with the estimate of a simulated owner."""
 
@@ -243,6 +259,13 @@
         self.admission.record_estimate(BacklogEstimate.from_list(received) if received else None)
         self.admission.heard_at -= age_seconds
 
+    def become_owner(self, age_seconds):
+        """Own the jobs, with an estimate of this age."""
+        self.hear(None)
+        self.owner = mock.Mock(is_ready=True)
+        self.owner.scheduler.backlog.estimate = self.estimate
+        self.owner.scheduler.backlog.updated_at = now() - age_seconds
+
     def submit(self, job_id, queue=PLANS, count=10, **fields):
         """Submit a job of `count` tasks of 10 core-seconds and return the response."""
         spec = WorkflowSpec("", [step(count, seconds=10.0, **fields)])
@@ -293,10 +316,7 @@
     if "former version" in case:
         entry.hear(None)
     if "owner itself" in case:
-        entry.hear(None)
-        entry.owner = mock.Mock(is_ready=True)
-        entry.owner.scheduler.backlog.estimate = entry.estimate
-        entry.owner.scheduler.backlog.updated_at = now()
+        entry.become_owner(0.0)
     context.response = entry.submit(job_id, queue, **fields)
     context.is_stored = bool(
         MemoryTransactionalStore.get(entry.store, JOBS_PREFIX + job_id).revision
@@ -310,6 +330,17 @@
     assert context.is_stored == (answer == "accepted")
 
 
+@when("the entry is the owner and updated its estimate {seconds:d} seconds ago")
+def when_without_authority(context, seconds):
+    context.entry.become_owner(seconds)
+
+
+@then("it tells no estimate, and refuses no job")
+def then_tells_none(context):
+    assert context.entry.admission.own_estimate() is None
+    assert context.entry.submit("00000000000000ff").status_code == 200
+
+
 @when("{count:d} jobs of all sizes are submitted to two queues")
 def when_many(context, count):
     entry, context.responses, context.lines = context.entry, {}, []
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -47,6 +47,11 @@
       | is cancelled while it runs           |
       | is late by more than its late time   |
 
+  Scenario: An operator is told why a job has not begun in time
+    Given a worker with 4 cores and 3 jobs of 40 core-seconds
+    When the last of them has waited for 30 seconds
+    Then that is logged once, and explained with the work before it
+
   Scenario: A new owner estimates the backlog once it knows what the former one started
     Given a new owner of 3 jobs of 40 core-seconds, whose worker has not reported
     Then the owner has no estimate of the backlog
@@ -73,6 +78,12 @@
       | RefuseWorthless | comes while the owner is of the former version     | accepted |
       | RefuseWorthless | comes to the owner itself                          | refused  |
 
+  # Such an owner would refuse jobs by a backlog that its successor may have worked off.
+  Scenario: An owner without authority tells no estimate
+    Given an entry that decides by RefuseWorthless and 400 seconds of work before each job
+    When the entry is the owner and updated its estimate 3 seconds ago
+    Then it tells no estimate, and refuses no job
+
   Scenario: No queue and no size of job is refused altogether
     Given an entry that decides by RefuseWorthless and 400 seconds of work before each job
     When 400 jobs of all sizes are submitted to two queues
--- a/src/acaciastand/cluster/admission_control.py
+++ b/src/acaciastand/cluster/admission_control.py
@@ -9,7 +9,12 @@
 from acaciastand.cluster.owner import Owner
 from acaciastand.errors import Refused
 from acaciastand.telemetry.metrics import Metrics
-from acaciastand.workflow.admission import AdmissionPolicy, BacklogView, Refusal
+from acaciastand.workflow.admission import (
+    MAX_ESTIMATE_AGE_SECONDS,
+    AdmissionPolicy,
+    BacklogView,
+    Refusal,
+)
 from acaciastand.workflow.backlog import BacklogEstimate
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.spec import WorkflowSpec
@@ -74,11 +79,17 @@
         self.heard_at = now()
 
     def own_estimate(self) -> BacklogEstimate | None:
-        """Return the estimate of this entry if it is the owner and has one."""
+        """Return the estimate of this entry if it is the owner and has a recent one.
+
+        An owner that has lost its authority no longer updates its estimate, and may not know yet
+        that another entry owns the jobs.
+        """
         owner = self.owner()
         if owner is None or not owner.is_ready:
             return None
-        return owner.scheduler.backlog.estimate
+        backlog = owner.scheduler.backlog
+        is_recent = now() - backlog.updated_at <= MAX_ESTIMATE_AGE_SECONDS
+        return backlog.estimate if is_recent else None
 
     def view(self) -> BacklogView | None:
         """Return what this entry knows of the backlog; None if it knows nothing."""
