--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -309,6 +309,9 @@
             entry.admission.policy = admission.AcceptAll()
             assert entry.submit(job_id).status_code == 504
             entry.admission.policy = admission.RefuseWorthless()
+    if "then a refusal" in case:
+        with mock.patch.object(entry.store, "commit", turned_away):
+            assert entry.submit(job_id).status_code == 503
     if "not read" in case:
         entry.store.get = turned_away
     if "died" in case:
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -73,6 +73,7 @@
       | RefuseWorthless | is of a more urgent queue                          | accepted |
       | RefuseWorthless | was stored by an earlier attempt at another entry  | accepted |
       | RefuseWorthless | was sent before and that write got no answer       | accepted |
+      | RefuseWorthless | got no answer from the store and then a refusal    | accepted |
       | RefuseWorthless | comes while the store can be written and not read  | accepted |
       | RefuseWorthless | comes 3 seconds after the owner died               | accepted |
       | RefuseWorthless | comes while the owner is of the former version     | accepted |
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -202,7 +202,7 @@
         """
         deadline = min(deadline, now() + MAX_WRITE_SECONDS)
         may_be_written = False
-        self._remember_write(key)
+        is_first = self._remember_write(key)
         while True:
             try:
                 revision = self.store.commit({key: 0}, {key: value})
@@ -216,7 +216,8 @@
                 revision = 0
                 logger.info("store turned away", extra={"key": key, "error": str(error)})
                 if not may_be_written:
-                    self.unanswered.pop(key, None)
+                    if is_first:
+                        self.unanswered.pop(key, None)
                     raise JobApiUnavailable(
                         "the store cannot be reached", "send it again"
                     ) from error
@@ -227,16 +228,23 @@
                 raise OutcomeUnknown("the outcome of the write is unknown", "send it again")
             gevent.sleep(RETRY_SECONDS)
 
-    def _remember_write(self, key: str) -> None:
-        """Remember a write that begins, and forget those that can have no effect any more."""
+    def _remember_write(self, key: str) -> bool:
+        """Remember a write that begins, and forget those that can have no effect any more.
+
+        Returns
+        -------
+        bool
+            Whether no earlier write of the key is without an outcome.
+        """
         began_at = now()
         while self.unanswered:
             oldest = next(iter(self.unanswered))
             if began_at - self.unanswered[oldest] <= MAX_LOST_WRITE_SECONDS:
                 break
             del self.unanswered[oldest]
-        self.unanswered.pop(key, None)
+        is_first = self.unanswered.pop(key, None) is None
         self.unanswered[key] = began_at
+        return is_first
 
     def _notify_owner(self, item: Item) -> None:
         owner = self.owner()
