--- a/features/room_support.py
+++ b/features/room_support.py
@@ -4,7 +4,10 @@
 
 from workflow_support import WorkflowWorld, step
 
+from acaciastand.workflow.admission import BacklogView
+from acaciastand.workflow.job import Job
 from acaciastand.workflow.ranking import objective_seconds
+from acaciastand.workflow.spec import WorkflowSpec
 from acaciastand.workflow.work import total_core_seconds
 
 WORKERS, CORES = 6, 16.0
@@ -33,8 +36,11 @@
     return [step(round(spread(rnd, 16.0, 0.8, 57)) or 1, 0.5, seconds=spread(rnd, 1.0, 0.5, 5.0))]
 
 
-def replay(ranking, load, seconds, seed):
-    """Return the jobs of a load, of which those that have not ended are worth nothing any more."""
+def replay(ranking, load, seconds, seed, admission=None):
+    """Return the jobs of a load, of which those that have not ended are worth nothing any more.
+
+    Jobs that `admission` refuses are among them; the scheduler does not get them.
+    """
     rnd = random.Random(seed)
     world = WorkflowWorld(ranking)
     world.completes = True
@@ -54,15 +60,30 @@
             while due[queue] < min(now, seconds):
                 due[queue] += rnd.expovariate(rate * factor)
                 steps = batch_steps(rnd) if queue == "plans" else urgent_steps(rnd)
-                jobs.append(world.submit(f"{len(jobs):016x}", queue, *steps))
+                jobs.append(submit(world, f"{len(jobs):016x}", queue, steps, admission))
     return world, jobs
 
 
+def submit(world, job_id, queue, steps, admission):
+    spec, estimate = WorkflowSpec("", steps), world.scheduler.backlog.estimate
+    view = BacklogView(estimate, 0.0) if estimate else None
+    row = world.scheduler.catalog.by_name(queue)
+    if admission and admission.refusal(job_id, row, spec, view):
+        return Job(job_id, queue, spec, world.now_unix)
+    return world.submit(job_id, queue, *steps)
+
+
 def served(world, jobs, queue, factor):
     """Return whether each job of a queue ended within `factor` objectives, the largest first."""
-    rows = []
-    for job in sorted(jobs, key=lambda job: -total_core_seconds(job.spec)):
-        if job.queue == queue:
-            limit = factor * objective_seconds(job, world.scheduler.catalog.by_name(queue))
-            rows.append(0 < job.ended_unix <= job.accepted_unix + limit)
-    return rows
+    by_size = sorted(jobs, key=lambda job: -total_core_seconds(job.spec))
+    return list(served_by_id(world, by_size, queue, factor).values())
+
+
+def served_by_id(world, jobs, queue, factor):
+    """Return whether each job of a queue ended within `factor` objectives."""
+    row = world.scheduler.catalog.by_name(queue)
+    return {
+        job.job_id: 0 < job.ended_unix <= job.accepted_unix + factor * objective_seconds(job, row)
+        for job in jobs
+        if job.queue == queue
+    }
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -9,7 +9,7 @@
 import falcon
 from behave import given, then, when
 from falcon import testing
-from room_support import replay, served
+from room_support import replay, served, served_by_id
 from workflow_support import START_UNIX, WorkflowWorld, step
 
 from acaciastand.cluster import admission_control
@@ -31,7 +31,7 @@
 from acaciastand.workflow.spec import WorkflowSpec
 
 PLANS = Queue("plans", "h", "/plans/", "desk", 2, 4, 2.0, 1.0)
-# With the wait that is worth something of 1.5 x (3 x (40 x 10 + 1) - 10) s.
+# With the longest accepted wait of 2 x (3 x (40 x 10 + 1) - 10) s.
 PATIENT = Queue("patient", "h", "/patient/", "desk", 2, 4, 40.0, 1.0)
 URGENT = Queue("urgent", "h", "/urgent/", "desk", 0, 4, 1.5, 0.25)
 WAIT_SECONDS = 400.0
@@ -85,6 +85,35 @@
     assert context.served["cost"] == context.served["slack"]
 
 
+@when("they are replayed with and without refusals")
+def when_replayed_with_refusals(context):
+    """Keep which jobs are served if all are accepted, and which are refused."""
+    context.served_of_all, context.served_with, context.refused = [], [], []
+    for load in context.load:
+        world, jobs = replay(None, *load)
+        by_id = served_by_id(world, jobs, "plans", ranking.LATE_FACTOR)
+        world, jobs = replay(None, *load, admission.RefuseWorthless())
+        with_refusals = served_by_id(world, jobs, "plans", ranking.LATE_FACTOR)
+        context.served_of_all += by_id.values()
+        context.served_with += with_refusals.values()
+        context.refused += [by_id[i] for i in by_id if i not in world.scheduler.jobs]
+
+
+@then("at least {percent:d} percent of the batch jobs are refused at once")
+def then_refused(context, percent):
+    assert 100 * len(context.refused) >= percent * len(context.served_of_all), context.refused
+
+
+@then("at most {percent:d} percent of these would be served if all were accepted")
+def then_truly_worthless(context, percent):
+    assert 100 * sum(context.refused) <= percent * len(context.refused), context.refused
+
+
+@then("no fewer batch jobs are served than if all were accepted")
+def then_no_fewer(context):
+    assert sum(context.served_with) >= sum(context.served_of_all)
+
+
 @given("jobs that wait while priority 2 is short of room")
 def given_waiting(context):
     context.now_unix = START_UNIX + 1_000.0
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -13,6 +13,14 @@
     When they are replayed with each order of waiting tasks
     Then the same jobs are served with either order
 
+  # Without refusals, callers waited for jobs that were worth nothing when they completed.
+  Scenario: A load of several times the room
+    Given 2 plays of 20 seconds with a load of 500 percent of the room and a burst
+    When they are replayed with and without refusals
+    Then at least 10 percent of the batch jobs are refused at once
+    And at most 5 percent of these would be served if all were accepted
+    And no fewer batch jobs are served than if all were accepted
+
   Scenario Outline: With the policy <policy>, <first> goes before <second>
     Given jobs that wait while priority 2 is short of room
     When the waiting jobs are ranked by <policy>
