--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -31,7 +31,7 @@
     ),
     "refusals": (
         "outcome",
-        "Jobs that there was no room for, as outcome.queue: refused, or possibly stored before.",
+        "Jobs without room, as outcome.queue: worthless ones are refused, those stored before not.",
     ),
     "values_ignored": (
         "source",
