Track a second run of a task, and start copies of slow runs

Cause: a step may declare that copies of its tasks run at the same time, but no decision used it, so a task on a host that is cut off waited for the end of the host's grant.

Change: TaskCopy holds a further run of a task on another worker and stands in the worker's tasks like a task, so the proofs of starts, stops and losses hold for it. When the current run ends, the copy becomes the current run; when one is done, the other is stopped and tracked until it is gone. CopyPlanner starts copies after all other starts. Steps that do not declare it keep one run.

--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -316,7 +316,9 @@
             assert sets in allowed.get(task.state, ([],)), (task.key, task.state, sets)
             workers = [w.agent_id for w in scheduler.workers.values() if task.key in w.tasks]
             expected = [task.agent_id] if task.state in ON_WORKER else []
-            assert workers == expected, (task.key, task.state, workers, expected)
+            assert task.step.speculative or not task.copies, (task.key, task.copies)
+            expected += [copy.agent_id for copy in task.copies]
+            assert sorted(workers) == sorted(expected), (task.key, task.state, workers, expected)
 
 
 def step(count=1, cores=1.0, memory_mb=100, seconds=1.0, **fields):
--- a/src/acaciastand/cluster/decision_log.py
+++ b/src/acaciastand/cluster/decision_log.py
@@ -13,6 +13,16 @@
 
 logger = logging.getLogger("acaciastand.decisions")
 
+# Outcome of a copy in the metric `speculative_copies`, by the decision that tells of it.
+COPY_OUTCOMES = {
+    "copy started": "started",
+    "copy adopted": "adopted",
+    "copy took over": "took_over",
+    "copy won": "won",
+    "copy stopped": "stopped",
+    "copy lost": "lost",
+}
+
 
 def log_accepted(job: Job, revision: int, catalog: Catalog) -> None:
     """Log that the owner has a new job, which was stored at `revision`."""
@@ -30,6 +40,13 @@
     )
 
 
+def copy_outcome(decision: DecisionRecord) -> str:
+    """Return the outcome of a copy with its reason, such as ``lost.worker_restarted``."""
+    outcome = COPY_OUTCOMES[decision.what]
+    why = str(decision.inputs.get("why", "")).replace(" ", "_")
+    return f"{outcome}.{why}" if why else outcome
+
+
 def log_decisions(
     decisions: Iterable[DecisionRecord], metrics: Metrics, epoch: int, heartbeat_age_seconds: float
 ) -> None:
@@ -46,5 +63,7 @@
     age = round(heartbeat_age_seconds, 2)
     for decision in decisions:
         metrics.count("decisions", decision.what)
+        if decision.what in COPY_OUTCOMES:
+            metrics.count("speculative_copies", copy_outcome(decision))
         extra = {"subject": decision.subject, **decision.inputs}
         logger.info(decision.what, extra={**extra, "epoch": epoch, "heartbeat_age_s": age})
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -78,6 +78,8 @@
         *("run failed", "run stopped", "run lapsed", "run lost", "run moved", "run overdue"),
         *("run missing", "start refused", "start unknown", "start unanswered", "run adopted"),
         *("crash suspected", "suspicion cleared"),
+        *("copy started", "copy adopted", "copy took over"),
+        *("copy won", "copy stopped", "copy lost"),
     }
 )
 
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -24,6 +24,10 @@
     "worker_calls_failed": ("call", "Calls to the worker without a usable answer."),
     "worker_crashes": ("", "Crashes of the worker that this agent has seen."),
     "decisions": ("what", "Decisions of the owner of the jobs."),
+    "speculative_copies": (
+        "outcome",
+        "Copies of tasks that were started, were done first or ended otherwise, with the reason.",
+    ),
     "announcements_ignored": ("why", "Announcements that name no worker."),
     "unexpected_errors": (
         "loop",
--- /dev/null
+++ b/src/acaciastand/workflow/copies.py
@@ -0,0 +1,298 @@
+"""Second runs of tasks whose current run is slow or on a worker that may be lost."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator, Sequence
+from statistics import median
+
+from acaciastand.workflow.catalog import Queue
+from acaciastand.workflow.decisions import StartDecision
+from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
+from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
+from acaciastand.workflow.quarantine import FAILURES_TO_QUARANTINE
+from acaciastand.workflow.scheduler_state import SchedulerState
+from acaciastand.workflow.starts import StartCallback, StartPlanner
+from acaciastand.workflow.task_copy import TaskCopy
+from acaciastand.workflow.worker import WorkerView
+
+CHECK_SECONDS = 0.2  # Minimum time between two checks for runs to copy.
+# A run is slow from this multiple of the longest of its finished siblings. Data on another rack
+# alone makes a run up to twice as long.
+SLOW_SIBLING_FACTOR = 2.0
+SLOW_ESTIMATE_FACTOR = 3.0  # As above for the estimate, which can be wrong by a factor.
+MIN_FINISHED_SIBLINGS = 2  # Fewer do not tell what is usual for the step.
+# Time that a copy takes beyond the run of its task: its start, and the report of its end.
+OVERHEAD_SECONDS = 1.0
+MIN_SLOW_SECONDS = 0.5  # No shorter run is slow: reports of its end may be under way.
+MAX_COPIES_OF_TASK = 2  # Starts of copies of one task.
+MAX_COPIES_OF_JOB = 4  # Copies of tasks of one job that run at the same time.
+MAX_CORES_SHARE = 0.1  # Share of a service's cores that copies may take together.
+
+
+class CopyPolicy(ABC):
+    """Policy on the runs that a second run of the same task may overtake."""
+
+    @abstractmethod
+    def reason(self, task: Task, worker: WorkerView, now: float) -> str:
+        """Return why a second run of a task on another worker is likely to be done first.
+
+        Parameters
+        ----------
+        task
+            Task of a step that allows copies, with a current run.
+        worker
+            Worker of that run.
+        now
+            Seconds of the owner's clock.
+
+        Returns
+        -------
+        str
+            Reason for the log; empty for no second run.
+        """
+
+
+class NoCopies(CopyPolicy):
+    """Baseline: no task runs a second time while its first run may go on."""
+
+    def reason(self, task: Task, worker: WorkerView, now: float) -> str:
+        """Return an empty reason."""
+        return ""
+
+
+class CopySlowRuns(CopyPolicy):
+    """Copies runs that outlast their siblings or their estimate, and those on suspect workers.
+
+    Designed for a worker on which tasks are slow or whose host is cut off, while the other tasks
+    of the step are done and the job waits for one. The grant of a host that is cut off has to
+    expire before its tasks may start anew, which takes longer than most urgent jobs may; a copy
+    need not wait for that.
+    """
+
+    def reason(self, task: Task, worker: WorkerView, now: float) -> str:
+        """Return why a copy is likely to be done first; empty if it is not."""
+        suspicion = suspect_reason(worker, now)
+        if task.state == TaskState.STOPPING:
+            return suspicion  # The run will not be done, and its end may be unknown for long.
+        if task.state != TaskState.RUNNING:
+            return ""
+        ran_seconds = now - task.started_at
+        if ran_seconds < max(MIN_SLOW_SECONDS, task.step.estimate_seconds / 2):
+            return ""
+        finished = finished_seconds(task)
+        expected = median(finished) if finished else task.step.estimate_seconds
+        if suspicion:
+            longest = max(finished, default=task.step.estimate_seconds)
+            return suspicion if ran_seconds > longest + MIN_SLOW_SECONDS else ""
+        if ran_seconds <= max(MIN_SLOW_SECONDS, _slow_seconds(task, finished)):
+            return ""
+        if _remaining_seconds(task, ran_seconds) <= _copy_seconds(task, expected):
+            return ""
+        return "slower than siblings" if finished else "slower than estimate"
+
+
+def finished_seconds(task: Task) -> list[float]:
+    """Return the known run times of the finished siblings; empty if there are too few of them."""
+    finished = [
+        sibling.last_run_seconds
+        for sibling in task.job.siblings(task)
+        if sibling.state == TaskState.DONE and sibling.last_run_seconds
+    ]
+    return finished if len(finished) >= min(MIN_FINISHED_SIBLINGS, task.step.count - 1) else []
+
+
+def suspect_reason(worker: WorkerView, now: float) -> str:
+    """Return why the runs on a worker may not end well or be heard of; empty if they may."""
+    if not worker.reachable:
+        return "agent unreachable"
+    if worker.worker_unresponsive:
+        return "worker unresponsive"
+    if now - worker.last_report_at > MAX_REPORT_AGE_SECONDS:
+        return "old report"
+    if now < worker.quarantined_until:
+        return "worker in quarantine"
+    if len(worker.recently_failed_jobs) >= FAILURES_TO_QUARANTINE:
+        return "worker fails tasks"
+    return ""
+
+
+def _slow_seconds(task: Task, finished: Sequence[float]) -> float:
+    if finished:
+        return SLOW_SIBLING_FACTOR * max(finished)
+    return SLOW_ESTIMATE_FACTOR * task.step.estimate_seconds
+
+
+def _remaining_seconds(task: Task, ran_seconds: float) -> float:
+    """Return how long a slow run is expected to go on: as long again if no progress is known."""
+    if not 0 < task.percent < 100:
+        return ran_seconds
+    return ran_seconds * (100 - task.percent) / task.percent
+
+
+def _copy_seconds(task: Task, expected_seconds: float) -> float:
+    """Return how long a copy takes, which resumes from the checkpoint of its task."""
+    has_progress = bool(task.checkpoint) and 0 < task.percent < 100
+    left_share = 1 - task.percent / 100 if has_progress else 1.0
+    return expected_seconds * left_share + OVERHEAD_SECONDS
+
+
+class CopyPlanner:
+    """Starts copies where room is left after all other starts.
+
+    Parameters
+    ----------
+    state
+        State of the scheduler.
+    start_planner
+        Order of the tasks, and placement on workers.
+
+    Attributes
+    ----------
+    policy
+        Policy on the runs that are copied.
+    checked_at
+        When the runs were last checked.
+    """
+
+    def __init__(self, state: SchedulerState, start_planner: StartPlanner) -> None:
+        self.state = state
+        self.start_planner = start_planner
+        self.policy: CopyPolicy = CopySlowRuns()
+        self.checked_at = float("-inf")
+
+    def plan_copies(self, start: StartCallback, now: float, now_unix: float) -> list[StartDecision]:
+        """Start copies of the tasks that the policy names, the most urgent first.
+
+        Parameters
+        ----------
+        start
+            Called for each start with the copy.
+        now
+            Seconds of the owner's clock.
+        now_unix
+            Unix time in seconds.
+        """
+        if now - self.checked_at < CHECK_SECONDS:
+            return []
+        self.checked_at = now
+        reasons = {task.key: why for task, why in self._slow_tasks(now)}
+        if not reasons:
+            return []
+        starts = []
+        tasks = [task for key in reasons if (task := self.state.find_task(key))]
+        for task, queue in self.start_planner.tasks_by_rank(
+            tasks, self.state.catalog, now, now_unix
+        ):
+            worker = self._choose_worker(task, queue, now)
+            if worker is not None:
+                starts.append(self._start_copy(task, worker, reasons[task.key], start, now))
+        return starts
+
+    def _slow_tasks(self, now: float) -> Iterator[tuple[Task, str]]:
+        for worker in self.state.workers.values():
+            for task in worker.tasks.values():
+                if not task.step.speculative or not _may_be_copied(task):
+                    continue
+                why = self.policy.reason(task, worker, now)
+                if why:
+                    yield task, why
+
+    def _choose_worker(self, task: Task, queue: Queue, now: float) -> WorkerView | None:
+        """Return the worker for a copy, on another rack if possible; None if it is not started."""
+        if task.job.count_failures(task) + len(task.copies) + 2 >= queue.max_attempts:
+            return None  # The failures of both runs must leave an attempt.
+        if _count_copies(task.job) >= MAX_COPIES_OF_JOB:
+            return None
+        service = [
+            worker
+            for worker in self.state.workers.values()
+            if worker.identity and worker.identity.service == queue.service
+        ]
+        if not _has_core_share(task, service):
+            return None
+        former = self.state.workers[task.agent_id]
+        candidates = [
+            worker
+            for worker in service
+            if worker is not former
+            and worker.is_schedulable(now, MAX_REPORT_AGE_SECONDS)
+            and now >= worker.full_until
+            and worker.takes_starts(now, suspected=False)
+            and not suspect_reason(worker, now)
+            and not self._is_wanted(worker, queue)
+            and (not queue.advised or self.start_planner.advice.find_ticket(task, worker, now))
+        ]
+        elsewhere = [worker for worker in candidates if worker.rack != former.rack]
+        placement = self.start_planner.placement
+        return placement.choose(task, elsewhere, now) or placement.choose(task, candidates, now)
+
+    def _is_wanted(self, worker: WorkerView, queue: Queue) -> bool:
+        """Return whether a waiting task that is as urgent or more may run on a worker."""
+        assert worker.identity is not None
+        for task in self.state.waiting.values():
+            other = self.state.catalog.by_name(task.job.queue)
+            label = task.step.required_label
+            if (
+                other is not None
+                and other.service == queue.service
+                and other.priority <= queue.priority
+                and (not label or label in worker.identity.labels)
+            ):
+                return True
+        return False
+
+    def _start_copy(
+        self, task: Task, worker: WorkerView, why: str, start: StartCallback, now: float
+    ) -> StartDecision:
+        run = task.last_run + 1
+        self.state.record_decision(
+            "copy started",
+            task.key,
+            run=run,
+            agent=worker.agent_id,
+            why=why,
+            first_run=task.run,
+            first_agent=task.agent_id,
+            ran_s=round(now - task.started_at, 2) if task.state == TaskState.RUNNING else None,
+            estimate_s=task.step.estimate_seconds,
+        )
+        task.record_run(run)
+        task.copy_run = run
+        task.copies_started += 1
+        copy = TaskCopy(task)
+        decision = start(copy, worker, run)
+        copy.percent = 0.0
+        return decision
+
+
+def _may_be_copied(task: Task) -> bool:
+    step = task.step
+    return not (
+        isinstance(task, TaskCopy)
+        or task.copies
+        or task.copies_started >= MAX_COPIES_OF_TASK
+        or task.state not in ON_WORKER
+        or task.job.has_ended
+        or task.crashes
+        or step.continuous
+        or step.gang
+        or step.uses_leftover
+    )
+
+
+def _count_copies(job: Job) -> int:
+    """Return the number of copies that may still be done; others only wait for their end."""
+    return sum(len(task.copies) for task in job.tasks.values() if task.state != TaskState.DONE)
+
+
+def _has_core_share(task: Task, service: Sequence[WorkerView]) -> bool:
+    """Return whether the copies on the workers of a service leave their share for another one."""
+    total = sum(w.identity.capacity.cores for w in service if w.identity)
+    copied = sum(
+        other.step.size.cores
+        for worker in service
+        for other in worker.tasks.values()
+        if isinstance(other, TaskCopy) and other.state != TaskState.STOPPING
+    )
+    return copied + task.step.size.cores <= MAX_CORES_SHARE * total
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -96,6 +96,13 @@
         Number of runs that were stopped because they took too long.
     crashes
         Crashes of workers under the task since it last ran beyond the point of the former ones.
+    copies
+        Further runs of the task that are on other workers, if its step allows them. Before the
+        task is done, there are some only beside a current run.
+    copy_run
+        Number of the last run that was started as a copy; 0 for none.
+    copies_started
+        Number of runs that were started as copies.
     """
 
     __slots__ = (
@@ -125,6 +132,9 @@
         "last_run_seconds",
         "overdue_restarts",
         "crashes",
+        "copies",
+        "copy_run",
+        "copies_started",
     )
 
     def __init__(self, job: Job, name: TaskName) -> None:
@@ -132,34 +142,45 @@
         self.name = name
         self.key = str(name)
         self.step: StepSpec = job.spec.steps[name.step]
-        self.state = TaskState.WAITING
-        self.run = 0
+        self.copies: tuple[Task, ...] = ()
+        self.clear_run()
         self.other_run = 0
         self.failures = 0
         self.checkpoint = ""
+        self.not_before = 0.0
+        self.avoided_agent_id = ""
+        self.ended_runs: set[int] = set()
+        self.last_run_seconds = 0.0
+        self.overdue_restarts = 0
+        self.crashes: list[TaskCrash] = []
+        self.copy_run = 0
+        self.copies_started = 0
+
+    def clear_run(self) -> None:
+        """Reset the fields of the current run."""
+        self.state = TaskState.WAITING
+        self.run = 0
         self.agent_id = ""
         self.born_ms = 0
         self.start_state = StartState.PENDING
         self.missed_polls = 0
         self.percent = 100.0
         self.measurement = 0.0
-        self.not_before = 0.0
-        self.avoided_agent_id = ""
         self.started_at = 0.0
-        self.ended_runs: set[int] = set()
         self.after_poll = PollPosition()
         self.stop_confirmed_at = 0.0
         self.stop_is_over = False
         self.stop_sent_at = 0.0
-        self.last_run_seconds = 0.0
-        self.overdue_restarts = 0
-        self.crashes: list[TaskCrash] = []
 
     @property
     def last_run(self) -> int:
         """Highest number of a run; the next run has a higher one."""
         return max(self.run, self.other_run)
 
+    def find_run(self, run: int) -> Task | None:
+        """Return the task or the copy of it whose current run has this number, or None."""
+        return next((holder for holder in (self, *self.copies) if holder.run == run), None)
+
     def record_run(self, run: int) -> None:
         """Record the number of a run that need not be the current one."""
         self.other_run = max(self.other_run, run)
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -9,6 +9,7 @@
 from acaciastand.workflow.moves import runs_outlasting_drain
 from acaciastand.workflow.reports import ActiveRun, AgentReport, EndedRun, RunEnd
 from acaciastand.workflow.scheduler_state import SchedulerState
+from acaciastand.workflow.task_copy import TaskCopy, detach_run
 from acaciastand.workflow.worker import LeavingRun, WorkerView
 
 MAX_POLL_AGE_SECONDS = 0.6  # A poll that is reported now was made at most this long ago.
@@ -94,47 +95,65 @@
         An end that was processed before or that no longer matters is only acknowledged.
         """
         task = self.state.find_task(end.task)
+        holder = task.find_run(end.run) if task is not None else None
         is_processed = task is not None and end.run in task.ended_runs and end.how != RunEnd.DONE
         if task is None or task.job.has_ended or is_processed or task.state == TaskState.DONE:
             job_id = task.job.job_id if task else ""
             version = task.job.version if task else 0
             worker.pending_ends.append((end.number, job_id, version))
-            if task is not None and task.run == end.run and task.state in ON_WORKER:
-                self.state.release(task)
+            if holder is not None and holder.state in ON_WORKER:
+                self.state.release(holder)
             return
-        is_current = task.agent_id == worker.agent_id and task.run == end.run
+        if holder is not None and holder.agent_id != worker.agent_id:
+            holder = None
         task.withdraw_crash(end.run)
         if end.how in (RunEnd.DONE, RunEnd.FAILED):
             task.crashes.clear()
         task.ended_runs.add(end.run)
         task.record_run(end.run)
         if end.checkpoint:
-            self.state.set_checkpoint(task, end.checkpoint)
+            self._set_checkpoint(task, holder or task, end.checkpoint)
         self.state.record_decision(
             "run ended",
             task.key,
             run=end.run,
             agent=worker.agent_id,
             how=end.how,
-            ran_s=round(now - task.started_at, 2) if is_current else None,
+            ran_s=round(now - holder.started_at, 2) if holder else None,
             estimate_s=task.step.estimate_seconds,
         )
-        if is_current and task.state in ON_WORKER:
-            task.last_run_seconds = now - task.started_at
-            self.state.release(task)
+        if holder is not None and holder.state in ON_WORKER:
+            task.last_run_seconds = now - holder.started_at
+            self.state.release(holder)
         if end.how == RunEnd.DONE and not task.step.continuous:
+            self._record_copy_result(task, end.run)
             self._handle_done(worker, task, now, now_unix)
         else:
+            self.state.record_lost_copy(task, end.run, end.how)
             self._handle_not_done(worker, task, end, now, now_unix)
         self.state.mark_changed(task.job)
         worker.pending_ends.append((end.number, task.job.job_id, task.job.version))
 
+    def _set_checkpoint(self, task: Task, holder: Task, checkpoint: str) -> None:
+        """Set the checkpoint of a task, unless another run of it has got further."""
+        if all(holder.percent >= other.percent for other in (task, *task.copies)):
+            self.state.set_checkpoint(task, checkpoint)
+
+    def _record_copy_result(self, task: Task, done_run: int) -> None:
+        """Record which of the runs of a task was done first, if it has a copy."""
+        if done_run == task.copy_run:
+            self.state.record_decision("copy won", task.key, run=done_run)
+        elif task.copy_run:
+            self.state.record_decision(
+                "copy stopped", task.key, run=task.copy_run, why="first run done"
+            )
+
     def _handle_done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
         quarantine.record_success(worker)
         job = task.job
         # The end of one member of a gang stands for all members.
         for member in job.siblings(task) if task.step.gang else [task]:
-            self._mark_done(member)
+            self._mark_done(member, now)
         if job.is_complete:
             self.state.end_job(job, now, now_unix)
         elif not job.open_task_counts[(task.name.occurrence, task.name.step)]:
@@ -142,15 +161,19 @@
                 if follower.state == TaskState.WAITING:
                     self.state.make_waiting(follower)
 
-    def _mark_done(self, task: Task) -> None:
+    def _mark_done(self, task: Task, now: float) -> None:
         if task.state == TaskState.DONE:
             return
-        if task.state in ON_WORKER:
+        if task.state in ON_WORKER and task.step.speculative:
+            detach_run(task, self.state.workers)
+        elif task.state in ON_WORKER:
             if not task.step.gang:  # An earlier run was done after all.
                 self.state.pending_stops.append(StopDecision(task.agent_id, task.key, task.run))
             self.state.release(task)
         self.state.forget_waiting(task)
         task.job.mark_done(task)
+        for copy in task.copies:
+            self.state.request_stop(copy, now)
 
     def _handle_not_done(
         self, worker: WorkerView, task: Task, end: EndedRun, now: float, now_unix: float
@@ -201,17 +224,19 @@
             task.withdraw_crash(active_run.run)
         if task.state == TaskState.UNCERTAIN and active_run.run not in task.ended_runs:
             self._adopt_run(worker, task, active_run, now)
-        is_current = task.agent_id == worker.agent_id and task.run == active_run.run
-        if not is_current:
+        elif self._may_be_copy(worker, task, active_run):
+            self._adopt_copy(worker, task, active_run, now)
+        holder = task.find_run(active_run.run)
+        if holder is None or holder.agent_id != worker.agent_id:
             self._stop_untracked(worker, task, active_run, now)
             return
+        holder.percent = active_run.percent
+        holder.measurement = active_run.measurement
         if active_run.checkpoint:
-            self.state.set_checkpoint(task, active_run.checkpoint)
-        task.percent = active_run.percent
-        task.measurement = active_run.measurement
+            self._set_checkpoint(task, holder, active_run.checkpoint)
         # An agent repeats its last poll while the worker does not answer.
-        if task.crashes and not worker.worker_unresponsive:
-            self._check_cleared(task, now)
+        if holder.crashes and not worker.worker_unresponsive:
+            self._check_cleared(holder, now)
 
     def _stop_untracked(
         self, worker: WorkerView, task: Task | None, active_run: ActiveRun, now: float
@@ -239,6 +264,33 @@
         """Make a run that a former owner started the current run of its task."""
         self.state.forget_waiting(task)
         task.record_run(task.run)
+        self._track_run(worker, task, active_run, now)
+        self.state.record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
+
+    def _may_be_copy(self, worker: WorkerView, task: Task, active_run: ActiveRun) -> bool:
+        """Return whether a run that the owner does not know may go on as a copy."""
+        return (
+            task.step.speculative
+            and task.state == TaskState.RUNNING
+            and not task.copies
+            and task.find_run(active_run.run) is None
+            and active_run.run not in task.ended_runs
+            and task.key not in worker.tasks
+            and (active_run.task, active_run.run) not in worker.leaving_runs
+        )
+
+    def _adopt_copy(
+        self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float
+    ) -> None:
+        """Track a second run that a former owner started."""
+        task.record_run(active_run.run)
+        task.copy_run = max(task.run, active_run.run)
+        self._track_run(worker, TaskCopy(task), active_run, now)
+        self.state.record_decision(
+            "copy adopted", task.key, run=active_run.run, agent=worker.agent_id
+        )
+
+    def _track_run(self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float) -> None:
         task.run = active_run.run
         task.state = TaskState.RUNNING
         task.start_state = StartState.CONFIRMED
@@ -249,7 +301,6 @@
         task.job.has_started = True
         worker.assign(task)
         self.state.mark_changed(task.job)
-        self.state.record_decision("run adopted", task.key, run=task.run, agent=worker.agent_id)
 
     def _handle_missed_poll(self, task: Task, now: float) -> None:
         former_incarnation = task.born_ms != self.state.workers[task.agent_id].born_ms
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -14,6 +14,7 @@
 from acaciastand.workflow import crashes
 from acaciastand.workflow.advice import Advice, AdviceRequest, has_advised_queue
 from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.copies import CopyPlanner
 from acaciastand.workflow.decisions import StartDecision, StopDecision
 from acaciastand.workflow.interference import (
     Interference,
@@ -66,6 +67,8 @@
     ----------
     start_planner
         Placement of waiting tasks on workers.
+    copy_planner
+        Further runs of tasks whose steps allow them.
     report_processor
         Effects of the agents' reports.
     overdue_policy
@@ -90,6 +93,7 @@
             placement or SeparatingPlacement(self.interference),
             self.advice,
         )
+        self.copy_planner = CopyPlanner(self, self.start_planner)
         self.report_processor = ReportProcessor(self)
         self.overdue_policy: OverduePolicy = LongestSibling()
         self.moving: list[Task] = []
@@ -263,6 +267,7 @@
         now
             Seconds of the owner's clock.
         """
+        task = task.find_run(run) or task  # A copy may have become the current run.
         if task.run != run or task.state not in (TaskState.STARTING, TaskState.STOPPING):
             return
         worker = self.workers[task.agent_id]
@@ -286,9 +291,10 @@
                 worker.full_until = now + NO_CAPACITY_PAUSE_SECONDS
             elif outcome == StartOutcome.NO_TICKET:
                 self.advice.drop_ticket(task, worker)
-            self.release(task)
             task.not_before = now + START_RETRY_SECONDS
-            self.make_waiting(task)
+            self.record_lost_copy(task, run, outcome.value)
+            self.release(task)
+            self.restart(task)
 
     def process_stop_result(
         self, task_key: str, run: int, position: PollPosition, sent_at: float, now: float
@@ -297,8 +303,8 @@
 
         `position` is the position of the last poll that had begun by the agent's answer.
         """
-        task = self.find_task(task_key)
-        if task is None or task.run != run or task.state != TaskState.STOPPING:
+        task = self.find_run(task_key, run)
+        if task is None or task.state != TaskState.STOPPING:
             return
         # A repeated command must not change the time and the position.
         if not task.stop_confirmed_at:
@@ -328,14 +334,11 @@
             self._check_overdue(now)
             self._move_slowed(now, now_unix)
         self._repeat_stops(now)
+        start = partial(self._start, now)
         starts = self.start_planner.plan_starts(
-            self.waiting,
-            self.workers.values(),
-            self.catalog,
-            partial(self._start, now),
-            now,
-            now_unix,
+            self.waiting, self.workers.values(), self.catalog, start, now, now_unix
         )
+        starts += self.copy_planner.plan_copies(start, now, now_unix)
         stops, self.pending_stops = self.pending_stops, []
         return starts, stops
 
@@ -359,7 +362,7 @@
         self.record_decision("step advised", request.step, workers=requested, allowed=allowed)
 
     def _start(self, now: float, task: Task, worker: WorkerView, run: int) -> StartDecision:
-        del self.waiting[task.key]
+        self.waiting.pop(task.key, None)  # A copy does not wait.
         task.run = run
         task.state = TaskState.STARTING
         task.agent_id = worker.agent_id
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -8,7 +8,8 @@
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import DecisionRecord, StopDecision
 from acaciastand.workflow.interference import Interference
-from acaciastand.workflow.job import Job, Task, TaskState
+from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
+from acaciastand.workflow.task_copy import TaskCopy, promote_copy
 from acaciastand.workflow.worker import WorkerView
 
 
@@ -71,6 +72,11 @@
         job = self.jobs.get(key.partition(".")[0])
         return job.tasks.get(key) if job else None
 
+    def find_run(self, key: str, run: int) -> Task | None:
+        """Return the task or copy that has a run, or None if the run is not known."""
+        task = self.find_task(key)
+        return task.find_run(run) if task else None
+
     def record_decision(self, what: str, subject: str, **inputs: Any) -> None:
         """Keep a decision and its inputs for the log."""
         self.decisions.append(DecisionRecord(what, subject, inputs))
@@ -109,13 +115,29 @@
         self.uncertain.pop(task.key, None)
 
     def release(self, task: Task) -> None:
-        """Take a task off its worker."""
+        """Take a task off its worker. If a copy of it runs, that becomes its current run."""
         worker = self.workers.get(task.agent_id)
         if worker is not None:
             worker.remove(task)
             self.event_count += 1
         task.state = TaskState.WAITING
         task.agent_id = ""
+        if isinstance(task, TaskCopy):
+            task.discard()
+        elif task.copies:
+            promote_copy(task, self.workers)
+            self.record_decision("copy took over", task.key, run=task.run, agent=task.agent_id)
+
+    def restart(self, task: Task) -> None:
+        """Let a task whose run is gone wait for its next start, unless another run goes on."""
+        if not isinstance(task, TaskCopy) and task.state not in ON_WORKER:
+            self.make_waiting(task)
+
+    def record_lost_copy(self, task: Task, run: int, why: str) -> None:
+        """Record that a run has ended without effect, if it was the last copy of its task."""
+        if run == task.copy_run:
+            task.copy_run = 0
+            self.record_decision("copy lost", task.key, run=run, why=why)
 
     def set_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Set the checkpoint of a task. All members of a gang resume from the same checkpoint."""
@@ -138,8 +160,9 @@
         self.record_decision(
             "run lost", task.key, run=task.run, agent=task.agent_id, state=state, why=why, **inputs
         )
+        self.record_lost_copy(task, task.run, why)
         self.release(task)
-        self.make_waiting(task)
+        self.restart(task)
 
     def has_used_attempts(self, task: Task) -> bool:
         """Return whether a task has failed as often as its queue allows.
@@ -166,8 +189,13 @@
         self.advice.remove_job(job.job_id)
         for task in job.tasks.values():
             self.forget_waiting(task)
-            if task.state in (TaskState.STARTING, TaskState.RUNNING):
-                self.request_stop(task, now)
+            for holder in (task, *task.copies):
+                if holder.state in (TaskState.STARTING, TaskState.RUNNING):
+                    self.request_stop(holder, now)
+            if task.copies and not job.is_complete:
+                self.record_decision(
+                    "copy stopped", task.key, run=task.copy_run, why=f"job {job.state.value}"
+                )
         self.mark_changed(job)
         took_s = round(now_unix - job.accepted_unix, 2)
         self.record_decision("job over", job.job_id, state=job.state.value, took_s=took_s)
