--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -179,7 +179,8 @@
 
     def find_run(self, run: int) -> Task | None:
         """Return the task or the copy of it whose current run has this number, or None."""
-        return next((holder for holder in (self, *self.copies) if holder.run == run), None)
+        # A task that is done keeps the number of a run that a copy has taken over.
+        return next((holder for holder in (*self.copies, self) if holder.run == run), None)
 
     def record_run(self, run: int) -> None:
         """Record the number of a run that need not be the current one."""
