Play jobs with copies in the soak

Cause: the soak's check that no task runs twice did not know steps that allow it, and no job of the soak had any.

The check names these steps; for them a copy may overlap, and may not arrive long after the noted end of a run that was done. For all other steps it is unchanged.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,3 +27,12 @@
     Examples:
       | seed |
       | 5    |
+
+  # Copies of tasks run on other workers while runs, links, processes and the store fail.
+  Scenario Outline: A short run of seed <seed> with steps that allow copies of their tasks
+    When the soak plays seed <seed> with 8 seconds of faults, with copies of tasks
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 3    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,6 +19,14 @@
     context.problems = context.soak.run()
 
 
+@when("the soak plays seed {seed:d} with {seconds:d} seconds of faults, with copies of tasks")
+def when_copies(context, seed, seconds):
+    context.soak = Soak(seed, float(seconds), extended=True, copies=True)
+    context.problems = context.soak.run()
+    runs = context.soak.site.history()
+    assert any(run.task.rpartition(".")[0] in context.soak.copied_steps for run in runs)
+
+
 @when("the soak plays seed {seed:d} with {seconds:d} seconds of partitions")
 def when_partitions(context, seed, seconds):
     context.soak = Soak(seed, float(seconds), partitions=True)
--- a/src/acaciastand_lab/platform_site.py
+++ b/src/acaciastand_lab/platform_site.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Collection
 from contextlib import ExitStack
 from datetime import UTC, datetime
 from itertools import combinations
@@ -31,6 +32,9 @@
 STOP_TIMEOUT_MS = 400
 POLL_SECONDS = 0.05
 CALL_SECONDS = 3.0
+# Longest time from the noted end of a run to the start of a copy that was on its way: a second is
+# allowed, and a host that stood still drops commands that are 1.5 s old.
+LATE_COPY_SECONDS = 2.5
 PROGRAMS = {"entry": "job_entry", "agent": "job_agent"}
 
 
@@ -318,6 +322,12 @@
     return json.dumps(fields).encode()
 
 
+def _starts_after_noted(earlier: Run, later: Run) -> bool:
+    """Return whether a start arrived too late after the end of a run that was done was noted."""
+    is_noted = earlier.how == "done" and earlier.acknowledged and not earlier.lease_lapsed
+    return is_noted and later.arrived > earlier.noted_at + LATE_COPY_SECONDS
+
+
 def describe_time(moment: float) -> str:
     """Return a moment of the monotonic clock as the logs write it, without the date; "-" for 0."""
     if not moment:
@@ -340,11 +350,14 @@
     return f"{run.task} run {run.run} on {run.worker}: {moments}, {run.how or 'at work'}{lapsed}"
 
 
-def broken_promises(history: list[Run], now: float) -> list[str]:
+def broken_promises(
+    history: list[Run], now: float, copied_steps: Collection[str] = ()
+) -> list[str]:
     """Return where tasks ran twice at the same time, or again after a noted end.
 
     A run whose end was lost with its worker may run again, and so may one whose end the system has
-    taken note of only after the worker's lease had lapsed.
+    taken note of only after the worker's lease had lapsed. Tasks of the steps in `copied_steps`
+    may run twice, and a copy that was on its way when the first run was done may still start.
     """
     problems = []
     by_task: dict[str, list[Run]] = {}
@@ -353,7 +366,13 @@
     for task, runs in by_task.items():
         for earlier, later in combinations(runs, 2):
             both = f"\n    {describe_run(earlier)}\n    {describe_run(later)}"
-            if (earlier.ended or now) > later.began:
+            if task.rpartition(".")[0] in copied_steps:
+                if _starts_after_noted(earlier, later):
+                    problems.append(
+                        f"{task}: copy {later.run} arrived long after run {earlier.run} was done"
+                        f"{both}"
+                    )
+            elif (earlier.ended or now) > later.began:
                 problems.append(f"{task}: run {later.run} began while run {earlier.run} ran{both}")
             elif earlier.how == "done" and earlier.acknowledged and not earlier.lease_lapsed:
                 problems.append(
--- a/src/acaciastand_lab/soak.py
+++ b/src/acaciastand_lab/soak.py
@@ -19,6 +19,7 @@
 import gevent
 import typer
 
+from acaciastand_lab import soak_jobs
 from acaciastand_lab.partitions import PartitionFaults
 from acaciastand_lab.platform_site import Site, broken_promises, configuration, describe_run
 
@@ -46,9 +47,6 @@
 # Time before the first partition: an owner is connected to its agents some seconds after it was
 # elected, and acts on silence only then.
 CALM_START_SECONDS = 6.0
-LONG_SHARE = 0.4  # Share of the jobs with long tasks in a play with partitions.
-SHORT_TASK_SECONDS = (0.2, 1.5)
-LONG_TASK_SECONDS = (2.0, 9.0)
 # Pause between the starts of two processes, since a starting interpreter keeps a core busy.
 START_PAUSE_SECONDS = 0.1
 READY_SECONDS = 20.0
@@ -98,6 +96,8 @@
         Whether the faults are partitions and freezes instead, under short and long tasks.
     entries, agents
         Number of processes of each kind.
+    copies
+        Whether the jobs have steps that allow copies of a task at the same time.
     """
 
     def __init__(
@@ -109,6 +109,7 @@
         partitions: bool = False,
         entries: int = ENTRIES,
         agents: int = AGENTS,
+        copies: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.extended = extended
@@ -116,6 +117,8 @@
         self.seconds = seconds
         self.entries = entries
         self.agents = agents
+        self.copies = copies
+        self.copied_steps: set[str] = set()  # Names of the steps that allow copies.
         self.site = Site(entries, agents, seed, proxies=True)
         self.partitions = PartitionFaults(self.site, self.random) if partitions else None
         self.jobs: list[Submission] = []
@@ -301,39 +304,16 @@
     def _new_job(self) -> Submission:
         job_id = f"{len(self.jobs) + 1:016x}"
         if self.partitions:
-            return self._short_or_long_job(job_id)
+            steps, seconds = soak_jobs.short_or_long_steps(self.random, self.agents)
+            return Submission(job_id, steps, seconds=seconds)
+        if self.copies:
+            steps, seconds = soak_jobs.speculative_steps(self.random)
+            self.copied_steps |= soak_jobs.allowing_copies(job_id, steps)
+            return Submission(job_id, steps, seconds=seconds)
         if self.extended and self.random.random() < CRASHING_SHARE:
             step = {"count": 1, "cpu": 200, "estimateMs": 400}
             return Submission(job_id, [step], CRASH_SECONDS)
-        return Submission(job_id, self._random_steps())
-
-    def _short_or_long_job(self, job_id: str) -> Submission:
-        is_long = self.random.random() < LONG_SHARE
-        seconds = self.random.uniform(*(LONG_TASK_SECONDS if is_long else SHORT_TASK_SECONDS))
-        steps: list[dict[str, Any]] = []
-        for number in range(self.random.randint(1, 2)):
-            step: dict[str, Any] = {
-                "count": self.random.randint(2, max(4, self.agents // 2)),
-                "cpu": self.random.choice((200, 500, 1000)),
-                "estimateMs": int(seconds * 1000),
-            }
-            if number:
-                step["after"] = [number - 1]
-            steps.append(step)
-        return Submission(job_id, steps, seconds=seconds)
-
-    def _random_steps(self) -> list[dict[str, Any]]:
-        steps: list[dict[str, Any]] = []
-        for number in range(self.random.randint(1, 3)):
-            step: dict[str, Any] = {
-                "count": self.random.randint(1, 3),
-                "cpu": self.random.choice((200, 1000, 3000)),
-                "estimateMs": 400,
-            }
-            if number:
-                step["after"] = [number - 1]
-            steps.append(step)
-        return steps
+        return Submission(job_id, soak_jobs.random_steps(self.random))
 
     def _submit(self, job: Submission, repeat: float, cancel: float) -> None:
         seconds = job.seconds or 0.1 + 0.6 * repeat
@@ -374,7 +354,7 @@
             state = self.site.state(job.job_id)
             self.problems.append(f"{job.job_id}: accepted, and {state or 'not known'} at the end")
         history = self.site.history()
-        self.problems += broken_promises(history, time.monotonic())
+        self.problems += broken_promises(history, time.monotonic(), self.copied_steps)
         self._check_order(history)
         self._check_refusals(history)
         self._check_cancels(history)
@@ -459,12 +439,13 @@
     ] = False,
     entries: Annotated[int, typer.Option(min=1, help="Number of entries.")] = ENTRIES,
     agents: Annotated[int, typer.Option(min=1, help="Number of agents.")] = AGENTS,
+    copies: Annotated[bool, typer.Option(help="Submit steps that allow copies of tasks.")] = False,
 ) -> None:
     """Play seeds and print the broken promises of each."""
     failed = 0
     for number in range(seed, seed + runs):
         folder = logs / str(number) if logs else None
-        soak = Soak(number, seconds, extended, folder, partitions, entries, agents)
+        soak = Soak(number, seconds, extended, folder, partitions, entries, agents, copies)
         problems = soak.run()
         failed += bool(problems)
         accepted = sum(job.accepted for job in soak.jobs)
