--- a/features/explain.feature
+++ b/features/explain.feature
@@ -14,6 +14,7 @@
       | eeeeeeeeeeeeeeee | 2     | store turned away: the store did not answer the last 4 commits |
       | ffffffffffffffff | 1     | version 7 of the configuration has no such queue; the store had confirmed it 3.4 s before |
       | 1111111111111111 | 3     | failed (2 workers crashed under 1111111111111111.0.0.0); on the way: 1 x crash suspected |
+      | 2222222222222222 | 3     | completed; on the way: 1 x copy started, 1 x copy won |
       | dddddddddddddddd | 0     | no line names                            |
 
   Scenario: A pipe that nobody reads stops neither the process nor grows its memory
--- a/features/speculative_copies.feature
+++ b/features/speculative_copies.feature
@@ -8,13 +8,13 @@
     Then the job is <result> after 3.7 seconds
 
     Examples:
-      | trouble            | policy         | result    |
-      | is slow            | CopySlowRuns   | completed |
-      | is slow            | NoCopies       | running   |
-      | is cut off         | CopySlowRuns   | completed |
-      | is cut off         | NoCopies       | running   |
-      | is unresponsive    | CopySlowRuns   | completed |
-      | is unresponsive    | NoCopies       | running   |
+      | trouble         | policy       | result    |
+      | is slow         | CopySlowRuns | completed |
+      | is slow         | NoCopies     | running   |
+      | is cut off      | CopySlowRuns | completed |
+      | is cut off      | NoCopies     | running   |
+      | is unresponsive | CopySlowRuns | completed |
+      | is unresponsive | NoCopies     | running   |
 
   Scenario: A copy starts on another rack if one has room
     Given 4 workers with the policy "CopySlowRuns" on copies
@@ -30,15 +30,16 @@
     Then <copies> copies have started after 2.5 seconds
 
     Examples:
-      | copies | what                                             |
-      | 2      | nothing else waits                               |
-      | 2      | a less urgent task waits |
-      | 0      | an equally urgent task waits |
-      | 0      | no core is left to copies                   |
-      | 1      | one core is left to copies                   |
-      | 0      | no other worker has room |
-      | 0      | the queue allows 2 failed runs                   |
-      | 0      | the step does not allow copies                   |
+      | copies | what                           |
+      | 2      | nothing else waits             |
+      | 2      | a less urgent task waits       |
+      | 0      | an equally urgent task waits   |
+      | 0      | no core is left to copies      |
+      | 1      | one core is left to copies     |
+      | 0      | no other worker has room       |
+      | 0      | the queue allows 2 failed runs |
+      | 0      | the tasks work as a gang       |
+      | 0      | the step does not allow copies |
 
   # Tickets name the workers that may run a step.
   Scenario: A copy of a task on an advised queue starts only with a ticket
@@ -57,24 +58,24 @@
     And after 9 seconds the job is <state> and nothing is reserved
 
     Examples:
-      | event                                               | left  | failures | starts | state     |
-      | the first run is done                               | none  | 0        | 2      | completed |
-      | the copy is done                                    | none  | 0        | 2      | completed |
-      | both runs are done                                  | none  | 0        | 2      | completed |
-      | the copy is done and the first worker is cut off    | none  | 0        | 2      | completed |
-      | the first run is done while its stop is ignored     | none  | 0        | 2      | completed |
-      | the first run fails                                 | copy  | 1        | 2      | completed |
-      | the copy fails                                      | first | 1        | 2      | completed |
-      | both runs fail                                      | new   | 2        | 3      | completed |
-      | the worker of the first run restarts                | copy  | 0        | 2      | completed |
-      | the worker of the copy restarts                     | first | 0        | 2      | completed |
-      | the worker of the first run is cut off | copy  | 0        | 2      | completed |
-      | the worker of the copy is cut off     | first | 0        | 2      | completed |
-      | the polls of the first worker miss the run          | copy  | 0        | 2      | completed |
-      | the polls of the copy's worker miss the run         | first | 0        | 2      | completed |
-      | the first run is stopped                            | copy  | 0        | 2      | completed |
-      | the job is cancelled                                | none  | 0        | 2      | cancelled |
-      | its failures use up its attempts                    | none  | 4        | 2      | failed    |
+      | event                                            | left  | failures | starts | state     |
+      | the first run is done                            | none  | 0        | 2      | completed |
+      | the copy is done                                 | none  | 0        | 2      | completed |
+      | both runs are done                               | none  | 0        | 2      | completed |
+      | the copy is done and the first worker is cut off | none  | 0        | 2      | completed |
+      | the first run is done while its stop is ignored  | none  | 0        | 2      | completed |
+      | the first run fails                              | copy  | 1        | 2      | completed |
+      | the copy fails                                   | first | 1        | 2      | completed |
+      | both runs fail                                   | new   | 2        | 3      | completed |
+      | the worker of the first run restarts             | copy  | 0        | 2      | completed |
+      | the worker of the copy restarts                  | first | 0        | 2      | completed |
+      | the worker of the first run is cut off           | copy  | 0        | 2      | completed |
+      | the worker of the copy is cut off                | first | 0        | 2      | completed |
+      | the polls of the first worker miss the run       | copy  | 0        | 2      | completed |
+      | the polls of the copy's worker miss the run      | first | 0        | 2      | completed |
+      | the first run is stopped                         | copy  | 0        | 2      | completed |
+      | the job is cancelled                             | none  | 0        | 2      | cancelled |
+      | its failures use up its attempts                 | none  | 4        | 2      | failed    |
 
   # The answer to the start of a copy is late or missing.
   Scenario Outline: The first run goes on when the start of a copy is <answer>
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -11,7 +11,11 @@
 from acaciastand.telemetry.stream import MAX_BUFFERED_BYTES, BoundedStreamHandler
 
 A, B, C, E, F, G = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16, "1" * 16
+H = "2" * 16
 LINES = (
+    {"time": "30", "message": "copy started", "subject": f"{H}.0.0.0", "why": "old report"},
+    {"time": "31", "message": "copy won", "subject": f"{H}.0.0.0", "run": 2},
+    {"time": "32", "message": "job over", "subject": H, "state": "completed"},
     {"time": "3", "message": "run ended", "subject": f"{A}.0.0.0", "run": 1, "how": "failed"},
     {"time": "1", "message": "answered", "job": A, "method": "POST", "status": "200"},
     {"time": "2", "message": "start", "task": f"{A}.0.0.0", "run": 1, "outcome": "started"},
--- a/features/steps/speculative_copies_steps.py
+++ b/features/steps/speculative_copies_steps.py
@@ -129,6 +129,7 @@
     "one core is left to copies": lambda c: take_share(c, 1.5),
     "no other worker has room": fill_others,
     "the queue allows 2 failed runs": allow_two_failures,
+    "the tasks work as a gang": lambda c: setattr(c.job.spec.steps[0], "gang", True),
     "the step does not allow copies": lambda c: setattr(c.job.spec.steps[0], "speculative", False),
 }
 
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -192,7 +192,7 @@
     def _slow_tasks(self, now: float) -> Iterator[tuple[Task, str]]:
         for worker in self.state.workers.values():
             for task in worker.tasks.values():
-                if not task.step.speculative or not _may_be_copied(task):
+                if not task.step.allows_copies or not _may_be_copied(task):
                     continue
                 why = self.policy.reason(task, worker, now)
                 if why:
@@ -267,7 +267,6 @@
 
 
 def _may_be_copied(task: Task) -> bool:
-    step = task.step
     return not (
         isinstance(task, TaskCopy)
         or task.copies
@@ -275,9 +274,6 @@
         or task.state not in ON_WORKER
         or task.job.has_ended
         or task.crashes
-        or step.continuous
-        or step.gang
-        or step.uses_leftover
     )
 
 
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -130,7 +130,7 @@
             self._handle_done(worker, task, now, now_unix)
         else:
             self.state.record_lost_copy(task, end.run, end.how)
-            self._handle_not_done(worker, task, end, now, now_unix)
+            self._handle_not_done(worker, task, holder, end, now, now_unix)
         self.state.mark_changed(task.job)
         worker.pending_ends.append((end.number, task.job.job_id, task.job.version))
 
@@ -164,7 +164,7 @@
     def _mark_done(self, task: Task, now: float) -> None:
         if task.state == TaskState.DONE:
             return
-        if task.state in ON_WORKER and task.step.speculative:
+        if task.state in ON_WORKER and task.step.allows_copies:
             detach_run(task, self.state.workers)
         elif task.state in ON_WORKER:
             if not task.step.gang:  # An earlier run was done after all.
@@ -176,8 +176,15 @@
             self.state.request_stop(copy, now)
 
     def _handle_not_done(
-        self, worker: WorkerView, task: Task, end: EndedRun, now: float, now_unix: float
+        self,
+        worker: WorkerView,
+        task: Task,
+        holder: Task | None,
+        end: EndedRun,
+        now: float,
+        now_unix: float,
     ) -> None:
+        """Restart a task whose run has ended; `holder` had the run, None if it was not tracked."""
         if end.how == RunEnd.FAILED:
             task.failures += 1
             task.avoided_agent_id = worker.agent_id
@@ -191,8 +198,8 @@
                 )
         if end.how == RunEnd.FAILED and self.state.has_used_attempts(task):
             self.state.fail_job(task, now, now_unix, failures=task.job.count_failures(task))
-        elif task.state not in ON_WORKER and task.state != TaskState.UNCERTAIN:
-            self.state.make_waiting(task)
+        elif holder is not None or task.state == TaskState.WAITING:
+            self.state.restart(holder or task)
 
     def _compare_with_report(self, worker: WorkerView, report: AgentReport, now: float) -> None:
         listed = {active_run.task: active_run for active_run in report.running}
@@ -270,7 +277,7 @@
     def _may_be_copy(self, worker: WorkerView, task: Task, active_run: ActiveRun) -> bool:
         """Return whether a run that the owner does not know may go on as a copy."""
         return (
-            task.step.speculative
+            task.step.allows_copies
             and task.state == TaskState.RUNNING
             and not task.copies
             and task.find_run(active_run.run) is None
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -126,11 +126,14 @@
             task.discard()
         elif task.copies:
             promote_copy(task, self.workers)
-            self.record_decision("copy took over", task.key, run=task.run, agent=task.agent_id)
 
     def restart(self, task: Task) -> None:
         """Let a task whose run is gone wait for its next start, unless another run goes on."""
-        if not isinstance(task, TaskCopy) and task.state not in ON_WORKER:
+        if isinstance(task, TaskCopy):
+            return
+        if task.state in ON_WORKER:
+            self.record_decision("copy took over", task.key, run=task.run, agent=task.agent_id)
+        else:
             self.make_waiting(task)
 
     def record_lost_copy(self, task: Task, run: int, why: str) -> None:
--- a/src/acaciastand/workflow/spec.py
+++ b/src/acaciastand/workflow/spec.py
@@ -118,6 +118,11 @@
         without_cores = Resources(0.0, self.size.memory_mb, self.size.accelerators)
         self.reserved = without_cores if uses_leftover else self.size
 
+    @property
+    def allows_copies(self) -> bool:
+        """Whether a task may have a second run beside its current one."""
+        return self.speculative and not (self.gang or self.continuous or self.uses_leftover)
+
 
 class WorkflowSpec(Record):
     """A job as submitted.
