--- a/features/copies_support.py
+++ b/features/copies_support.py
@@ -19,7 +19,7 @@
     late, unless a stop came before.
     """
 
-    def __init__(self, policy=None, **arguments):
+    def __init__(self, policy, **arguments):
         super().__init__(**arguments)
         self.completes = True
         self.slow = {}
@@ -28,16 +28,14 @@
         self.late_starts = []
         self.stopped_runs = {}
         self.done = set()
-        self.use(policy)
+        self.scheduler.copy_planner.policy = policy
 
-    def use(self, policy):
-        if policy is not None:
-            self.scheduler.copy_planner.policy = policy
-
-    def add_worker(self, agent_id, *arguments, rack="", **fields):
+    def add_worker(self, agent_id, *arguments, **fields):
+        """Add a worker; the first two share a rack."""
         worker = super().add_worker(agent_id, *arguments, **fields)
+        rack = "rack-1" if agent_id in ("1", "2") else f"rack-{agent_id}"
         identity = worker.identity
-        worker.identity = lambda: identity().replace(labels=["a", rack or f"rack-{agent_id}"])
+        worker.identity = lambda: identity().replace(labels=["a", rack])
         self.report(agent_id)
         return worker
 
@@ -49,13 +47,13 @@
         self.cut_off.pop(agent_id, None)
         self.scheduler.workers[agent_id].reachable = True
 
-    def take_over(self, policy=None):
+    def take_over(self, policy):
         """Continue with another owner, which has what is stored."""
         self.store_all()
         former = self.scheduler
         self.scheduler = Scheduler(None, None, former.stop_seconds)
         self.scheduler.catalog = former.catalog
-        self.use(policy)
+        self.scheduler.copy_planner.policy = policy
         for job in list(former.jobs.values()):
             successor = Job(job.job_id, job.queue, job.spec, job.accepted_unix)
             successor.restore(job.progress())
@@ -73,16 +71,10 @@
         if self.completes:
             self.store_all()
             self.scheduler.acknowledge_stored_ends(view)
-        self._record_done(agent_id, view)
+        ends = [e for e in self.workers[agent_id].ended if e.number <= view.acknowledged]
+        self.done |= {end.task for end in ends if end.how == "done"}
         self.check(agent_id, view)
 
-    def _record_done(self, agent_id, view):
-        self.done |= {
-            end.task
-            for end in self.workers[agent_id].ended
-            if end.how == "done" and end.number <= view.acknowledged
-        }
-
     def check(self, agent_id, view):
         """Check the reserved resources and that each run on a worker is known."""
         reserved = sum(
@@ -165,7 +157,7 @@
     def _stop(self, stop):
         if stop.agent_id in self.cut_off:
             return
+        key = (stop.agent_id, self.workers[stop.agent_id].born_ms, stop.task_key)
         if stop.agent_id not in self.ignored_stops:
-            key = (stop.agent_id, self.workers[stop.agent_id].born_ms, stop.task_key)
             self.stopped_runs[key] = max(stop.run, self.stopped_runs.get(key, 0))
         super()._stop(stop)
--- a/features/machines/copies_machine.py
+++ b/features/machines/copies_machine.py
@@ -19,7 +19,7 @@
 class CopyAllRuns(CopyPolicy):
     """Copies each run at once, so that most plays have copies in each state."""
 
-    def reason(self, task, worker, now):
+    def reason(self, task, worker, finished, now):
         return "test"
 
 
@@ -54,6 +54,7 @@
 
     @rule()
     def heal(self):
+        self.world.slow.clear()
         for agent_id in AGENTS:
             self.world.heal(agent_id)
         self.world.unanswered.clear()
@@ -76,25 +77,17 @@
             if with_agent:
                 worker.restart_agent()
 
-    @rule(agent_id=AGENT)
-    def lose_answers(self, agent_id):
-        self.world.unanswered.add(agent_id)
+    @rule(agent_id=AGENT, kind=st.sampled_from(("unanswered", "ignored_stops")))
+    def lose_commands(self, agent_id, kind):
+        getattr(self.world, kind).add(agent_id)
 
-    @rule(agent_id=AGENT)
-    def ignore_stops(self, agent_id):
-        self.world.ignored_stops.add(agent_id)
-
-    @rule(agent_id=AGENT)
-    def fail_run(self, agent_id):
+    @rule(agent_id=AGENT, is_listed=st.booleans())
+    def fail_run(self, agent_id, is_listed):
         worker = self.world.workers[agent_id]
         if worker.running and worker.crashed_at is None:
             worker.end(next(iter(worker.running)), "failed")
-
-    @rule(agent_id=AGENT)
-    def forget_run(self, agent_id):
-        worker = self.world.workers[agent_id]
-        if worker.running and worker.crashed_at is None:
-            del worker.running[next(iter(worker.running))]
+            if not is_listed:
+                worker.ended.pop()
 
     @rule(number=st.integers(1, 9))
     def cancel(self, number):
@@ -107,7 +100,6 @@
 
     def teardown(self):
         self.heal()
-        self.world.slow.clear()
         self.world.advance(SETTLE_SECONDS)
         for job in self.world.scheduler.jobs.values():
             assert job.has_ended, f"{job.job_id} is {job.state} after {SETTLE_SECONDS} s"
--- a/features/speculative_copies.feature
+++ b/features/speculative_copies.feature
@@ -18,8 +18,8 @@
 
   Scenario: A copy starts on another rack if one has room
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And workers 1 and 2 share a rack and worker 3 has no room
-    And a task that runs on worker 1 and its copy
+    And worker 2 shares the rack of worker 1 and worker 3 has no room
+    And a task that runs on worker 1 and its copy, which has started
     Then the copy is on worker 4
 
   # Copies would take the room of jobs that have not run at all.
@@ -45,14 +45,14 @@
   Scenario: A copy of a task on an advised queue starts only with a ticket
     Given 4 workers with the policy "CopySlowRuns" on copies
     And an advised queue with tickets for the workers 1 and 3
-    And a task that runs on worker 1 and its copy
+    And a task that runs on worker 1 and its copy, which has started
     Then the copy is on worker 3
 
   # Each row is one failure of a task that runs twice. "first" and "copy" tell which run goes on as the
   # current one; with "none" the task is done or its job is over, and with "new" it waits or starts anew.
   Scenario Outline: A task with a copy goes on as <left> when <event>
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and its copy
+    And a task that runs on worker 1 and its copy, which has started
     When its runs meet this: "<event>"
     Then "<left>" of its runs goes on with <failures> failures and <starts> starts
     And after 9 seconds the job is <state> and nothing is reserved
@@ -80,7 +80,7 @@
   # The answer to the start of a copy is late or missing.
   Scenario Outline: The first run goes on when the start of a copy is <answer>
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and a copy whose start is not answered yet
+    And a task that runs on worker 1 and its copy, whose start is not answered yet
     When the start of the copy is answered with "<answer>"
     Then "first" of its runs goes on with 0 failures and 2 starts
     And after 9 seconds the job is completed and nothing is reserved
@@ -94,21 +94,21 @@
   # The copy had become the current run before its start was confirmed.
   Scenario: A copy whose first run is lost before its start is answered goes on
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and a copy whose start is not answered yet
+    And a task that runs on worker 1 and its copy, whose start is not answered yet
     When its runs meet this: "the worker of the first run restarts"
     And the start of the copy is answered with "started"
     Then "copy" of its runs goes on with 0 failures and 2 starts
 
-  Scenario: A crash of a worker under a copy is recorded for the task
+  Scenario: A crash of a worker under a copy counts for the task until its first run outlives it
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and its copy
+    And a task that runs on worker 1 and its copy, which has started
     When its runs meet this: "the worker of the copy crashes"
-    Then the task has a crash under run 2 and run 1 goes on
+    Then run 1 goes on and clears the task of the crash under run 2
 
   # A copy begins at an older checkpoint than the first run has reached.
   Scenario: A later run resumes from the checkpoint of the run that got furthest
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and its copy
+    And a task that runs on worker 1 and its copy, which has started
     When the first run reports 60 percent with checkpoint "ahead" and the copy 20 with "behind"
     Then the checkpoint of the task is "ahead"
 
@@ -125,11 +125,11 @@
 
   Scenario: Decisions on copies are counted with their reasons
     Given 4 workers with the policy "CopySlowRuns" on copies
-    And a task that runs on worker 1 and its copy
+    And a task that runs on worker 1 and its copy, which has started
     When its runs meet this: "the copy fails"
     Then the outcomes "started.slower_than_estimate lost.failed" of copies are counted
 
   # Random failures of workers, links and runs; the machine also checks after each change that
   # reserved resources fit the runs.
   Scenario: No task runs twice unless its step allows it, whatever fails
-    Then 60 random plays of 40 failures break no promise about the runs of tasks
+    Then 40 random plays of 40 failures break no promise about the runs of tasks
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -143,10 +143,9 @@
         """Record which of the runs of a task was done first, if it has a copy."""
         if done_run == task.copy_run:
             self.state.record_decision("copy won", task.key, run=done_run)
+            task.copy_run = 0
         elif task.copy_run:
-            self.state.record_decision(
-                "copy stopped", task.key, run=task.copy_run, why="first run done"
-            )
+            self.state.record_stopped_copy(task, "first run done")
 
     def _handle_done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
         quarantine.record_success(worker)
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -139,8 +139,13 @@
     def record_lost_copy(self, task: Task, run: int, why: str) -> None:
         """Record that a run has ended without effect, if it was the last copy of its task."""
         if run == task.copy_run:
-            task.copy_run = 0
             self.record_decision("copy lost", task.key, run=run, why=why)
+            task.copy_run = 0
+
+    def record_stopped_copy(self, task: Task, why: str) -> None:
+        """Record that the last copy of a task is stopped, since it is not needed any more."""
+        self.record_decision("copy stopped", task.key, run=task.copy_run, why=why)
+        task.copy_run = 0
 
     def set_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Set the checkpoint of a task. All members of a gang resume from the same checkpoint."""
@@ -196,9 +201,7 @@
                 if holder.state in (TaskState.STARTING, TaskState.RUNNING):
                     self.request_stop(holder, now)
             if task.copies and not job.is_complete:
-                self.record_decision(
-                    "copy stopped", task.key, run=task.copy_run, why=f"job {job.state.value}"
-                )
+                self.record_stopped_copy(task, f"job {job.state.value}")
         self.mark_changed(job)
         took_s = round(now_unix - job.accepted_unix, 2)
         self.record_decision("job over", job.job_id, state=job.state.value, took_s=took_s)
