--- a/features/steps/speculative_copies_steps.py
+++ b/features/steps/speculative_copies_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 from copies_support import CopyWorld
-from machines.copies_machine import CopiesMachine
+from machines.copies_machine import CopiesMachine, CopyAllRuns
 from machines.running import violation_of
 from workflow_support import step
 
@@ -259,7 +259,8 @@
 
 @given("a new owner to which two agents report runs of a task whose step {allows} copies")
 def given_two_runs(context, allows):
-    context.world = CopyWorld(copies.NoCopies(), has_reported=False)
+    context.world = CopyWorld(CopyAllRuns(), has_reported=False)
+    context.world.scheduler.add_worker("3", False, context.world.now + 5.0)  # It does not report.
     steps = step(seconds=5.0, speculative=allows == "allows")
     context.job = context.world.submit(JOB, "checks", steps, certain=False)
     context.world._check_runs_of = lambda _: None  # The former owner has started both.
@@ -280,7 +281,10 @@
 def then_next(context):
     context.world.workers["1"].restart()
     context.world.report("1")
-    assert context.job.tasks[TASK].last_run == 5
+    task = context.job.tasks[TASK]
+    assert task.last_run == 5
+    context.world.advance(0.5)
+    assert not task.step.speculative or not context.world.started, context.world.started
 
 
 @then('the outcomes "{outcomes}" of copies are counted')
