--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -200,7 +200,7 @@
             for holder in (task, *task.copies):
                 if holder.state in (TaskState.STARTING, TaskState.RUNNING):
                     self.request_stop(holder, now)
-            if task.copies and not job.is_complete:
+            if task.copies and task.copy_run:
                 self.record_stopped_copy(task, f"job {job.state.value}")
         self.mark_changed(job)
         took_s = round(now_unix - job.accepted_unix, 2)
