--- a/features/machines/copies_machine.py
+++ b/features/machines/copies_machine.py
@@ -19,7 +19,7 @@
 class CopyAllRuns(CopyPolicy):
     """Copies each run at once, so that most plays have copies in each state."""
 
-    def reason(self, task, worker, finished, now):
+    def reason(self, task, suspicion, finished, now):
         return "test"
 
 
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -37,15 +37,15 @@
     """Policy on the runs that a second run of the same task may overtake."""
 
     @abstractmethod
-    def reason(self, task: Task, worker: WorkerView, finished: Sequence[float], now: float) -> str:
+    def reason(self, task: Task, suspicion: str, finished: Sequence[float], now: float) -> str:
         """Return why a second run of a task on another worker is likely to be done first.
 
         Parameters
         ----------
         task
             Task of a step that allows copies, with a current run.
-        worker
-            Worker of that run.
+        suspicion
+            Why the worker of that run is suspect, as from `suspect_reason`.
         finished
             Run times of finished tasks of the step in seconds; empty if too few are known.
         now
@@ -61,7 +61,7 @@
 class NoCopies(CopyPolicy):
     """Baseline: no task runs a second time while its first run may go on."""
 
-    def reason(self, task: Task, worker: WorkerView, finished: Sequence[float], now: float) -> str:
+    def reason(self, task: Task, suspicion: str, finished: Sequence[float], now: float) -> str:
         """Return an empty reason."""
         return ""
 
@@ -75,9 +75,8 @@
     need not wait for that.
     """
 
-    def reason(self, task: Task, worker: WorkerView, finished: Sequence[float], now: float) -> str:
+    def reason(self, task: Task, suspicion: str, finished: Sequence[float], now: float) -> str:
         """Return why a copy is likely to be done first; empty if it is not."""
-        suspicion = suspect_reason(worker, now)
         if task.state == TaskState.STOPPING:
             return suspicion  # The run will not be done, and its end may be unknown for long.
         if task.state != TaskState.RUNNING:
@@ -265,14 +264,15 @@
     def _slow_tasks(self, now: float) -> Iterator[tuple[Task, str]]:
         finished_by_step: dict[tuple[str, int, int], list[float]] = {}
         for worker in self.state.workers.values():
+            suspicion = suspect_reason(worker, now)
             for task in worker.tasks.values():
-                if not task.step.allows_copies or not _may_be_copied(task):
+                if not task.step.allows_copies:
                     continue
                 key = (task.job.job_id, task.name.occurrence, task.name.step)
                 if key not in finished_by_step:
                     finished_by_step[key] = finished_seconds(task)
-                why = self.policy.reason(task, worker, finished_by_step[key], now)
-                if why:
+                why = self.policy.reason(task, suspicion, finished_by_step[key], now)
+                if why and _may_be_copied(task):
                     yield task, why
 
     def _choose_worker(
