--- a/features/speculative_copies.feature
+++ b/features/speculative_copies.feature
@@ -16,6 +16,9 @@
       | is unresponsive | CopySlowRuns | completed |
       | is unresponsive | NoCopies     | running   |
 
+  Scenario: A run whose listed progress is old is not taken for slow
+    Then a run that is listed at 35 percent and ran 0.93 seconds is not slow
+
   Scenario: A copy starts on another rack if one has room
     Given 4 workers with the policy "CopySlowRuns" on copies
     And worker 2 shares the rack of worker 1 and worker 3 has no room
--- a/features/steps/speculative_copies_steps.py
+++ b/features/steps/speculative_copies_steps.py
@@ -45,6 +45,19 @@
     assert context.job.state.value == result, context.world.started
 
 
+@then("a run that is listed at {percent:d} percent and ran {seconds:f} seconds is not slow")
+def then_not_slow(context, percent, seconds):
+    job = CopyWorld(copies.NoCopies()).submit(JOB, "checks", step(3))
+    task, *siblings = job.tasks.values()
+    task.state = TaskState.RUNNING
+    task.percent = percent
+    for sibling in siblings:
+        sibling.state = TaskState.DONE
+        sibling.last_run_seconds = 0.3
+    times = copies.SiblingTimes(task, seconds)
+    assert not copies.CopySlowRuns().reason(task, "", times, seconds)
+
+
 @given("worker 2 shares the rack of worker 1 and worker 3 has no room")
 def given_racks(context):
     context.world.workers["3"].capacity.cores = 0.5
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -13,6 +13,7 @@
 from acaciastand.workflow.job import ON_WORKER, Task, TaskState
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.quarantine import FAILURES_TO_QUARANTINE
+from acaciastand.workflow.report_processing import MAX_POLL_AGE_SECONDS
 from acaciastand.workflow.reports import WorkerIdentity
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartCallback, StartPlanner
@@ -172,10 +173,14 @@
 
 
 def _remaining_seconds(task: Task, ran_seconds: float) -> float:
-    """Return how long a slow run is expected to go on: as long again if no progress is known."""
+    """Return how long a slow run is expected to go on: as long again if no progress is known.
+
+    A run whose last listing is old has got further since, and is not to be taken for slow.
+    """
     if not 0 < task.percent < 100:
         return ran_seconds
-    return ran_seconds * (100 - task.percent) / task.percent
+    listed_seconds = max(0.0, ran_seconds - MAX_POLL_AGE_SECONDS)
+    return listed_seconds * (100 - task.percent) / task.percent
 
 
 def _copy_seconds(task: Task, expected_seconds: float) -> float:
