--- a/src/acaciastand/workflow/zone_moves.py
+++ b/src/acaciastand/workflow/zone_moves.py
@@ -12,7 +12,7 @@
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.limits import COMMAND_SECONDS, MAX_REPORT_AGE_SECONDS
-from acaciastand.workflow.placement import Placement
+from acaciastand.workflow.placement import Placement, could_hold
 from acaciastand.workflow.worker import WorkerView
 
 if TYPE_CHECKING:
@@ -202,7 +202,12 @@
             queue = self.state.catalog.by_name(task.job.queue)
             if queue is None or queue.service in services:
                 continue
-            if any(_could_hold(worker, task, queue) for worker in workers):
+            if any(
+                worker.identity is not None
+                and worker.identity.service == queue.service
+                and could_hold(task.step, worker)
+                for worker in workers
+            ):
                 services.add(queue.service)
         return services
 
@@ -290,15 +295,6 @@
         )
 
 
-def _could_hold(worker: WorkerView, task: Task, queue: Queue) -> bool:
-    """Return whether a worker could hold a task if nothing else were on it."""
-    identity = worker.identity
-    if identity is None or identity.service != queue.service:
-        return False
-    label = task.step.required_label
-    return (not label or label in identity.labels) and task.step.reserved.fits_in(identity.capacity)
-
-
 def _reason_of_run(task: Task, now: float) -> StayReason | None:
     """Return why a run itself may not move, or None if it may."""
     if not _is_at_work(task):
