--- a/deploy/agent.py
+++ b/deploy/agent.py
@@ -4,8 +4,8 @@
 import sys
 from pathlib import Path
 
-# The daemon handles SIGHUP once its modules are loaded. Until then the signal would end the
-# process, and it asks for nothing, since the settings are read later.
+# SIGHUP ends a process that has no handler. It is ignored until the daemon installs its own, and
+# nothing is lost, since the settings are read after that.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
--- a/features/steps/room_estimate_steps.py
+++ b/features/steps/room_estimate_steps.py
@@ -339,6 +339,8 @@
     if "refused" in case:
         direct.get.side_effect = StoreUnavailable("busy", "try again later")
     store = RelayedStore(direct, lambda: [context.link], Metrics())
+    if "cannot be decoded" in case:
+        direct.get.side_effect = ValueError("odd answer")
     if "commits" in case:
         store.circuit_breaker.failures = FAILURES_TO_OPEN
     context.job_api = JobApi(store, lambda: None, lambda: None)
--- a/features/steps/zone_drain_failure_steps.py
+++ b/features/steps/zone_drain_failure_steps.py
@@ -6,11 +6,12 @@
 from zone_support import ZoneWorld
 
 from acaciastand.cluster.clock import now
+from acaciastand.cluster.peers import CallRefused
 from acaciastand.cluster.store_relay import RelayedStore
 from acaciastand.cluster.zone_drain_watch import ZoneDrainWatch
 from acaciastand.coordination.store import StoreUnavailable
 from acaciastand.coordination.transactions import Listing, MemoryTransactionalStore
-from acaciastand.errors import OutcomeUnknown
+from acaciastand.errors import InvalidInput, OutcomeUnknown
 from acaciastand.platform.kv import WATCH_SECONDS
 from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
@@ -32,29 +33,41 @@
 
 
 class Peer:
-    """Connection to an entry that reaches the store, or does not answer."""
+    """Connection to an entry that reaches the store, or whose calls fail with an error."""
 
     entry_id = "entry-2"
     connection = True
 
-    def __init__(self, answers):
-        self.answers = answers
+    def __init__(self, error=None):
+        self.error = error
 
     def call(self, name, payload, seconds):
         gevent.sleep(payload["wait"])
-        if not self.answers:
-            raise OutcomeUnknown("no reply", "repeat the call")
+        if self.error:
+            raise self.error
         return {"items": [], "deleted": [], "revision": 1}
 
 
 @given("an owner whose calls to the store get no answer, beside an entry that reaches it")
 def given_relay(context):
-    context.peer = Peer(True)
+    context.peer = Peer()
 
 
 @given("an owner whose calls to the store and to another entry get no answer")
 def given_alone(context):
-    context.peer = Peer(False)
+    context.peer = Peer(OutcomeUnknown("no reply", "repeat the call"))
+
+
+@given(
+    "an owner whose calls to the store get no answer, beside an entry that does not know the call"
+)
+def given_former_version(context):
+    context.peer = Peer(CallRefused("unknown call", "upgrade the entry", InvalidInput.code))
+
+
+@given("an owner whose calls to the store get no answer, beside an entry that the store refuses")
+def given_outage(context):
+    context.peer = Peer(CallRefused("refused", "try again later", StoreUnavailable.code))
 
 
 @when("it follows the requests with a bound of {bound:d} seconds for {seconds:d} seconds")
@@ -79,6 +92,11 @@
     assert not any(context.paused), context.paused.count(True) / len(context.paused)
 
 
+@then("starts were not paused at the end")
+def then_going_on(context):
+    assert not context.paused[-1]
+
+
 @then("starts were paused at the end")
 def then_paused(context):
     assert context.paused[-1]
--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -21,8 +21,10 @@
 from acaciastand.wire.codec import decode, encode
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.crashes import TaskCrash
+from acaciastand.workflow.job import StartState, TaskState
 from acaciastand.workflow.reports import AgentReport, WorkerIdentity
 from acaciastand.workflow.scheduler import Scheduler
+from acaciastand.workflow.task_copy import TaskCopy
 from acaciastand_lab.platform_site import Site
 
 DRAIN_MS = int(BOUND_SECONDS * 1000)
@@ -126,6 +128,19 @@
     start_in_zone_b(context, queue, step(count, **fields))
 
 
+@given("a run in zone-b of two zones of 2 workers each, with a copy in zone-a")
+def given_copied(context):
+    fields = {"seconds": 20.0, "saves_progress": True, "speculative": True}
+    start_in_zone_b(context, "plans", step(1, **fields))
+    (task,) = context.job.tasks.values()
+    copy = TaskCopy(task)
+    copy.state, copy.run, copy.agent_id = TaskState.RUNNING, 2, "a1"
+    copy.start_state, copy.started_at = StartState.CONFIRMED, context.world.now
+    context.world.scheduler.workers["a1"].assign(copy)
+    context.world.workers["a1"].running[task.key] = 2
+    context.world.workers["a1"].started_at[task.key] = context.world.now
+
+
 @given("two zones of 2 workers each with 4 continuous tasks {limit} in zone-b")
 def given_continuous(context, limit):
     start_in_zone_b(context, "watchers", step(4, continuous=True, max_absent=LIMITS[limit]))
--- a/features/too_little_room.feature
+++ b/features/too_little_room.feature
@@ -165,6 +165,7 @@
       | a read takes 2 seconds                   |
       | a read is refused                        |
       | the last commits found the store down    |
+      | an answer cannot be decoded              |
 
   Scenario: The estimate of an entry that does not own the jobs is ignored
     Given an entry that knows the owner of term 7 and its estimate
--- a/features/zone_drain_failures.feature
+++ b/features/zone_drain_failures.feature
@@ -12,6 +12,23 @@
     When it follows the requests with a bound of 1 seconds for 2 seconds
     Then starts were paused at the end
 
+  # Guards against taking any refusal by another entry for proof of an outage.
+  Scenario: An entry that does not know the call does not show an outage
+    Given an owner whose calls to the store get no answer, beside an entry that does not know the call
+    When it follows the requests with a bound of 1 seconds for 2 seconds
+    Then starts were paused at the end
+
+  Scenario: An entry that does not reach the store either shows an outage
+    Given an owner whose calls to the store get no answer, beside an entry that the store refuses
+    When it follows the requests with a bound of 1 seconds for 4 seconds
+    Then starts were not paused at the end
+
+  # Guards against a moved copy, which is dropped by its stop, that keeps others from moving.
+  Scenario: A run beside a copy of its task stays in a drained zone
+    Given a run in zone-b of two zones of 2 workers each, with a copy in zone-a
+    When zone-b is drained for 3 seconds
+    Then the run stays because of has_copy
+
   # Guards against runs that stay in a drained zone for good.
   Scenario: A task that can never start does not keep the runs of its service in a drained zone
     Given two zones of 2 workers each with 4 continuous tasks without a limit in zone-b
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -107,7 +107,7 @@
             return True
         read = gevent.spawn(self._may_be_written, key)
         read.join(MAX_REFUSAL_READ_SECONDS)
-        return not read.ready() or bool(read.value) or key in self.unanswered
+        return not read.successful() or bool(read.value) or key in self.unanswered
 
     def _may_be_written(self, key: str) -> bool:
         try:
--- a/src/acaciastand/cluster/peers.py
+++ b/src/acaciastand/cluster/peers.py
@@ -34,10 +34,20 @@
 
 
 class CallRefused(Refused):
-    """The other entry replied that it has not carried out the call."""
+    """The other entry replied that it has not carried out the call.
+
+    Parameters
+    ----------
+    reply_code
+        Code of its error.
+    """
 
     code = "call_refused"
 
+    def __init__(self, message: str, remedy: str, reply_code: str) -> None:
+        super().__init__(message, remedy)
+        self.reply_code = reply_code
+
 
 class PeerStatus(Record):
     """What entries tell each other with each ping.
@@ -171,8 +181,9 @@
             raise OutcomeUnknown(str(error), "repeat the call") from error
         assert isinstance(reply, ForwardReply)
         if reply.code:
-            error_class = CallRefused if reply.outcome == "not_run" else OutcomeUnknown
-            raise error_class(reply.message, reply.remedy)
+            if reply.outcome == "not_run":
+                raise CallRefused(reply.message, reply.remedy, reply.code)
+            raise OutcomeUnknown(reply.message, reply.remedy)
         return reply.result
 
     def _connect(self) -> None:
--- a/src/acaciastand/cluster/run_reports.py
+++ b/src/acaciastand/cluster/run_reports.py
@@ -120,7 +120,7 @@
 def _encode_identity(identity: WorkerIdentity | None) -> list[Any]:
     if identity is None:
         return []
-    values = identity.values()[:-1]  # A field of `RunReport` has the last.
+    values = identity.values()[:-1]  # `RunReport` has slow_start_seconds itself.
     return [list(v.values()) if isinstance(v, Resources) else v for v in values]
 
 
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -266,7 +266,7 @@
             except HistoryDropped:
                 raise
             except AcaciastandError as error:
-                trace.others_refused |= isinstance(error, CallRefused)
+                trace.others_refused |= _tells_of_store(error)
                 self._record_relay_failure(STORE_READ_CALL, link, error)
         raise refusal
 
@@ -284,6 +284,11 @@
         )
 
 
+def _tells_of_store(error: AcaciastandError) -> bool:
+    """Return whether another entry replied that it could not read the store."""
+    return isinstance(error, CallRefused) and error.reply_code == StoreUnavailable.code
+
+
 class CommitReply(Record):
     """Reply of another entry that made a commit.
 
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -35,7 +35,8 @@
     ),
     "refusals": (
         "outcome",
-        "Jobs that there was no room for, as outcome.queue: refused, or possibly stored before.",
+        "Submissions without capacity, as outcome.queue: worthless ones are refused, those that may"
+        " be stored already are not.",
     ),
     "values_ignored": (
         "source",
--- a/src/acaciastand/workflow/admission.py
+++ b/src/acaciastand/workflow/admission.py
@@ -9,7 +9,7 @@
 from acaciastand.record import Record
 from acaciastand.workflow.backlog import BacklogEstimate, QueueWork
 from acaciastand.workflow.catalog import Queue
-from acaciastand.workflow.ranking import LATE_FACTOR, work_cost
+from acaciastand.workflow.ranking import LATE_FACTOR, objective_of_path, work_cost
 from acaciastand.workflow.spec import WorkflowSpec, critical_path_seconds, total_core_seconds
 from acaciastand.workflow.work import is_continuous
 
@@ -25,6 +25,7 @@
 SHARE_WINDOW_JOBS = 200.0  # Jobs over which the accepted share of a queue is averaged.
 MIN_SHARE_JOBS = 20.0  # Fewer jobs say too little about a queue.
 MAX_REMEMBERED_JOBS = 4096  # Refused jobs that are not counted again when they return.
+MIN_RETRY_AFTER_SECONDS = 0.5  # Before the spread, which doubles it at most.
 MAX_RETRY_AFTER_SECONDS = 10.0
 
 
@@ -201,8 +202,8 @@
 
 def longest_useful_wait(queue: Queue, spec: WorkflowSpec, run_time_ratio: float) -> float:
     """Return the wait in seconds from which on a job is worth nothing when it completes."""
-    chain = max(critical_path_seconds(spec), default=0.0) * run_time_ratio
-    return LATE_FACTOR * (queue.stretch * chain + queue.target_seconds) - chain
+    path_seconds = max(critical_path_seconds(spec), default=0.0) * run_time_ratio
+    return LATE_FACTOR * objective_of_path(queue, path_seconds) - path_seconds
 
 
 def retry_after_seconds(job_id: str, excess_seconds: float) -> float:
@@ -215,8 +216,10 @@
     excess_seconds
         Time after which the backlog is small enough.
     """
+    # Reversed, so that the spread does not depend on the hash that decides on acceptance.
     spread = 1.0 + _fraction(job_id[::-1])
-    return math.ceil(min(MAX_RETRY_AFTER_SECONDS / 2, max(0.5, excess_seconds)) * spread)
+    seconds = min(MAX_RETRY_AFTER_SECONDS / 2, max(MIN_RETRY_AFTER_SECONDS, excess_seconds))
+    return math.ceil(seconds * spread)
 
 
 def _is_always_accepted(job_id: str, share: float = MIN_ACCEPTED_SHARE) -> bool:
--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -63,7 +63,7 @@
     Parameters
     ----------
     drain_cores
-        Core-seconds of work that the workers do in a second; more than 0.
+        Core-seconds of work that the workers do in a second; 0 if nothing is known of the service.
     core_seconds
         Remaining work of the jobs that wait for room, as in `BacklogEstimate`.
     """
@@ -146,12 +146,12 @@
 
     @classmethod
     def from_list(cls, fields: list[Any]) -> BacklogEstimate:
-        """Return the estimate in what another entry sent.
+        """Return the estimate in the fields that another entry sent.
 
         Raises
         ------
-        ValueError
-            It holds what no estimate holds.
+        ValueError, TypeError
+            The fields are not those of an estimate.
         """
         drain_cores, work, queues, services = check_list(fields)
         return cls(
--- a/src/acaciastand/workflow/catalog_check.py
+++ b/src/acaciastand/workflow/catalog_check.py
@@ -100,8 +100,8 @@
                 "service_unknown",
                 entry.label,
                 "service",
-                f"no service is named {queue.service!r}; its tasks wait unless workers of that name"
-                " register anyway",
+                f"no service is named {queue.service!r}; tasks of this queue wait unless workers of"
+                " that name register anyway",
                 "name an existing service or add this one",
             )
         elif services[queue.service].powered_off:
@@ -133,7 +133,7 @@
             "max_attempts_zero",
             entry.label,
             "max_attempts",
-            "0 failures are allowed, but a job fails only at the first failure, as with 1",
+            "0 attempts are allowed, but each task is tried once, as with 1",
             "set it to 1 or more",
         )
     if entry.timeout_seconds == 0:
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -1,4 +1,4 @@
-"""Second runs of tasks whose current run is slow or on a worker that may be lost."""
+"""Speculative copies of tasks whose current run is slow or on a suspect worker."""
 
 from __future__ import annotations
 
@@ -94,11 +94,11 @@
 
 
 class CopyPolicy(ABC):
-    """Policy on the runs that a second run of the same task may overtake."""
+    """Policy on the runs that get a copy."""
 
     @abstractmethod
     def reason(self, task: Task, suspicion: str, times: SiblingTimes, now: float) -> str:
-        """Return why a second run of a task on another worker is likely to be done first.
+        """Return why a copy on another worker is likely to be done first.
 
         Parameters
         ----------
@@ -114,12 +114,12 @@
         Returns
         -------
         str
-            Reason for the log; empty for no second run.
+            Reason for the log; empty for no copy.
         """
 
 
 class NoCopies(CopyPolicy):
-    """Baseline: no task runs a second time while its first run may go on."""
+    """Baseline: no task gets a copy."""
 
     def reason(self, task: Task, suspicion: str, times: SiblingTimes, now: float) -> str:
         """Return an empty reason."""
--- a/src/acaciastand/workflow/overdue.py
+++ b/src/acaciastand/workflow/overdue.py
@@ -49,8 +49,8 @@
     """Return the runs that have taken longer than their limit, with the limit in seconds.
 
     Continuous tasks have no limit. Batch tasks have none either, since their run time depends on
-    their pace. Nor has a run beside another run of its task on a sound worker, which counts as its
-    restart: stopping one of them could only lose work while the other is within its next limit.
+    their pace. Nor has a run whose task has another run on a sound worker within `OVERDUE_FACTOR`
+    times its limit: that run already serves as the restart.
     """
     overdue = []
     for worker in workers.values():
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -66,7 +66,7 @@
     """
     step = task.step
     assert worker.identity is not None
-    if step.required_label and step.required_label not in worker.identity.labels:
+    if not _has_label(step, worker):
         return False
     if step.max_per_worker and _count_same_step(task, worker) >= step.max_per_worker:
         return False
@@ -76,8 +76,12 @@
 def could_hold(step: StepSpec, worker: WorkerView) -> bool:
     """Return whether a worker would meet the requirements of a step if it were empty."""
     assert worker.identity is not None
-    has_label = not step.required_label or step.required_label in worker.identity.labels
-    return has_label and step.reserved.fits_in(worker.identity.capacity)
+    return _has_label(step, worker) and step.reserved.fits_in(worker.identity.capacity)
+
+
+def _has_label(step: StepSpec, worker: WorkerView) -> bool:
+    assert worker.identity is not None
+    return not step.required_label or step.required_label in worker.identity.labels
 
 
 def _count_same_step(task: Task, worker: WorkerView) -> int:
--- a/src/acaciastand/workflow/ranking.py
+++ b/src/acaciastand/workflow/ranking.py
@@ -153,7 +153,12 @@
 def objective_seconds(job: Job, queue: Queue, run_time_ratio: float = 1.0) -> float:
     """Return the time in seconds within which a job should complete."""
     longest_path = max(job.critical_path_seconds, default=0.0)
-    return queue.stretch * run_time_ratio * longest_path + queue.target_seconds
+    return objective_of_path(queue, run_time_ratio * longest_path)
+
+
+def objective_of_path(queue: Queue, path_seconds: float) -> float:
+    """Return the time in seconds within which a job with this critical path should complete."""
+    return queue.stretch * path_seconds + queue.target_seconds
 
 
 def late_seconds(job: Job, queue: Queue, run_time_ratio: float = 1.0) -> float:
@@ -164,7 +169,8 @@
 def slack_seconds(job: Job, queue: Queue, now_unix: float, step: int) -> float:
     """Return how many seconds a step can still wait for its job to complete in time.
 
-    The value is negative if the job cannot complete in time any more.
+    The value is negative if the job cannot complete in time any more. The time counts from the
+    acceptance of the job for later occurrences too.
     """
     due_unix = job.accepted_unix + objective_seconds(job, queue)
     return due_unix - now_unix - job.critical_path_seconds[step]
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -129,8 +129,7 @@
             estimate_s=task.step.estimate_seconds,
         )
         if holder is not None and holder.state in ON_WORKER:
-            if holder.is_run_timed:
-                task.last_run_seconds = now - holder.started_at
+            task.last_run_seconds = now - holder.started_at if holder.is_run_timed else 0.0
             if end.how == RunEnd.DONE:
                 self.state.finished_runs.record(holder, worker.pace_percent)
             self.state.release(holder)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -73,7 +73,7 @@
     start_planner
         Placement of waiting tasks on workers.
     copy_planner
-        Further runs of tasks whose steps allow them.
+        Copies of tasks whose steps allow them.
     report_processor
         Effects of the agents' reports.
     overdue_policy
--- a/src/acaciastand/workflow/task_copy.py
+++ b/src/acaciastand/workflow/task_copy.py
@@ -1,4 +1,4 @@
-"""Further runs of a task whose step allows several copies of it at the same time."""
+"""Copies of a task that run beside its current run."""
 
 from __future__ import annotations
 
@@ -42,10 +42,10 @@
 class TaskCopy(Task):
     """Another run of a task, on another worker than its current run, if it has one.
 
-    Once the task is done, its runs that have not ended yet are all copies.
-    It stands in `WorkerView.tasks` like a task, so that whatever holds for the current run of a
-    task holds for the copy: how its start and its end are proven, and what it reserves. All that
-    does not belong to a single run is shared with the task.
+    Once the task is done, its runs that have not ended yet are all copies. A copy stands in
+    `WorkerView.tasks` like a task, so that whatever holds for the current run of a task holds for
+    the copy: how its start and its end are proven, and what it reserves. All that does not belong
+    to a single run is shared with the task.
 
     Parameters
     ----------
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -52,8 +52,8 @@
         Whether the owner has a connection to the agent.
     worker_unresponsive
         Whether the worker does not answer its agent, by the last report.
-    in_drained_zone
-        Whether the worker gets no new work because the operators drain its zone.
+    starts_withheld
+        Whether the worker gets no new work, because its zone is drained or all starts are paused.
     in_slow_start
         Whether other workers are preferred because the worker is slow after its start.
     tasks
@@ -120,7 +120,7 @@
         "granted_until",
         "reachable",
         "worker_unresponsive",
-        "in_drained_zone",
+        "starts_withheld",
         "in_slow_start",
         "tasks",
         "leaving_runs",
@@ -160,7 +160,7 @@
         self.granted_until = float("-inf")
         self.reachable = False
         self.worker_unresponsive = False
-        self.in_drained_zone = False
+        self.starts_withheld = False
         self.in_slow_start = False
         self.tasks: dict[str, Task] = {}
         self.leaving_runs: dict[tuple[str, int], LeavingRun] = {}
@@ -320,7 +320,7 @@
             and not self.identity.draining
             and self.reachable
             and not self.worker_unresponsive
-            and not self.in_drained_zone
+            and not self.starts_withheld
             and now - self.last_report_at <= max_report_age_seconds
             and now >= self.quarantined_until
         )
--- a/src/acaciastand/workflow/zone_drains.py
+++ b/src/acaciastand/workflow/zone_drains.py
@@ -57,7 +57,7 @@
 
 
 class ZoneDrains(ABC):
-    """Policy on the workers that get no new work since their zone is drained.
+    """Policy on the workers that get no new work because their zone is drained.
 
     Attributes
     ----------
@@ -70,7 +70,7 @@
 
     @abstractmethod
     def mark_workers(self, workers: Iterable[WorkerView], now: float) -> None:
-        """Set `in_drained_zone` and `in_slow_start` of all workers for the next plan."""
+        """Set `starts_withheld` and `in_slow_start` of all workers for the next plan."""
 
     @abstractmethod
     def is_confirmed(self, now: float) -> bool:
@@ -183,7 +183,7 @@
         zones_of_workers = set()
         for worker in workers:
             zones_of_workers.add(worker.availability_zone)
-            worker.in_drained_zone = self.starts_paused or self.is_drained(worker)
+            worker.starts_withheld = self.starts_paused or self.is_drained(worker)
             worker.in_slow_start = bool(worker.identity and worker.identity.slow_start_seconds)
         self._log_unknown_zones(zones_of_workers, now)
 
--- a/src/acaciastand/workflow/zone_moves.py
+++ b/src/acaciastand/workflow/zone_moves.py
@@ -13,6 +13,7 @@
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.limits import COMMAND_SECONDS, MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import Placement, could_hold
+from acaciastand.workflow.task_copy import TaskCopy
 from acaciastand.workflow.worker import WorkerView
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
 
     IN_TRANSITION = "in_transition"  # It is being started or stopped, or is not at work yet.
     GANG = "gang"  # A gang runs as a whole.
+    HAS_COPY = "has_copy"  # Another run of its task goes on.
     NO_CHECKPOINTS = "no_checkpoints"  # A stop would throw its work away.
     ENDS_SOON = "ends_soon"
     NOT_REACHED = "not_reached"  # Its worker cannot be reached, or leaves by itself.
@@ -241,7 +243,7 @@
 
     def _is_present(self, task: Task, now: float) -> bool:
         worker = self.state.workers.get(task.agent_id)
-        return worker is not None and _is_at_work(task) and _is_heard(worker, now)
+        return worker is not None and _is_at_work(task) and _has_recent_report(worker, now)
 
     def _check_destinations(
         self, task: Task, destinations: Destinations, now: float
@@ -301,6 +303,8 @@
         return StayReason.IN_TRANSITION
     if task.step.gang:
         return StayReason.GANG
+    if isinstance(task, TaskCopy) or task.copies:
+        return StayReason.HAS_COPY
     if task.step.continuous:
         return None
     if not task.step.saves_progress:
@@ -315,11 +319,15 @@
     return task.state == TaskState.RUNNING and is_ready
 
 
-def _is_heard(worker: WorkerView, now: float) -> bool:
+def _has_recent_report(worker: WorkerView, now: float) -> bool:
     is_recent = now - worker.last_report_at <= MAX_REPORT_AGE_SECONDS
     return worker.reachable and not worker.worker_unresponsive and is_recent
 
 
 def _is_sound(worker: WorkerView, now: float) -> bool:
     """Return whether a worker carries out a stop and does not leave by itself."""
-    return _is_heard(worker, now) and worker.identity is not None and not worker.identity.draining
+    return (
+        _has_recent_report(worker, now)
+        and worker.identity is not None
+        and not worker.identity.draining
+    )
