--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -44,10 +44,7 @@
 from acaciastand.cluster.settings import JobEntrySettings
 from acaciastand.cluster.store_availability import StoreAvailability
 from acaciastand.cluster.store_relay import (
-    STORE_COMMIT_CALL,
-    STORE_LIST_CALL,
-    STORE_READ_CALL,
-    STORE_WATCH_CALL,
+    STORE_CALLS,
     RelayedStore,
 )
 from acaciastand.cluster.supervision import supervised
@@ -440,18 +437,7 @@
         calls: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
             PING_CALL: self._answer_ping,
             CATALOG_CALL: lambda _: {"zlib": self.configuration.compressed_catalog},
-            STORE_READ_CALL: lambda request: self.relayed_store.answer_call(
-                STORE_READ_CALL, request
-            ),
-            STORE_LIST_CALL: lambda request: self.relayed_store.answer_call(
-                STORE_LIST_CALL, request
-            ),
-            STORE_WATCH_CALL: lambda request: self.relayed_store.answer_call(
-                STORE_WATCH_CALL, request
-            ),
-            STORE_COMMIT_CALL: lambda request: self.relayed_store.answer_call(
-                STORE_COMMIT_CALL, request
-            ),
+            **{call: partial(self.relayed_store.answer_call, call) for call in STORE_CALLS},
             JOB_STATE_CALL: self._answer_job_state,
             INBOX_ITEM_CALL: self._answer_inbox_item,
             WAITING_JOBS_CALL: lambda _: self._require_owner().scheduler.count_waiting(),
--- a/src/acaciastand/cluster/store_relay.py
+++ b/src/acaciastand/cluster/store_relay.py
@@ -34,6 +34,7 @@
 STORE_WATCH_CALL = "store_watch"
 STORE_LIST_CALL = "store_list"
 STORE_COMMIT_CALL = "store_commit"
+STORE_CALLS = (STORE_READ_CALL, STORE_WATCH_CALL, STORE_LIST_CALL, STORE_COMMIT_CALL)
 # Time to wait for the other entry, which itself waits half a second for the store.
 CALL_TIMEOUT_SECONDS = 0.7
 # Entries that are tried in turn for one call. If the store is down, further ones would fail too.
--- a/tools/replay_order.py
+++ b/tools/replay_order.py
@@ -1,6 +1,6 @@
-"""Replays a load that exceeds the room with each order of waiting tasks, without a network.
+"""Replays a load that exceeds the capacity with each order of waiting tasks, without a network.
 
-Prints for each load and order the share of the work of batch jobs that was served, where late work
+Run as ``PYTHONHASHSEED=0 PYTHONPATH=src:features python tools/replay_order.py``. Prints for each load and order the share of the work of batch jobs that was served, where late work
 counts for 0.15, and how many batch jobs were served: all, the largest tenth and the fifth below it.
 """
 
@@ -8,8 +8,8 @@
 
 from acaciastand.workflow.ranking import LATE_FACTOR, LeastSlackFirst, objective_seconds
 
-LOADS = (1.15, 1.6)
-SECONDS = 34.0
+LOAD_FACTORS = (1.15, 1.6)  # Load as a multiple of the capacity.
+LOAD_SECONDS = 34.0
 SEEDS = range(1, 6)
 LATE_WORTH = 0.15
 
@@ -30,9 +30,12 @@
 
 def play(name, load):
     """Play a load with one order and print who was served."""
-    rows, total, credit = {"all": [], "largest tenth": [], "fifth below": []}, 0.0, 0.0
+    rows = {"all": [], "largest tenth": [], "fifth below": []}
+    total = credit = 0.0
     for seed in SEEDS:
-        world, jobs = replay(LeastSlackFirst() if name == "slack" else None, load, SECONDS, seed)
+        world, jobs = replay(
+            LeastSlackFirst() if name == "slack" else None, load, LOAD_SECONDS, seed
+        )
         batch = served(world, jobs, "plans", LATE_FACTOR)
         tenth = len(batch) // 10
         rows["all"] += batch
@@ -44,6 +47,7 @@
     print(f"load {load:.0%}, order by {name}: credit {credit / total:.2f}; {counts}", flush=True)
 
 
-for load_of_room in LOADS:
-    for order in ("slack", "cost"):
-        play(order, load_of_room)
+if __name__ == "__main__":
+    for load_factor in LOAD_FACTORS:
+        for order in ("slack", "cost"):
+            play(order, load_factor)
