--- a/tools/replay_order.py
+++ b/tools/replay_order.py
@@ -1,6 +1,8 @@
 """Replays a load that exceeds the capacity with each order of waiting tasks, without a network.
 
-Run as ``PYTHONHASHSEED=0 PYTHONPATH=src:features python tools/replay_order.py``. Prints for each load and order the share of the work of batch jobs that was served, where late work
+Run as ``PYTHONHASHSEED=0 PYTHONPATH=src:features python tools/replay_order.py``.
+
+Prints for each load and order the share of the work of batch jobs that was served, where late work
 counts for 0.15, and how many batch jobs were served: all, the largest tenth and the fifth below it.
 """
 
