--- a/src/acaciastand/cluster/decision_log.py
+++ b/src/acaciastand/cluster/decision_log.py
@@ -13,7 +13,7 @@
 
 logger = logging.getLogger("acaciastand.decisions")
 
-# Outcome of a copy in the metric `speculative_copies`, by the decision that tells of it.
+# Outcomes of copies in the metric `speculative_copies`, by decision.
 COPY_OUTCOMES = {
     "copy started": "started",
     "copy adopted": "adopted",
--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -36,11 +36,11 @@
 UPDATE_INTERVAL_SECONDS = 0.5
 # Queues and services in the messages between entries, which are kept short.
 MAX_SENT_QUEUES, MAX_SENT_SERVICES = 16, 8
-COST_BANDS = 8  # Bands of cost by which the work of a priority is told.
+COST_BANDS = 8  # Bands of cost in which the work of a priority is summed.
 
 
 class QueueWork(Record):
-    """What the finished and unfinished jobs of one queue tell of its work.
+    """Run times and mean work of the jobs of one queue.
 
     Parameters
     ----------
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -319,7 +319,7 @@
             return []
         self.checked_at = now
         if not all(worker.has_reported for worker in self.state.workers.values()):
-            return []  # A former owner may have started a second run that is not known yet.
+            return []  # A former owner may have started a copy that is not reported yet.
         slow = dict(self._slow_tasks(now))
         if not slow:
             return []
--- a/src/acaciastand/workflow/finished_runs.py
+++ b/src/acaciastand/workflow/finished_runs.py
@@ -1,4 +1,4 @@
-"""What finished runs tell: how good the callers' estimates are, and how fast work is done."""
+"""Run times of finished runs against the callers' estimates, and the rate of completed work."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 MAX_RATIO_RUNS = 64  # Finished runs that are kept for each queue.
 MIN_RATIO_RUNS = 8  # Fewer finished runs say too little about a queue.
-# Runs that took less or more still count as these multiples of their estimates.
+# Bounds of a ratio of run time to estimate; a ratio beyond them is clipped.
 MIN_RATIO, MAX_RATIO = 0.5, 10.0
 MAX_QUEUES = 64  # Queues for which run times are kept; the oldest is dropped for a new one.
 # A loss of workers often ends within this time, so the drain rate before it still counts in part.
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -296,7 +296,7 @@
     def _adopt_copy(
         self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float
     ) -> None:
-        """Track a second run that a former owner started."""
+        """Track a copy that a former owner started."""
         task.record_run(active_run.run)
         task.copy_run = max(task.run, active_run.run)
         self._track_run(worker, TaskCopy(task), active_run, now)
--- a/src/acaciastand/workflow/spec.py
+++ b/src/acaciastand/workflow/spec.py
@@ -120,7 +120,7 @@
 
     @property
     def allows_copies(self) -> bool:
-        """Whether a task may have a second run beside its current one."""
+        """Whether a task may have a copy beside its current run."""
         return self.speculative and not (self.gang or self.continuous or self.uses_leftover)
 
 
