--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -248,6 +248,7 @@
         self.seconds = spec.get("seconds")
         self.gang = spec.get("gang", 1)
         self.began_at = time.monotonic()
+        self.is_stopping = False
         self.works_since = self.began_at if self.gang == 1 else None
 
     @property
@@ -268,6 +269,8 @@
     history
         Task, run, time of the begin and, once it has ended, time and kind of the end, of every run
         in all lives of the worker.
+    stop_seconds
+        Time that a stop takes, at most `stopTimeoutMs`; the run is listed as running meanwhile.
     sick
         Whether it answers 503 to every start and does nothing.
     fails_all
@@ -287,6 +290,7 @@
         self.worker_id = f"i-{name}"
         self.lock = threading.Condition()
         self.history: list[dict[str, Any]] = []
+        self.stop_seconds = 0.0
         self.sick = False
         self.fails_all = False
         self.on_start: Callable[[Worker, dict[str, Any]], float | None] | None = None
@@ -420,7 +424,7 @@
             return 200, {}
         fields = json.loads(body)
         if path == "/run-start":
-            return self._start(fields)
+            return self._start(fields, intended)
         with self.lock:
             if fields.get("fencingToken", 0) < self.token:
                 return 409, {**self._times(), "reason": "fence"}
@@ -436,20 +440,24 @@
     def _times(self) -> dict[str, Any]:
         return {"clockMs": int(self.clock_ms()), "born": self.born_ms}
 
-    def _start(self, fields: dict[str, Any]) -> Any:
+    def _start(self, fields: dict[str, Any], intended: str | None) -> Any:
         name = f"start of run {fields['runId']} of {fields['task']}"
         late_seconds = self.on_start(self, fields) if self.on_start else None
         if late_seconds is not None:
             self.record(self.name, f"gets the {name}, leaves it unanswered")
-            threading.Timer(late_seconds, self._carry_out_late, (name, fields)).start()
+            late = threading.Timer(late_seconds, self._carry_out_late, (name, fields, intended))
+            late.daemon = True
+            late.start()
             time.sleep(2.0)
             return None
         status, answer = self._carry_out(fields)
         self.record(self.name, f"gets the {name}, answers {status} {answer.get('reason', '')}")
         return status, answer
 
-    def _carry_out_late(self, name: str, fields: dict[str, Any]) -> None:
-        if self.is_up:
+    def _carry_out_late(self, name: str, fields: dict[str, Any], intended: str | None) -> None:
+        if intended and intended != self.worker_id:
+            self.record(self.name, f"answers the late {name} with 421")
+        elif self.is_up:
             status, answer = self._carry_out(fields)
             reason = answer.get("reason", "")
             self.record(self.name, f"carries out the late {name}: {status} {reason}")
@@ -500,12 +508,24 @@
         task, number = fields["task"], fields["runId"]
         self.highest[task] = max(self.highest.get(task, 0), number)
         run = self.runs.get(task)
-        if run is not None and run.number <= number:
-            self._end(run, "stopped")
-            self._break_gang(run)
+        if run is not None and run.number <= number and not run.is_stopping:
+            run.is_stopping = True
+            if self.stop_seconds:
+                threading.Timer(self.stop_seconds, self._finish_stop, (run,)).start()
+            else:
+                self._end_stopped(run)
         self.record(self.name, f"stop of run {number} of {task}, answers 200")
         return 200, self._times()
 
+    def _finish_stop(self, run: Run) -> None:
+        with self.lock:
+            if self.runs.get(run.task) is run:
+                self._end_stopped(run)
+
+    def _end_stopped(self, run: Run) -> None:
+        self._end(run, "stopped")
+        self._break_gang(run)
+
     def _hold(self, fields: dict[str, Any]) -> Any:
         life = self.life
         if "deadlineMs" in fields:
@@ -553,6 +573,48 @@
         connection.close()
 
 
+class Link:
+    """Passes the connections to an address; while it is cut, all bytes are held up."""
+
+    def __init__(self, ip: str, port: int, target: tuple[str, int]) -> None:
+        self.target = target
+        self.is_open = threading.Event()
+        self.is_open.set()
+        self.listener = socket.create_server((ip, port), backlog=64)
+        self.address = f"{ip}:{port}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self.listener.accept()
+            threading.Thread(target=self._connect, args=(near,), daemon=True).start()
+
+    def _connect(self, near: socket.socket) -> None:
+        self.is_open.wait()
+        try:
+            far = socket.create_connection(self.target, 2.0)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        for source, sink in ((near, far), (far, near)):
+            source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._pass, args=(source, sink), daemon=True).start()
+
+    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(64 << 10):
+                self.is_open.wait()
+                sink.sendall(data)
+        except OSError:
+            pass
+        for sock in (source, sink):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Site:
     """A small deployment: three entries, and an agent beside each worker."""
 
@@ -624,6 +686,15 @@
             )
         self.record(name, "process started")
 
+    def link(self, agent: str) -> Link:
+        """Let the entries reach an agent through a link that can be cut; before `start`."""
+        number = agent.partition("-")[2]
+        target = (self.agents[agent], INTERNAL_PORTS[0])
+        link = Link(f"{self.net}.3.{number}", INTERNAL_PORTS[0], target)
+        with self.settings[agent].open("a", encoding="utf-8") as file:
+            file.write(f'advertised_address = "{link.address}"\n')
+        return link
+
     def kill(self, name: str) -> None:
         """Kill a process that this site started."""
         self.processes[name].send_signal(signal.SIGKILL)
