--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 10: after the owner is lost, the other entries give an old number of waiting jobs."""
+"""Case 10: jobs whose starts an unhealthy worker has all refused count as begun."""
 
 from __future__ import annotations
 
@@ -11,46 +11,47 @@
 from standins import BOUNDS, Record, Site, play  # noqa: E402
 
 FILLER = "00000000000f111e"
-WORKERS = 3
+WORKERS = 12  # One of them is 0.083, less than the share of 0.085 that is unhealthy at once.
 CPU = 16000
-JOBS = 12
+JOBS = 20
+TASK_CPU = 8000
+SICK_SECONDS = 6.4  # Workers are unhealthy for 6.5 s.
 MARGIN_SECONDS = 2.0  # Of the rule, beyond `visible_ms`.
-RESTART_SECONDS = 0.7  # A killed process is started again after a short delay.
 
 
 def job_id(number: int) -> str:
     """Return the id of a waiting job."""
-    return f"{0x55CC0000 + number:016x}"
+    return f"{0x77AA0000 + number:016x}"
 
 
 def case(record: Record, trouble: bool) -> list[str]:
-    """Kill the owner while jobs wait, and ask the other entries how many do."""
+    """Ask for the number of waiting jobs while nearly all room is taken."""
     site = Site(record, WORKERS, CPU)
     try:
         site.start()
+        # Tasks that last take all the room of all workers but one.
         status = site.submit(
-            "entry-1", FILLER, {"cpu": CPU}, CPU, 1000, count=WORKERS, longRunning=True
+            "entry-1", FILLER, {"cpu": CPU}, CPU, 1000, count=WORKERS - 1, longRunning=True
         )
         if status != 200:
             raise RuntimeError(f"the first job was answered with {status}")
-        site.wait(lambda: sum(len(w.runs) for w in site.workers) == WORKERS, 10.0)
+        site.wait(lambda: sum(len(w.runs) for w in site.workers) == WORKERS - 1, 10.0)
+        free = next(worker for worker in site.workers if not worker.runs)
+        time.sleep(1.5)
+        free.sick = trouble
+        sick_at = time.monotonic()
+        record(free.name, "is unhealthy" if trouble else "is the only one with room")
         accepted: dict[str, float] = {}
         for number in range(JOBS):
+            spec = {"cpu": TASK_CPU, "seconds": 60.0}
             entry = f"entry-{number % 3 + 1}"
-            if site.submit(entry, job_id(number), {"cpu": 8000, "seconds": 60.0}, 8000, 60000) == 200:
+            if site.submit(entry, job_id(number), spec, TASK_CPU, 60000) == 200:
                 accepted[job_id(number)] = record.now()
         if len(accepted) < JOBS / 2:
             raise RuntimeError(f"only {len(accepted)} jobs were accepted")
-        time.sleep(BOUNDS["visible_ms"] / 1000 + MARGIN_SECONDS + 0.5)
-        owner = site.owner()
-        others = [entry for entry in site.entries if entry != owner]
-        if not owner:
-            raise RuntimeError("there is no owner")
-        if trouble:
-            site.kill(owner)
-        killed_at = time.monotonic()
         broken = []
-        for entry in others * 2:
+        time.sleep(max(0.0, sick_at + SICK_SECONDS - 0.6 - time.monotonic()))
+        for entry in site.entries:
             asked_at = record.now()
             status, answer = site.call(entry, "GET", "")
             begun = {row["task"].partition(".")[0] for row in site.history()}
@@ -60,10 +61,8 @@
             record("case", f"{entry} says {said}, {len(waiting)} jobs wait for over 5 s")
             if said is not None and said < len(waiting) / 2:
                 broken.append(f"MIXED: {entry} says that {said} jobs wait; {len(waiting)} do")
-            time.sleep(0.1)
-        if trouble:
-            time.sleep(max(0.0, killed_at + RESTART_SECONDS - time.monotonic()))
-            site.start_process(owner)
+        if time.monotonic() > sick_at + SICK_SECONDS:
+            raise RuntimeError("the worker was unhealthy for too long")
         return broken
     finally:
         site.close()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,4 @@
-"""Case 7: a start that a worker carries out late runs a task that runs elsewhere by then.
-
-The worker has restarted under its former id meanwhile, and knows nothing of the stops that it had
-accepted for the run.
-"""
+"""Case 7: a run number is given twice after a takeover, and a second takeover doubles the task."""
 
 from __future__ import annotations
 
@@ -14,53 +10,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 
-from standins import Record, Run, Site, Worker, play  # noqa: E402
-
-JOB = "9a41c07be2d35f16"
-WORKERS = 8  # One of them is 0.125, less than the share of 0.14 that crashes at once.
-LATE_SECONDS = 10.0  # Orders are carried out 2 to 12 s late.
-UNANSWERED_SECONDS = 1.6  # The orders of this time are left unanswered, at most half of all.
-CRASH_AFTER_SECONDS = 0.5  # After the begin of the second run.
-DOWN_SECONDS = 4.5
-TASK_SECONDS = 8.0
-WATCH_SECONDS = 30.0
-LARGE_CPU = 24000  # Every third worker is larger by half; here one is enough.
-
-
-class Trouble:
-    """Leaves the first starts of the job unanswered, and crashes that worker afterwards."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.victim: Worker | None = None
-        self.first_at = 0.0
-        self.unanswered = 0
-        self.crashed = False
-
-    def on_start(self, worker: Worker, fields: dict[str, Any]) -> float | None:
-        """Return the delay of a start without an answer, or None."""
-        if not fields["task"].startswith(JOB):
-            return None
-        if self.victim is None:
-            self.victim = worker
-            self.first_at = time.monotonic()
-        if worker is not self.victim or time.monotonic() - self.first_at > UNANSWERED_SECONDS:
-            return None
-        self.unanswered += 1
-        return LATE_SECONDS
+from standins import BOUNDS, Record, Run, Site, Worker, play  # noqa: E402
 
-    def on_begin(self, worker: Worker, run: Run) -> None:
-        """Crash the first worker once the task runs again, there or on another one."""
-        is_second = run.task.startswith(JOB) and self.victim is not None and run.number > 1
-        if is_second and not self.crashed:
-            self.crashed = True
-            threading.Timer(CRASH_AFTER_SECONDS, self._crash).start()
-
-    def _crash(self) -> None:
-        assert self.victim is not None
-        self.victim.crash()
-        time.sleep(DOWN_SECONDS)
-        self.victim.start()  # Under the id that it had.
+JOB = "e3b7094c5a1df286"
+WORKERS = 6  # One of them is 0.167, less than the share of 0.17 that is cut off at once.
+LARGE_CPU = 24000  # The large worker gets the task first.
+CUT_SECONDS = 12.0
+RESTART_SECONDS = 0.7  # A killed process is started again after a short delay.
+# Short jobs before the second kill; their ends let the agents report soon.
+LOAD_JOBS, LOAD_TASKS, LOAD_CPU, LOAD_SECONDS = 40, 6, 250, 1.7
+TASK_SECONDS = 30.0
+STOP_SECONDS = 0.88  # Less than `stopTimeoutMs`, which is 900 at the site.
 
 
 def overlaps(rows: list[dict[str, Any]]) -> list[str]:
@@ -79,29 +39,67 @@
 
 
 def case(record: Record, trouble: bool) -> list[str]:
-    """Play the case and return the runs that were at work at the same time."""
+    """Kill the owner as its order is taken, cut that agent off, and kill the next owner later."""
+    BOUNDS["stopTimeoutMs"], BOUNDS["maxHoldMs"] = 900, 6000  # Those of the site.
     site = Site(record, WORKERS, cpu=16000)
-    site.workers[-1].cpu = LARGE_CPU
-    plan = Trouble(record)
+    large = site.workers[-1]
+    large.cpu = LARGE_CPU
+    link = site.link(f"agent-{WORKERS}")
+    taken = threading.Event()
+    again = threading.Event()
+    owner = ""
+
+    def restart(name: str) -> None:
+        time.sleep(RESTART_SECONDS)
+        site.start_process(name)
+
+    def begun(worker: Worker, run: Run) -> None:
+        if not run.task.startswith(JOB):
+            return
+        if taken.is_set():
+            again.set()
+            return
+        taken.set()
+        if trouble:
+            link.is_open.clear()
+            site.kill(owner)
+            record(f"agent-{WORKERS}", "is cut off from the entries")
+            threading.Thread(target=restart, args=(owner,), daemon=True).start()
+
     try:
         site.start()
-        if trouble:
-            for worker in site.workers:
-                worker.on_start = plan.on_start
-                worker.on_begin = plan.on_begin
+        for worker in site.workers:
+            worker.on_begin = begun
+            worker.stop_seconds = STOP_SECONDS
+        owner = site.owner()
+        others = [entry for entry in site.entries if entry != owner]
         spec = {"cpu": 500, "seconds": TASK_SECONDS}
-        status = site.submit("entry-2", JOB, spec, 500, int(TASK_SECONDS * 1000))
-        if status != 200:
-            raise RuntimeError(f"the job was answered with {status}")
-        until = time.monotonic() + WATCH_SECONDS
-        while time.monotonic() < until:
+        status = site.submit(others[0], JOB, spec, 500, int(TASK_SECONDS * 1000))
+        if status != 200 or not taken.wait(5.0):
+            raise RuntimeError(f"the job was answered with {status}, or did not start")
+        if trouble:
+            is_again = again.wait(CUT_SECONDS - 0.5)
+            time.sleep(0.5)
+            link.is_open.set()
+            record(f"agent-{WORKERS}", "is reached again")
+            if not is_again:
+                raise RuntimeError("the task did not start again")
             time.sleep(1.0)
-            if site.state("entry-3", JOB) in ("completed", "failed"):
-                break
-        if trouble and not plan.crashed:
-            raise RuntimeError("the task did not start again")
+            second = site.owner()
+            third = next(entry for entry in site.entries if entry != second)
+            for number in range(LOAD_JOBS):
+                load = {"cpu": LOAD_CPU, "seconds": LOAD_SECONDS}
+                job_id = f"{0x10AD0000 + number:016x}"
+                site.submit(third, job_id, load, LOAD_CPU, 1500, count=LOAD_TASKS)
+                time.sleep(0.02)
+            site.kill(second)
+            restart(second)
+            time.sleep(8.0)
+        else:
+            time.sleep(20.0)
         return overlaps([row for row in site.history() if row["task"].startswith(JOB)])
     finally:
+        link.is_open.set()
         site.close()
 
 
