--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -52,6 +52,7 @@
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.limits import AUTHORITY_SECONDS, CLOCK_DRIFT, GRANT_SECONDS
 from acaciastand.workflow.reports import AgentReport, PollPosition, StartOutcome
+from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.scheduler import Scheduler
 
 MAX_PLAN_INTERVAL_SECONDS = 0.1  # Longest time between two rounds of scheduling.
@@ -131,7 +132,8 @@
         self.metrics = metrics
         self.on_lost = on_lost
         self.advisor = advisor
-        self.scheduler = Scheduler(stop_seconds=stop_seconds)
+        run_numbers = RunNumbers.for_term(fence)
+        self.scheduler = Scheduler(stop_seconds=stop_seconds, run_numbers=run_numbers)
         self.scheduler.catalog = catalog
         self.ignored = IgnoredValues(metrics, now)
         self.committer = Committer(store, self.scheduler, fence, metrics, self._handle_stored_jobs)
@@ -293,6 +295,7 @@
                 "epoch": self.record.epoch,
                 "jobs": len(self.scheduler.jobs),
                 "agents": len(self.links),
+                "highest_former_run": self.scheduler.run_numbers.highest_former,
                 "seconds": round(now() - started_at, 3),
             },
         )
@@ -335,10 +338,11 @@
             self.heartbeat_due.clear()
             sent_at = now()
             try:
-                self.store.commit(
+                revision = self.store.commit(
                     {OWNER_KEY: self.fence},
                     {OWNER_HEARTBEAT_KEY: encode_fields(self.heartbeat_count)},
                 )
+                self.scheduler.run_numbers.record_stored(revision)
                 self._record_confirmation(sent_at)
             except CommitConflict:
                 return self._lose_ownership("the owner key was rewritten")
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -331,7 +331,7 @@
         for task, queue in ranked:
             if sought >= MAX_TASKS_PER_CHECK:
                 break
-            if not room.may_start(task):
+            if not room.may_start(task) or task.next_run > self.state.run_numbers.highest:
                 continue
             sought += 1
             worker = self._choose_worker(task, queue, room, now)
@@ -372,7 +372,7 @@
     def _start_copy(
         self, task: Task, worker: WorkerView, why: str, start: StartCallback, now: float
     ) -> StartDecision:
-        run = task.last_run + 1
+        run = task.next_run
         self.state.record_decision(
             "copy started",
             task.key,
--- a/src/acaciastand/workflow/finished_runs.py
+++ b/src/acaciastand/workflow/finished_runs.py
@@ -48,12 +48,11 @@
         """
         step = task.step
         is_slowed = step.uses_leftover and pace_percent < 100
-        is_resumed = step.saves_progress and task.run > 1
         is_known = task.is_run_timed and not is_slowed
         seconds = task.last_run_seconds if is_known else step.estimate_seconds
         queue = task.job.queue
         self.core_seconds[queue] = self.core_seconds.get(queue, 0.0) + step.size.cores * seconds
-        if is_known and not is_resumed and seconds > 0 and step.estimate_seconds > 0:
+        if is_known and not task.is_run_resumed and seconds > 0 and step.estimate_seconds > 0:
             self._record_ratio(queue, seconds / step.estimate_seconds)
 
     def _record_ratio(self, queue: str, ratio: float) -> None:
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -86,6 +86,8 @@
         When the current run was confirmed as started, or else decided on.
     is_run_timed
         Whether this owner was told of the start of the current run, so that its duration is known.
+    is_run_resumed
+        Whether this owner started the current run from a checkpoint.
     ended_runs
         Numbers of the runs whose ends have been processed.
     after_poll
@@ -132,6 +134,7 @@
         "avoided_agent_id",
         "started_at",
         "is_run_timed",
+        "is_run_resumed",
         "ended_runs",
         "after_poll",
         "stop_confirmed_at",
@@ -176,6 +179,7 @@
         self.measurement = 0.0
         self.started_at = 0.0
         self.is_run_timed = False
+        self.is_run_resumed = False
         self.after_poll = PollPosition()
         self.stop_confirmed_at = 0.0
         self.stop_is_over = False
@@ -183,9 +187,14 @@
 
     @property
     def last_run(self) -> int:
-        """Highest number of a run; the next run has a higher one."""
+        """Highest number of a run that is known; 0 for none."""
         return max(self.run, self.other_run)
 
+    @property
+    def next_run(self) -> int:
+        """Number of the next run; higher than that of any run that has ever been started."""
+        return max(self.last_run, self.job.highest_former_run) + 1
+
     def find_run(self, run: int) -> Task | None:
         """Return the task or the copy of it whose current run has this number, or None."""
         # A task that is done keeps the number of a run that a copy has taken over.
@@ -322,6 +331,9 @@
     idle_since
         Time since when the job waits for leftover processor time without a task on a worker; 0 if
         it does not.
+    highest_former_run
+        Highest number of a run that former owners can have started without storing it; 0 if none
+        can have started tasks of the job.
     """
 
     __slots__ = (
@@ -343,6 +355,7 @@
         "ended_unix",
         "revision",
         "idle_since",
+        "highest_former_run",
     )
 
     def __init__(self, job_id: str, queue: str, spec: WorkflowSpec, accepted_unix: float) -> None:
@@ -368,6 +381,7 @@
         self.ended_unix = 0.0
         self.revision = 0
         self.idle_since = 0.0
+        self.highest_former_run = 0
 
     def _task_names(self) -> Iterator[TaskName]:
         for occurrence in range(self.spec.occurrence_count):
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -37,6 +37,7 @@
     StartCommand,
     StartOutcome,
 )
+from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartPlanner
 from acaciastand.workflow.task_copy import TaskCopy
@@ -65,6 +66,8 @@
         Longest time that a worker takes to stop a run.
     interference
         Model of the interference between images that share a worker.
+    run_numbers
+        Numbers that this owner may give to runs.
 
     Attributes
     ----------
@@ -91,13 +94,17 @@
         placement: Placement | None = None,
         stop_seconds: float = DEFAULT_STOP_SECONDS,
         interference: Interference | None = None,
+        run_numbers: RunNumbers | None = None,
     ) -> None:
-        super().__init__(stop_seconds, interference or LearnedInterference())
+        super().__init__(
+            stop_seconds, interference or LearnedInterference(), run_numbers or RunNumbers()
+        )
         self.backlog = BacklogTracker(self)
         self.start_planner = StartPlanner(
             ranking or LeastCostFirst(self.backlog.shortage),
             placement or SeparatingPlacement(self.interference),
             self.advice,
+            self.run_numbers,
         )
         self.copy_planner = CopyPlanner(self, self.start_planner)
         self.report_processor = ReportProcessor(self)
@@ -122,6 +129,8 @@
         self.jobs[job.job_id] = job
         if job.has_ended:
             return
+        if not certain:
+            job.highest_former_run = self.run_numbers.highest_former
         for task in job.tasks.values():
             if task.state == TaskState.DONE:
                 continue
@@ -381,6 +390,7 @@
         task.start_state = StartState.PENDING
         task.started_at = now
         task.is_run_timed = False
+        task.is_run_resumed = bool(task.checkpoint)
         task.missed_polls = 0
         task.forget_stop()
         # A copy resumes from the run that got further, so no progress may be assumed.
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -10,6 +10,7 @@
 from acaciastand.workflow.finished_runs import FinishedRuns
 from acaciastand.workflow.interference import Interference
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
+from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.task_copy import TaskCopy, promote_copy
 from acaciastand.workflow.worker import WorkerView
 from acaciastand.workflow.zone_drains import NoZoneDrains, ZoneDrains
@@ -25,6 +26,8 @@
         Longest time that a worker takes to stop a run.
     interference
         Model of the interference between images that share a worker.
+    run_numbers
+        Numbers that this owner may give to runs.
 
     Attributes
     ----------
@@ -60,9 +63,12 @@
         Number of changes so far that call for a new plan.
     """
 
-    def __init__(self, stop_seconds: float, interference: Interference) -> None:
+    def __init__(
+        self, stop_seconds: float, interference: Interference, run_numbers: RunNumbers
+    ) -> None:
         self.stop_seconds = stop_seconds
         self.interference = interference
+        self.run_numbers = run_numbers
         self.advice = AdviceCache()
         self.catalog = Catalog()
         self.zone_drains: ZoneDrains = NoZoneDrains()
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -14,6 +14,7 @@
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import Placement
 from acaciastand.workflow.ranking import RankingPolicy
+from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.worker import WorkerView
 
 # Maximum time for which a job without a task on a worker waits for leftover processor time.
@@ -32,9 +33,18 @@
         Policies on the order of the tasks and on their workers.
     advice
         Tickets for tasks of advised queues.
+    run_numbers
+        Numbers that the owner may give to runs.
     """
 
-    def __init__(self, ranking: RankingPolicy, placement: Placement, advice: AdviceCache) -> None:
+    def __init__(
+        self,
+        ranking: RankingPolicy,
+        placement: Placement,
+        advice: AdviceCache,
+        run_numbers: RunNumbers,
+    ) -> None:
+        self.run_numbers = run_numbers
         self.ranking = ranking
         self.placement = placement
         self.isolated_placement = IsolatedPlacement(placement)
@@ -86,7 +96,7 @@
         for task, queue in self.tasks_by_rank(waiting.values(), catalog, now, now_unix):
             is_suspected = is_suspect(task.crashes)
             group = (task.job.job_id, task.name.step, task.avoided_agent_id, is_suspected)
-            if group in exhausted:
+            if group in exhausted or task.next_run > self.run_numbers.highest:
                 continue
             candidates = [
                 w
@@ -107,7 +117,7 @@
                 exhausted.add(group)
                 continue
             task.job.idle_since = 0.0
-            starts.append(start(task, worker, task.last_run + 1))
+            starts.append(start(task, worker, task.next_run))
         return starts
 
     def tasks_by_rank(
@@ -146,10 +156,12 @@
         members = task.job.siblings(task)
         if not all(member.key in waiting for member in members):
             return []
+        run = max(member.next_run for member in members)
+        if run > self.run_numbers.highest:
+            return []
         chosen = place_gang(members, workers, self.placement, now)
         if chosen is None:
             return []
-        run = max(member.last_run for member in members) + 1
         return [start(member, worker, run) for member, worker in zip(members, chosen, strict=True)]
 
 
--- a/src/acaciastand/workflow/task_copy.py
+++ b/src/acaciastand/workflow/task_copy.py
@@ -20,6 +20,7 @@
     "measurement",
     "started_at",
     "is_run_timed",
+    "is_run_resumed",
     "after_poll",
     "stop_confirmed_at",
     "stop_is_over",
