--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -85,6 +85,7 @@
         has not answered may not have reached it when it sent the report.
         """
         worker.has_reported = True
+        worker.leaving_runs.clear()
         for task in list(worker.tasks.values()):
             if task.start_state != StartState.PENDING:
                 self.state.mark_lost(task, "lease of the runs expired")
@@ -236,7 +237,7 @@
             return
         if not worker.worker_unresponsive:
             task.withdraw_crash(active_run.run)
-        if task.state == TaskState.UNCERTAIN and active_run.run not in task.ended_runs:
+        if self._may_be_adopted(worker, task):
             self._adopt_run(worker, task, active_run, now)
         elif self._may_be_copy(worker, task, active_run):
             self._adopt_copy(worker, task, active_run, now)
@@ -255,7 +256,10 @@
     def _stop_untracked(
         self, worker: WorkerView, task: Task | None, active_run: ActiveRun, now: float
     ) -> None:
-        """Stop a run that is not the current run of its task; its resources stay reserved."""
+        """Stop a run that is not the current run of its task.
+
+        Its resources stay reserved, and the task does not start elsewhere meanwhile.
+        """
         self.state.pending_stops.append(
             StopDecision(worker.agent_id, active_run.task, active_run.run, is_tracked=False)
         )
@@ -274,8 +278,20 @@
             task.crashes.clear()
             self.state.mark_changed(task.job)
 
+    def _may_be_adopted(self, worker: WorkerView, task: Task) -> bool:
+        """Return whether a run that a worker lists may go on as the current run of its task.
+
+        A task that waits has a run if a start was carried out late, or if a former owner gave its
+        number to another run as well. The members of a gang have to start together, and an agent
+        repeats its last poll while its worker does not answer.
+        """
+        if task.state == TaskState.UNCERTAIN:
+            return True
+        waits = task.key in self.state.waiting or task.key in self.state.not_yet_due
+        return waits and not task.step.gang and not worker.worker_unresponsive
+
     def _adopt_run(self, worker: WorkerView, task: Task, active_run: ActiveRun, now: float) -> None:
-        """Make a run that a former owner started the current run of its task."""
+        """Make a run that the owner does not know the current run of its task."""
         self.state.forget_waiting(task)
         task.record_run(task.run)
         self._track_run(worker, task, active_run, now)
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -443,6 +443,7 @@
                 self.unconfirmed_grant_end = max(self.unconfirmed_grant_end, worker.granted_until)
                 continue
             worker.has_reported = True
+            worker.leaving_runs.clear()
             report_age = round(now - worker.last_report_at, 2)
             for task in list(worker.tasks.values()):
                 self.mark_lost(task, "grant expired", report_age_s=report_age)
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from acaciastand.workflow.advice import AdviceCache
 from acaciastand.workflow.catalog import Catalog, Queue
@@ -53,7 +53,7 @@
     def plan_starts(
         self,
         waiting: Mapping[str, Task],
-        workers: Iterable[WorkerView],
+        workers: Collection[WorkerView],
         catalog: Catalog,
         start: StartCallback,
         now: float,
@@ -90,13 +90,14 @@
         ]
         if not available:
             return []
+        leaving = {task for worker in workers for task, _ in worker.leaving_runs}
         starts: list[StartDecision] = []
         # Job, step, avoided agent and suspicion of the tasks of which no further one can be placed.
         exhausted: set[tuple[str, int, str, bool]] = set()
         for task, queue in self.tasks_by_rank(waiting.values(), catalog, now, now_unix):
             is_suspected = is_suspect(task.crashes)
             group = (task.job.job_id, task.name.step, task.avoided_agent_id, is_suspected)
-            if group in exhausted or task.next_run > self.run_numbers.highest:
+            if group in exhausted or not self._may_start(task, leaving):
                 continue
             candidates = [
                 w
@@ -109,7 +110,8 @@
                 candidates = [w for w in candidates if self.advice.find_ticket(task, w, now)]
             if task.step.gang:
                 exhausted.add(group)  # All tasks of a gang are placed at once, or none.
-                starts += self._start_gang(task, waiting, candidates, start, now)
+                if all(self._may_start(member, leaving) for member in task.job.siblings(task)):
+                    starts += self._start_gang(task, waiting, candidates, start, now)
                 continue
             placement = self.isolated_placement if is_suspected else self.placement
             worker = placement.choose(task, candidates, now, _is_starving(task, now))
@@ -145,6 +147,14 @@
         rows.sort(key=lambda row: row[0])
         return rows
 
+    def _may_start(self, task: Task, leaving: Collection[str]) -> bool:
+        """Return whether a task has a number for its next run and no run that is being stopped.
+
+        `leaving` holds the keys of the tasks with runs that are being stopped and not tracked.
+        """
+        is_leaving = task.key in leaving and not task.step.allows_copies
+        return not is_leaving and task.next_run <= self.run_numbers.highest
+
     def _start_gang(
         self,
         task: Task,
@@ -156,12 +166,10 @@
         members = task.job.siblings(task)
         if not all(member.key in waiting for member in members):
             return []
-        run = max(member.next_run for member in members)
-        if run > self.run_numbers.highest:
-            return []
         chosen = place_gang(members, workers, self.placement, now)
         if chosen is None:
             return []
+        run = max(member.next_run for member in members)
         return [start(member, worker, run) for member, worker in zip(members, chosen, strict=True)]
 
 
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -210,7 +210,7 @@
     @property
     def depends_on_grant(self) -> bool:
         """Whether runs may be on the worker until its agent reports otherwise."""
-        return bool(self.tasks) or not self.has_reported
+        return bool(self.tasks or self.leaving_runs) or not self.has_reported
 
     def assign(self, task: Task) -> None:
         """Assign a task and reserve its resources, unless it is assigned already."""
