--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -90,6 +90,8 @@
         Whether this owner started the current run from a checkpoint.
     ended_runs
         Numbers of the runs whose ends have been processed.
+    has_begun
+        Whether a run of the task is known to have begun on a worker.
     after_poll
         Position of the last poll that may not show the effect of the latest start or stop yet.
     stop_confirmed_at
@@ -136,6 +138,7 @@
         "is_run_timed",
         "is_run_resumed",
         "ended_runs",
+        "has_begun",
         "after_poll",
         "stop_confirmed_at",
         "stop_is_over",
@@ -161,6 +164,7 @@
         self.not_before = 0.0
         self.avoided_agent_id = ""
         self.ended_runs: set[int] = set()
+        self.has_begun = False
         self.last_run_seconds = 0.0
         self.overdue_restarts = 0
         self.crashes: list[TaskCrash] = []
@@ -234,10 +238,21 @@
             self.checkpoint,
             sorted(self.ended_runs),
         ]
-        if self.crashes:
+        if self.crashes or self.has_begun:
             row.append([list(crash.values()) for crash in self.crashes])
+        if self.has_begun:
+            row.append(True)
         return row
 
+    def restore(self, row: list[Any]) -> None:
+        """Restore what a former owner stored of the task with `to_row`."""
+        _, self.run, self.failures, is_done, self.checkpoint, ended_runs, *rest = row
+        self.ended_runs = set(ended_runs)
+        self.crashes = [TaskCrash(*fields) for fields in rest[0]] if rest else []
+        # Owners of a former version do not store whether a run has begun.
+        is_known = bool(rest[1:]) and rest[1]
+        self.has_begun = is_known or bool(is_done or self.checkpoint or self.ended_runs)
+
 
 class JobProgress(Record):
     """Progress of a job as it is stored.
@@ -250,7 +265,8 @@
         Unix time in seconds at which the job ended; 0 before.
     tasks
         Rows of task position, run, failures, done, checkpoint and ended runs, for the tasks that
-        have started. The fields of `TaskCrash` follow for each crash under the task, if any.
+        the owner decided to start. The fields of `TaskCrash` follow for each crash under the task,
+        and true if a run of it has begun; both may be missing.
     """
 
     __slots__ = ("cancelled", "failed", "ended_unix", "tasks")
@@ -276,7 +292,7 @@
     ValueError
         It holds a value that no such row holds.
     """
-    number, run, failures, done, checkpoint, ended_runs, *crashes = check_list(row)
+    number, run, failures, done, checkpoint, ended_runs, *rest = check_list(row)
     check_integer(number, 0, task_count - 1)
     check_integer(run)
     check_integer(failures)
@@ -284,11 +300,13 @@
     check_text(checkpoint)
     for ended_run in check_list(ended_runs):
         check_integer(ended_run)
-    for crash_run, ran_seconds, suspected, isolated in check_list(crashes[0]) if crashes else []:
+    for crash_run, ran_seconds, suspected, isolated in check_list(rest[0]) if rest else []:
         check_integer(crash_run)
         check_number(ran_seconds)
         check_flag(suspected)
         check_flag(isolated)
+    for has_begun in rest[1:2]:
+        check_flag(has_begun)
     return list(row)
 
 
@@ -323,7 +341,8 @@
     stored_state
         State that callers are shown: the state when the last change was stored.
     has_started
-        Whether any task has started.
+        Whether any task is known to have begun on a worker. A decision to start one does not
+        count: the start may be refused.
     ended_unix
         Unix time in seconds at which the job ended; 0 before.
     revision
@@ -452,14 +471,10 @@
         self.failed = progress.failed
         self.ended_unix = progress.ended_unix
         tasks = list(self.tasks.values())
-        for number, run, failures, done, checkpoint, ended_runs, *crashes in progress.tasks:
-            task = tasks[number]
-            task.run = run
-            task.failures = failures
-            task.checkpoint = checkpoint
-            task.ended_runs = set(ended_runs)
-            task.crashes = [TaskCrash(*fields) for fields in crashes[0]] if crashes else []
-            self.has_started = True
-            if done:
+        for row in progress.tasks:
+            task = tasks[row[0]]
+            task.restore(row)
+            self.has_started |= task.has_begun
+            if row[3]:
                 self.mark_done(task)
         self.stored_state = self.state
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -118,6 +118,7 @@
             task.crashes.clear()
         task.ended_runs.add(end.run)
         task.record_run(end.run)
+        self.state.record_begin(task)
         if end.checkpoint:
             self._set_checkpoint(task, holder or task, end.checkpoint)
         self.state.record_decision(
@@ -235,6 +236,7 @@
             if task is None or task.key not in worker.tasks:
                 self._stop_untracked(worker, task, active_run, now)
             return
+        self.state.record_begin(task)
         if not worker.worker_unresponsive:
             task.withdraw_crash(active_run.run)
         if self._may_be_adopted(worker, task):
@@ -329,7 +331,6 @@
         task.started_at = now
         task.is_run_timed = False
         task.missed_polls = 0
-        task.job.has_started = True
         worker.assign(task)
         self.state.mark_changed(task.job)
 
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -283,6 +283,8 @@
             Seconds of the owner's clock.
         """
         task = task.find_run(run) or task  # A copy may have become the current run.
+        if outcome == StartOutcome.STARTED:
+            self.record_begin(task)
         if task.run != run or task.state not in (TaskState.STARTING, TaskState.STOPPING):
             return
         worker = self.workers[task.agent_id]
@@ -403,7 +405,6 @@
             worker.observe(task, now + seconds)
         if task.step.uses_leftover:
             worker.leftover_started_at = now
-        task.job.has_started = True
         self.mark_changed(task.job)
         step = task.step
         command = StartCommand(
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -105,6 +105,13 @@
         self.event_count += 1
         self.dirty[job.job_id] = job
 
+    def record_begin(self, task: Task) -> None:
+        """Record that a run of a task has begun on a worker."""
+        task.has_begun = True
+        if not task.job.has_started:
+            task.job.has_started = True
+            self.mark_changed(task.job)
+
     def make_waiting(self, task: Task, is_due: bool = False) -> None:
         """Let a task wait for its next start, unless its job has ended or its step is not eligible.
 
--- a/src/acaciastand/workflow/task_copy.py
+++ b/src/acaciastand/workflow/task_copy.py
@@ -62,6 +62,7 @@
     not_before = _shared("not_before")
     avoided_agent_id = _shared("avoided_agent_id")
     ended_runs = _shared("ended_runs")
+    has_begun = _shared("has_begun")
     last_run_seconds = _shared("last_run_seconds")
     overdue_restarts = _shared("overdue_restarts")
     crashes = _shared("crashes")
