--- a/features/steps/waiting_job_steps.py
+++ b/features/steps/waiting_job_steps.py
@@ -4,8 +4,9 @@
 from takeover_support import JOB, TakeoverWorld
 from workflow_support import step
 
-from acaciastand.cluster.job_api import JobApi
+from acaciastand.cluster.job_api import WAITING_JOBS_CALL, JobApi
 from acaciastand.cluster.keys import JOBS_PREFIX, PROGRESS_PREFIX, encode_fields, encode_job
+from acaciastand.errors import Outcome, Refused
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.reports import StartOutcome
 from acaciastand.workflow.spec import WorkflowSpec
@@ -105,3 +106,50 @@
 @then("the job {counts} as waiting")
 def then_counts(context, counts):
     assert bool(context.world.scheduler.count_waiting()) == (counts == "counts")
+
+
+@given("a job that waits")
+def given_waiting(context):
+    context.world = TakeoverWorld()
+    context.world.take_over()
+    context.world.submit_stored("checks", step())
+
+
+class OwnerLink:
+    """Connection of another entry to the owner."""
+
+    def __init__(self, owner):
+        self.owner = owner
+
+    def call(self, name, _payload, _seconds):
+        assert name == WAITING_JOBS_CALL
+        return self.owner.count_waiting()
+
+
+@when("the number of waiting jobs is asked for while {case}")
+def when_asked(context, case):
+    owner = context.world.owner
+    is_own = "this entry" in case
+    links = [] if is_own or case == "no owner is known" else [OwnerLink(owner)]
+    api = JobApi(
+        context.world.store,
+        lambda: owner if is_own else None,
+        lambda: links[0] if links else None,
+    )
+    seconds = next((float(word) for word in case.split() if word[0].isdigit()), 0.0)
+    if "was lost" in case:
+        assert api.count_waiting("checks") == 1
+        links.clear()
+        api.waiting_jobs_at -= seconds
+    else:
+        owner.confirmed_at -= seconds
+    try:
+        context.answer = str(api.count_waiting("checks"))
+    except Refused as error:
+        assert (error.http_status, error.outcome) == (503, Outcome.NOT_RUN)
+        context.answer = "refused"
+
+
+@then("the number is {answer}")
+def then_answer(context, answer):
+    assert context.answer == answer, context.answer
--- a/features/takeover_support.py
+++ b/features/takeover_support.py
@@ -50,7 +50,7 @@
             lambda _: None,
         )
         self.owner.links = defaultdict(lambda: mock.create_autospec(AgentLink, instance=True))
-        assert self.owner._load()
+        self.owner.is_ready = self.owner._load()
         self.scheduler = self.owner.scheduler
         for agent_id in self.workers:
             self.scheduler.add_worker(agent_id, False, self.now + GRANT_SECONDS)
--- a/features/waiting_jobs.feature
+++ b/features/waiting_jobs.feature
@@ -42,3 +42,19 @@
       | last run 2                    | counts         |
       | last run 2, ended run 1       | does not count |
       | last run 1, with a checkpoint | does not count |
+
+  # After the owner was killed, the other entries said that no job waits, or gave a number of any age.
+  Scenario Outline: The number of waiting jobs is <answer> when <case>
+    Given a job that waits
+    When the number of waiting jobs is asked for while <case>
+    Then the number is <answer>
+
+    Examples:
+      | case                                                | answer  |
+      | the owner answers                                   | 1       |
+      | the owner was lost 0.3 seconds after it answered    | 1       |
+      | the owner was lost 1.9 seconds after it answered    | refused |
+      | no owner is known                                   | refused |
+      | the owner has stored no heartbeat for 1.6 seconds   | refused |
+      | the owner is this entry                             | 1       |
+      | this entry owned the jobs 1.6 seconds ago           | refused |
--- a/src/acaciastand/cluster/entry.py
+++ b/src/acaciastand/cluster/entry.py
@@ -440,7 +440,7 @@
             **{call: partial(self.relayed_store.answer_call, call) for call in STORE_CALLS},
             JOB_STATE_CALL: self._answer_job_state,
             INBOX_ITEM_CALL: self._answer_inbox_item,
-            WAITING_JOBS_CALL: lambda _: self._require_owner().scheduler.count_waiting(),
+            WAITING_JOBS_CALL: lambda _: self._require_owner().count_waiting(),
         }
         if name not in calls:
             raise InvalidInput(f"unknown call {name!r}", "upgrade the receiving entry")
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -14,6 +14,7 @@
 
 from acaciastand.checks import MALFORMED, check_integer, check_text
 from acaciastand.cluster.clock import now, now_unix
+from acaciastand.cluster.election import CONFIRMATION_VALID_SECONDS
 from acaciastand.cluster.keys import (
     CANCELS_PREFIX,
     JOBS_PREFIX,
@@ -31,6 +32,10 @@
 from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.spec import WorkflowSpec
 
+# Longest age of the number of waiting jobs that callers are given.
+MAX_WAITING_JOBS_AGE_SECONDS = 2.0
+# Age from which this entry asks the owner again.
+WAITING_JOBS_REFRESH_SECONDS = 0.3
 RETRY_SECONDS = 0.08  # Pause before a call to the store is repeated.
 OWNER_TIMEOUT_SECONDS = 0.5  # Time to wait for the owner before the store is read instead.
 # Value of the header Retry-After, which holds whole seconds. An outage may end at any moment.
@@ -78,7 +83,7 @@
     waiting_jobs
         Number of jobs that have not begun, by queue, as the owner last reported.
     waiting_jobs_at
-        When the owner last reported them.
+        When the owner was last asked for them and answered.
     unanswered
         Writes that have begun and have no known outcome.
     """
@@ -177,23 +182,35 @@
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun.
 
-        The number is at most one second old, unless the owner does not answer.
+        The number is at most `MAX_WAITING_JOBS_AGE_SECONDS` old.
+
+        Raises
+        ------
+        Refused
+            No owner that knows all accepted jobs has answered lately.
         """
         owner = self.owner()
         if owner is not None and owner.is_ready:
-            return owner.scheduler.count_waiting().get(queue, 0)
-        if now() - self.waiting_jobs_at > 0.3:
+            return owner.count_waiting().get(queue, 0)
+        if now() - self.waiting_jobs_at > WAITING_JOBS_REFRESH_SECONDS:
             self._refresh_waiting_jobs()
+        # What the owner counts may be as old as the heartbeat by which it knew that it was the owner.
+        max_age_seconds = MAX_WAITING_JOBS_AGE_SECONDS - CONFIRMATION_VALID_SECONDS
+        if now() - self.waiting_jobs_at > max_age_seconds:
+            raise JobApiUnavailable(
+                "no owner has counted the waiting jobs lately", "ask again later"
+            )
         return self.waiting_jobs.get(queue, 0)
 
     def _refresh_waiting_jobs(self) -> None:
         link = self.owner_link()
         if link is None:
             return
+        asked_at = now()
         try:
             counts = link.call(WAITING_JOBS_CALL, {}, OWNER_TIMEOUT_SECONDS)
             self.waiting_jobs = {check_text(q): check_integer(n) for q, n in counts.items()}
-            self.waiting_jobs_at = now()
+            self.waiting_jobs_at = asked_at
         except (AcaciastandError, *MALFORMED) as error:
             logger.info("owner did not report the waiting jobs", extra={"error": str(error)})
 
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -42,7 +42,7 @@
     Item,
     TransactionalStore,
 )
-from acaciastand.errors import AcaciastandError
+from acaciastand.errors import AcaciastandError, Refused
 from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.wire.messages import RunGrant
@@ -239,6 +239,18 @@
             return JobState.RUNNING
         return job.stored_state
 
+    def count_waiting(self) -> dict[str, int]:
+        """Return the number of accepted jobs that have not begun, by queue.
+
+        Raises
+        ------
+        Refused
+            Another owner may have been elected meanwhile and have accepted jobs.
+        """
+        if not self._is_confirmed():
+            raise Refused("the ownership was not confirmed lately", "ask again later")
+        return self.scheduler.count_waiting()
+
     # Takeover
 
     def _take_over(self) -> None:
