Split the effects of replies off the scheduler, and the reading of the store off the owner

CommandProcessor holds the effects of replies to starts and stops, StoredState what a new owner reads. No behaviour changes.

--- a/src/acaciastand/cluster/decision_log.py
+++ b/src/acaciastand/cluster/decision_log.py
@@ -8,7 +8,7 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.catalog import Catalog
 from acaciastand.workflow.decisions import DecisionRecord
-from acaciastand.workflow.job import Job
+from acaciastand.workflow.job import Job, JobState
 from acaciastand.workflow.ranking import objective_seconds
 
 logger = logging.getLogger("acaciastand.decisions")
@@ -24,6 +24,14 @@
 }
 
 
+def measure_ended(jobs: Iterable[Job], metrics: Metrics) -> None:
+    """Measure how long those of the stored jobs took that are complete or have failed."""
+    for job in jobs:
+        if job.stored_state in (JobState.COMPLETED, JobState.FAILED) and job.ended_unix:
+            seconds = max(0.0, job.ended_unix - job.accepted_unix)
+            metrics.observe("job_seconds", seconds, job.queue)
+
+
 def log_accepted(job: Job, revision: int, catalog: Catalog) -> None:
     """Log that the owner has a new job, which was stored at `revision`."""
     queue = catalog.by_name(job.queue)
--- a/src/acaciastand/cluster/job_api.py
+++ b/src/acaciastand/cluster/job_api.py
@@ -194,7 +194,7 @@
             return owner.count_waiting().get(queue, 0)
         if now() - self.waiting_jobs_at > WAITING_JOBS_REFRESH_SECONDS:
             self._refresh_waiting_jobs()
-        # What the owner counts may be as old as the heartbeat by which it knew that it was the owner.
+        # What the owner counts may be as old as the last heartbeat that it stored.
         max_age_seconds = MAX_WAITING_JOBS_AGE_SECONDS - CONFIRMATION_VALID_SECONDS
         if now() - self.waiting_jobs_at > max_age_seconds:
             raise JobApiUnavailable(
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -14,7 +14,7 @@
 from acaciastand.cluster.batch_costs import encode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import Committer, OwnershipLost
-from acaciastand.cluster.decision_log import log_accepted, log_decisions
+from acaciastand.cluster.decision_log import log_accepted, log_decisions, measure_ended
 from acaciastand.cluster.election import CONFIRMATION_VALID_SECONDS, OWNER_HEARTBEAT_SECONDS
 from acaciastand.cluster.interference_store import InterferenceStore
 from acaciastand.cluster.job_retention import JobRetention
@@ -25,16 +25,15 @@
     JOBS_PREFIX,
     OWNER_HEARTBEAT_KEY,
     OWNER_KEY,
-    PROGRESS_PREFIX,
     OwnerRecord,
     StoredItemUnreadable,
     decode_address,
     decode_job,
     encode_fields,
-    load_job,
 )
 from acaciastand.cluster.prefix_watch import follow_prefix
 from acaciastand.cluster.supervision import supervised
+from acaciastand.cluster.takeover import StoredState
 from acaciastand.cluster.zone_drain_watch import ZoneDrainWatch
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
@@ -283,9 +282,7 @@
         """Read agents and jobs from the store and return whether that succeeded."""
         started_at = now()
         try:
-            agents = self.store.list(AGENTS_PREFIX)
-            inbox = self.store.list(INBOX_PREFIX)
-            progress = self.store.list(PROGRESS_PREFIX)
+            stored = StoredState.read(self.store)
             self.interference_store.load()
             self.zone_drain_watch.load()
         except (StoreUnavailable, StoreAnswerLost) as error:
@@ -296,11 +293,11 @@
         # Grants of a former owner end with its authority, which counts from its last stored
         # heartbeat.
         granted_until = max(now(), self.former_heartbeat_at + AUTHORITY_SECONDS * CLOCK_DRIFT)
-        for item in agents.items:
+        for item in stored.agents.items:
             self._add_agent(item, granted_until)
-        self._load_jobs(inbox.items, progress.items)
-        self.agents_revision = agents.revision
-        self.inbox_revision = inbox.revision
+        self._load_jobs(stored)
+        self.agents_revision = stored.agents.revision
+        self.inbox_revision = stored.inbox.revision
         logger.info(
             "took over",
             extra={
@@ -314,25 +311,15 @@
         self.metrics.set("owner_epoch", self.record.epoch)
         return True
 
-    def _load_jobs(self, inbox: list[Item], progress: list[Item]) -> None:
-        stored = {item.key[len(PROGRESS_PREFIX) :]: item for item in progress}
+    def _load_jobs(self, stored: StoredState) -> None:
         is_confirmed = self._is_confirmed()
-        for item in inbox:
-            if not item.key.startswith(JOBS_PREFIX):
-                continue
-            job_id = item.key[len(JOBS_PREFIX) :]
-            try:
-                job = load_job(job_id, item, stored.get(job_id))
-            except StoredItemUnreadable as error:
-                self.ignored.record(JOBS_PREFIX, error)
-                continue
+        for item, job in stored.jobs(self.ignored.recorder(JOBS_PREFIX)):
             # Only this owner can have started a job that was accepted after its claim, unless
             # another one has been elected since.
             self.scheduler.add_job(job, certain=is_confirmed and item.revision > self.fence)
         self.scheduler.check_attempts(now(), now_unix())
-        for item in inbox:
-            if item.key.startswith(CANCELS_PREFIX):
-                self.apply_item(item)
+        for item in stored.cancels:
+            self.apply_item(item)
 
     # Loops
 
@@ -452,11 +439,7 @@
 
     def _handle_stored_jobs(self, jobs: list[Job]) -> None:
         """Measure the jobs that ended and acknowledge the ends of runs that are stored now."""
-        for job in jobs:
-            if job.stored_state in (JobState.COMPLETED, JobState.FAILED) and job.ended_unix:
-                self.metrics.observe(
-                    "job_seconds", max(0.0, job.ended_unix - job.accepted_unix), job.queue
-                )
+        measure_ended(jobs, self.metrics)
         for worker in self.scheduler.workers.values():
             if worker.pending_ends:
                 acknowledged_before = worker.acknowledged
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -15,6 +15,7 @@
 from acaciastand.workflow.advice import Advice, AdviceRequest, has_advised_queue
 from acaciastand.workflow.backlog import BacklogTracker
 from acaciastand.workflow.catalog import Catalog
+from acaciastand.workflow.command_processing import CommandProcessor
 from acaciastand.workflow.copies import CopyPlanner
 from acaciastand.workflow.decisions import StartDecision, StopDecision
 from acaciastand.workflow.interference import (
@@ -40,7 +41,6 @@
 from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartPlanner
-from acaciastand.workflow.task_copy import TaskCopy
 from acaciastand.workflow.worker import WorkerView, services_by_step
 
 # Longest time that a worker takes to stop a run, unless the settings give another.
@@ -48,10 +48,6 @@
 # Minimum time between two checks of the time limits of all runs and workers.
 CHECK_INTERVAL_SECONDS = 0.09
 STOP_REPEAT_SECONDS = 0.4  # Time between two commands to stop the same run.
-# A worker that rejected a start for lack of capacity gets no other start for this long.
-NO_CAPACITY_PAUSE_SECONDS = 0.5
-START_RETRY_SECONDS = 0.15  # Time from a refused start of a task to its next start.
-COPY_RETRY_SECONDS = 1.0  # As above for a copy, which is less urgent.
 START_SECONDS = 0.5  # Longest usual time from the decision to start a run to the worker's answer.
 
 
@@ -77,8 +73,8 @@
         Placement of waiting tasks on workers.
     copy_planner
         Copies of tasks whose steps allow them.
-    report_processor
-        Effects of the agents' reports.
+    report_processor, command_processor
+        Effects of the agents' reports and of their replies to commands.
     overdue_policy
         Policy on how long a run may take.
     moving
@@ -108,6 +104,7 @@
         )
         self.copy_planner = CopyPlanner(self, self.start_planner)
         self.report_processor = ReportProcessor(self)
+        self.command_processor = CommandProcessor(self)
         self.overdue_policy: OverduePolicy = LongestSibling()
         self.moving: list[Task] = []
         self.unconfirmed_grant_end = float("-inf")
@@ -269,69 +266,14 @@
     def process_start_result(
         self, task: Task, run: int, outcome: StartOutcome, position: PollPosition, now: float
     ) -> None:
-        """Update a task from the outcome of a command to start a run.
-
-        Parameters
-        ----------
-        task, run
-            Task and number of the run.
-        outcome
-            Outcome of the command.
-        position
-            Position of the last poll that had begun by the time of the outcome.
-        now
-            Seconds of the owner's clock.
-        """
-        task = task.find_run(run) or task  # A copy may have become the current run.
-        if outcome == StartOutcome.STARTED:
-            self.record_begin(task)
-        if task.run != run or task.state not in (TaskState.STARTING, TaskState.STOPPING):
-            return
-        worker = self.workers[task.agent_id]
-        if outcome == StartOutcome.UNKNOWN:
-            self.record_decision("start unknown", task.key, run=run, agent=task.agent_id)
-            task.start_state = StartState.UNKNOWN
-            self.request_stop(task, now)
-        elif outcome == StartOutcome.STARTED:
-            task.start_state = StartState.CONFIRMED
-            task.after_poll = position
-            if task.state == TaskState.STARTING:
-                task.state = TaskState.RUNNING
-                task.started_at = now
-                task.is_run_timed = True
-                if worker.observed_task == task.key:
-                    worker.observe(task, now + crashes.observation_seconds(task.crashes))
-        else:
-            self.record_decision(
-                "start refused", task.key, run=run, agent=task.agent_id, why=outcome.value
-            )
-            if outcome == StartOutcome.NO_CAPACITY:
-                worker.full_until = now + NO_CAPACITY_PAUSE_SECONDS
-            elif outcome == StartOutcome.NO_TICKET:
-                self.advice.drop_ticket(task, worker)
-            is_copy = isinstance(task, TaskCopy)
-            task.not_before = now + (COPY_RETRY_SECONDS if is_copy else START_RETRY_SECONDS)
-            self.record_refused_start(task, run, outcome.value)
-            self.release(task)
-            self.restart(task)
+        """Update a task from the outcome of a command to start a run; see `CommandProcessor`."""
+        self.command_processor.process_start_result(task, run, outcome, position, now)
 
     def process_stop_result(
         self, task_key: str, run: int, position: PollPosition, sent_at: float, now: float
     ) -> None:
-        """Record that a worker accepted a command to stop a run that was sent at `sent_at`.
-
-        `position` is the position of the last poll that had begun by the agent's answer.
-        """
-        task = self.find_run(task_key, run)
-        if task is None or task.state != TaskState.STOPPING:
-            return
-        # A repeated command must not change the time and the position.
-        if not task.stop_confirmed_at:
-            task.stop_confirmed_at = now
-            task.after_poll = position
-        elif not task.stop_is_over and sent_at > task.stop_confirmed_at + self.stop_seconds:
-            task.stop_is_over = True
-            task.after_poll = position
+        """Record that a worker accepted a command to stop a run; see `CommandProcessor`."""
+        self.command_processor.process_stop_result(task_key, run, position, sent_at, now)
 
     # Decisions
 
