--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -36,3 +36,17 @@
     Given an owner that knows the queue of a stored job whose task has failed 3 times
     When it takes over
     Then the job is shown as failed and nothing of it starts
+
+  # Each member that failed in one run of the gang counted as an attempt.
+  Scenario Outline: A gang of 4 tasks with max_attempts 4 is given up after 4 runs if <members>
+    Given an owner that has a gang of 4 tasks in a queue with max_attempts 4
+    When its runs fail since <members>
+    Then the job is shown as failed after 4 runs of the gang
+
+    Examples:
+      | members                                               |
+      | all members fail in each run                          |
+      | one member fails in each run, each in turn            |
+      | one member fails in each run, always the same         |
+      | all members fail, also under the next owner           |
+      | one end is reported a second late, by the next owner  |
--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -1,6 +1,7 @@
 """Steps for attempts of tasks whose queue is removed from the configuration and added again."""
 
 from behave import given, then, when
+from takeover_support import TakeoverWorld
 from workflow_support import QUEUES, step
 
 from acaciastand.cluster.clock import now
@@ -84,3 +85,54 @@
     job = context.owner.scheduler.jobs[JOB]
     assert job.state == JobState.FAILED, job.state
     assert not context.owner.scheduler.waiting
+
+
+@given("an owner that has a gang of 4 tasks in a queue with max_attempts 4")
+def given_gang(context):
+    world = context.world = TakeoverWorld()
+    world.take_over()
+    for agent_id in ("1", "2"):
+        world.add_worker(agent_id)
+    world.submit_stored("plans", step(4, cores=5.0, seconds=60.0, gang=True))
+
+
+FAILING_MEMBERS = {
+    "all members fail in each run": lambda run: {0, 1, 2, 3},
+    "one member fails in each run, each in turn": lambda run: {run % 4},
+    "one member fails in each run, always the same": lambda run: {2},
+    "all members fail, also under the next owner": lambda run: {0, 1, 2, 3},
+    "one end is reported a second late, by the next owner": lambda run: {0, 1, 2, 3},
+}
+
+
+def fail_gang_run(world, failing, takes_over, is_late):
+    """Let the present run of the gang fail; a new owner may follow, before its last end or after."""
+    keys = sorted(world.running())
+    late = keys.pop() if is_late else None
+    for index, key in enumerate(keys):
+        world.end(key, "failed" if index in failing else "broken")
+    world.store_progress()
+    if takes_over:
+        world.take_over()
+    if late:
+        world.end(late, "failed")
+    world.advance(2.0)
+
+
+@when("its runs fail since {members}")
+def when_runs_fail(context, members):
+    world = context.world
+    context.gang_runs = 0
+    while context.gang_runs < 10 and not world.job.failed:
+        world.advance(1.0)
+        assert len(world.running()) == 4, (world.running(), context.gang_runs)
+        failing = FAILING_MEMBERS[members](context.gang_runs)
+        fail_gang_run(world, failing, "next owner" in members, "late" in members)
+        context.gang_runs += 1
+
+
+@then("the job is shown as failed after 4 runs of the gang")
+def then_gang_failed(context):
+    context.world.store_progress()
+    assert context.gang_runs == 4, context.gang_runs
+    assert context.world.owner.job_state(JOB) is JobState.FAILED
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -65,7 +65,10 @@
         Highest number of a run that was seen besides the current one, such as a run that a former
         owner started; 0 for none.
     failures
-        Number of failed runs.
+        Number of failed runs. A run of a gang in which several members have failed counts for one
+        of them.
+    failed_runs
+        Numbers of the failed runs of a member of a gang whose attempts are limited; else empty.
     checkpoint
         Last saved progress, from which the next run resumes; empty for none.
     agent_id, born_ms
@@ -125,6 +128,7 @@
         "run",
         "other_run",
         "failures",
+        "failed_runs",
         "checkpoint",
         "agent_id",
         "born_ms",
@@ -160,6 +164,7 @@
         self.clear_run()
         self.other_run = 0
         self.failures = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.not_before = 0.0
         self.avoided_agent_id = ""
@@ -242,6 +247,8 @@
             row.append([list(crash.values()) for crash in self.crashes])
         if self.has_begun:
             row.append(True)
+        if self.failed_runs:
+            row.append(sorted(self.failed_runs))
         return row
 
     def restore(self, row: list[Any]) -> None:
@@ -252,6 +259,7 @@
         # Owners of a former version do not store whether a run has begun.
         is_known = bool(rest[1:]) and rest[1]
         self.has_begun = is_known or bool(is_done or self.checkpoint or self.ended_runs)
+        self.failed_runs = set(rest[2]) if rest[2:] else set()
 
 
 class JobProgress(Record):
@@ -265,8 +273,9 @@
         Unix time in seconds at which the job ended; 0 before.
     tasks
         Rows of task position, run, failures, done, checkpoint and ended runs, for the tasks that
-        the owner decided to start. The fields of `TaskCrash` follow for each crash under the task,
-        and true if a run of it has begun; both may be missing.
+        the owner decided to start. What follows may be missing: the fields of `TaskCrash` for each
+        crash under the task, true if a run of it has begun, and the failed runs of a member of a
+        gang.
     """
 
     __slots__ = ("cancelled", "failed", "ended_unix", "tasks")
@@ -307,6 +316,8 @@
         check_flag(isolated)
     for has_begun in rest[1:2]:
         check_flag(has_begun)
+    for failed_run in check_list(rest[2]) if rest[2:] else []:
+        check_integer(failed_run)
     return list(row)
 
 
@@ -442,6 +453,15 @@
         """Return the tasks of the same step and occurrence, `task` included."""
         return self.tasks_by_step[(task.name.occurrence, task.name.step)]
 
+    def record_failure(self, task: Task, run: int) -> None:
+        """Record that a run of a task has failed; the members of a gang fail together once."""
+        if not task.step.gang or task.step.continuous:
+            task.failures += 1
+            return
+        if all(run not in member.failed_runs for member in self.siblings(task)):
+            task.failures += 1
+        task.failed_runs.add(run)
+
     def count_failures(self, task: Task) -> int:
         """Return the number of failed runs of a task, or of its whole gang."""
         members = self.siblings(task) if task.step.gang else [task]
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -195,7 +195,7 @@
     ) -> None:
         """Restart a task whose run has ended; `holder` had the run, None if it was not tracked."""
         if end.how == RunEnd.FAILED:
-            task.failures += 1
+            task.job.record_failure(task, end.run)
             task.avoided_agent_id = worker.agent_id
             quarantine_seconds = quarantine.record_failure(
                 worker, task.job.job_id, self.state.workers.values(), now
--- a/src/acaciastand/workflow/task_copy.py
+++ b/src/acaciastand/workflow/task_copy.py
@@ -58,6 +58,7 @@
 
     other_run = _shared("other_run")
     failures = _shared("failures")
+    failed_runs = _shared("failed_runs")
     checkpoint = _shared("checkpoint")
     not_before = _shared("not_before")
     avoided_agent_id = _shared("avoided_agent_id")
