--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -106,7 +106,7 @@
 
 
 def fail_gang_run(world, failing, takes_over, is_late):
-    """Let the present run of the gang fail; a new owner may follow, before its last end or after."""
+    """Let the present run of the gang fail; a new owner may follow, before its last end."""
     keys = sorted(world.running())
     late = keys.pop() if is_late else None
     for index, key in enumerate(keys):
