--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from acaciastand.cluster import worker_controller
+from acaciastand.cluster.run_reports import decode_report, encode_report
 from acaciastand.cluster.worker_controller import WorkerController
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import CallNotSent, CallTimedOut
@@ -21,6 +22,7 @@
 
 BORN_MS = 5_000
 OLD, NEW = "00000000000000aa.0.0.0", "00000000000000bb.0.0.0"
+UNANSWERED = "00000000000000cc.0.0.0"
 REFUSED = CallNotSent("the worker refuses connections", "check that it is running")
 SILENT = CallTimedOut("no answer", "poll again")
 
@@ -178,6 +180,27 @@
     assert context.accepted == [False] * len(context.accepted), context.accepted
 
 
+@when("a start is not answered and its worker refuses connections for {seconds:f} seconds")
+def when_unanswered(context, seconds):
+    context.worker.error = SILENT
+    with mock.patch.object(context.controller.crash_witness, "record_failure"):
+        context.controller.grant_until = context.now + 4.0
+        command = StartCommand(UNANSWERED, 1)
+        clock = iter((context.now, context.now, context.now, context.now + 2.0))
+        with mock.patch.object(worker_controller, "now", lambda: next(clock, context.now + 2.0)):
+            outcome = context.controller.start(command, context.now + 1.0, 1)
+    assert outcome is StartOutcome.UNKNOWN
+    when_fault(context, "refuses connections", seconds)
+
+
+@then("it reports a crash under two runs that had begun and one that may not have")
+def then_confirmed(context):
+    report = decode_report(encode_report(context.controller.report(), 0.0), lambda _: None)
+    (crash,) = report.crashes
+    confirmed = {run.task: run.confirmed for run in crash.runs}
+    assert confirmed == {OLD: True, NEW: True, UNANSWERED: False}, confirmed
+
+
 @then("it has counted {count:d} crash")
 def then_counted(context, count):
     value = context.metrics.registry.get_sample_value("acaciastand_worker_crashes_total")
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -81,6 +81,34 @@
       | repeated   | 3       |
       | gang       | 5       |
 
+  # A worker that leaves a start unanswered and crashes may not have begun the run. Two such crashes were
+  # taken as proof that the task crashes its workers.
+  Scenario Outline: A task is <result> after <count> crashes of workers that had not answered its start
+    Given 6 workers that leave starts unanswered
+    When <count> of them crash 0.05 seconds after they got the start of a task, <owner>
+    And the other workers answer starts
+    Then the task is <result>
+
+    Examples:
+      | count | owner                      | result   |
+      | 2     | under one owner            | running  |
+      | 3     | under one owner            | running  |
+      | 3     | each under another owner   | running  |
+      | 4     | under one owner            | given up |
+      | 4     | each under another owner   | given up |
+
+  Scenario: A task is given up after a crash before the answer to its start and two after it
+    Given 6 workers that leave starts unanswered
+    When 1 of them crash 0.05 seconds after they got the start of a task, under one owner
+    And the other workers answer starts
+    And 2 of them crash 0.05 seconds after they began the task
+    Then the task is given up
+
+  Scenario: An agent tells whether a run had certainly begun when its worker crashed
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When a start is not answered and its worker refuses connections for 4.0 seconds
+    Then it reports a crash under two runs that had begun and one that may not have
+
   # The entry that gave the last order is killed while the worker is down.
   Scenario: Crashes are counted across a change of the owner
     Given 8 workers with 3 services and 20 short tasks a second
--- a/src/acaciastand/cluster/run_reports.py
+++ b/src/acaciastand/cluster/run_reports.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from functools import partial
 from typing import Any
 
 from acaciastand.checks import (
@@ -47,11 +48,20 @@
         report.settled,
         report.pace_percent,
         report.tail_share,
-        [[crash.born_ms, [list(run.values()) for run in crash.runs]] for crash in report.crashes],
+        [
+            [crash.born_ms, [[run.task, run.run, run.ran_seconds] for run in crash.runs]]
+            for crash in report.crashes
+        ],
         report.position.agent_incarnation,
         report.has_more_ends,
         report.alive_seconds,
         report.identity.slow_start_seconds if report.identity else 0.0,
+        [
+            [run.task, run.run]
+            for crash in report.crashes
+            for run in crash.runs
+            if not run.confirmed
+        ],
     )
 
 
@@ -69,6 +79,7 @@
         Another field holds what no report holds.
     """
     check_number(message.sent_at)
+    unconfirmed = set(decode_rows(message.unconfirmed, _decode_run_key, on_ignored))
     return AgentReport(
         _decode_identity(message.identity, message.slow_start_seconds),
         PollPosition(check_integer(message.agent_incarnation), check_integer(message.look)),
@@ -79,7 +90,7 @@
         message.settled,
         check_integer(message.pace_percent, 0, FULL_PERCENT),
         check_number(message.tail_share),
-        decode_rows(message.crashes, _decode_crash, on_ignored),
+        decode_rows(message.crashes, partial(_decode_crash, unconfirmed), on_ignored),
         message.has_more_ends,
         check_number(message.alive_seconds, 0.0, MAX_ALIVE_SECONDS),
         decode_rows(message.untold, check_task_name, on_ignored),
@@ -151,10 +162,15 @@
     return check_ended_run(EndedRun(*check_list(row)))
 
 
-def _decode_crash(row: Any) -> WorkerCrash:
-    born_ms, runs = check_list(row)
-    crashed = [
-        CrashedRun(check_task_name(task), check_integer(run), check_number(ran_seconds))
-        for task, run, ran_seconds in check_list(runs)
-    ]
-    return WorkerCrash(check_integer(born_ms), crashed)
+def _decode_run_key(row: Any) -> tuple[str, int]:
+    task, run = check_list(row)
+    return check_task_name(task), check_integer(run)
+
+
+def _decode_crash(unconfirmed: Collection[tuple[str, int]], row: Any) -> WorkerCrash:
+    born_ms, rows = check_list(row)
+    runs = []
+    for task, run, ran_seconds in check_list(rows):
+        key = _decode_run_key([task, run])
+        runs.append(CrashedRun(*key, check_number(ran_seconds), key not in unconfirmed))
+    return WorkerCrash(check_integer(born_ms), runs)
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -279,7 +279,9 @@
         if outcome == StartOutcome.UNKNOWN:
             # The worker rejects each call once the lease that it carries has expired.
             self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
-        elif outcome != StartOutcome.STARTED:
+        elif outcome == StartOutcome.STARTED:
+            self.crash_witness.confirm_start(command.task, command.run)
+        else:
             self.crash_witness.discard_start(command.task, command.run)
         return outcome
 
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -77,7 +77,7 @@
     crashes
         Crashes of the worker whose consequences are not stored yet, the oldest first: rows of the
         start time of the incarnation in Unix milliseconds, and a list of the runs that were on it,
-        with the fields of `acaciastand.workflow.reports.CrashedRun` in order.
+        with the fields of `acaciastand.workflow.reports.CrashedRun` in order, except the last.
     agent_incarnation
         Identifies the incarnation of the agent, which counts the polls of `look`.
     has_more_ends
@@ -87,6 +87,9 @@
     slow_start_seconds
         Last field of `WorkerIdentity`. It is not in `identity`, since owners of former versions
         accept no further field there.
+    unconfirmed
+        Task and number of each run in `crashes` that may not have begun, in rows. Owners of former
+        versions take it for begun.
     """
 
     __slots__ = (
@@ -106,6 +109,7 @@
         "has_more_ends",
         "alive_seconds",
         "slow_start_seconds",
+        "unconfirmed",
     )
     type_number = 21
 
@@ -127,6 +131,7 @@
         has_more_ends: bool = False,
         alive_seconds: float = 0.0,
         slow_start_seconds: float = 0.0,
+        unconfirmed: list[list[Any]] | None = None,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -144,6 +149,7 @@
         self.has_more_ends = has_more_ends
         self.alive_seconds = alive_seconds
         self.slow_start_seconds = slow_start_seconds
+        self.unconfirmed = unconfirmed or []
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/crash_processing.py
+++ b/src/acaciastand/workflow/crash_processing.py
@@ -73,7 +73,11 @@
         task.record_run(run.run)
         task.record_crash(
             crashes.TaskCrash(
-                run.run, run.ran_seconds, is_suspected, is_suspected and suspects.isolated
+                run.run,
+                run.ran_seconds,
+                is_suspected,
+                is_suspected and suspects.isolated,
+                run.confirmed,
             )
         )
         self.state.mark_changed(task.job)
@@ -84,5 +88,6 @@
                 run=run.run,
                 agent=agent_id,
                 ran_s=round(run.ran_seconds, 3),
+                has_begun=run.confirmed,
                 crashes=len(task.crashes),
             )
--- a/src/acaciastand/workflow/crash_witness.py
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -24,6 +24,9 @@
     ----------
     started_at
         When each run that may be on the worker was started, by task and run.
+    unconfirmed
+        Task and number of those runs that may not have begun, since the worker has neither
+        accepted their start nor listed them.
     failed_at
         When the first call of the present series of failed calls failed; None after an answer.
     crashes
@@ -34,13 +37,20 @@
 
     def __init__(self) -> None:
         self.started_at: dict[tuple[str, int], float] = {}
+        self.unconfirmed: set[tuple[str, int]] = set()
         self.failed_at: float | None = None
         self.crashes: list[WorkerCrash] = []
         self.crashed_ms = 0
 
     def record_start(self, task: str, run: int, now: float) -> None:
         """Record that a call to start a run is sent, unless it is a repetition."""
-        self.started_at.setdefault((task, run), now)
+        if (task, run) not in self.started_at:
+            self.started_at[(task, run)] = now
+            self.unconfirmed.add((task, run))
+
+    def confirm_start(self, task: str, run: int) -> None:
+        """Record that the worker has accepted the start of a run."""
+        self.unconfirmed.discard((task, run))
 
     def discard_start(self, task: str, run: int) -> None:
         """Record that a run has certainly not started."""
@@ -59,6 +69,7 @@
         }
         for key in listed:
             self.started_at.setdefault(key, began_at - UNSEEN_START_SECONDS)
+        self.unconfirmed = (self.unconfirmed & self.started_at.keys()) - listed
 
     def record_failure(self, now: float) -> None:
         """Record a poll that was not answered."""
@@ -75,7 +86,7 @@
         """
         crashed_at = now if self.failed_at is None else self.failed_at
         runs = [
-            CrashedRun(task, run, crashed_at - started_at)
+            CrashedRun(task, run, crashed_at - started_at, (task, run) not in self.unconfirmed)
             for (task, run), started_at in self.started_at.items()
             if started_at <= crashed_at
         ]
@@ -97,6 +108,7 @@
         self.started_at = {
             key: started_at for key, started_at in self.started_at.items() if started_at > ended_at
         }
+        self.unconfirmed &= self.started_at.keys()
         self.failed_at = None
 
     def record_stored(self, born_ms: int) -> None:
--- a/src/acaciastand/workflow/crashes.py
+++ b/src/acaciastand/workflow/crashes.py
@@ -48,13 +48,21 @@
         Whether the task is suspected of the crash.
     isolated
         Whether nothing else started on the worker shortly before the run or after it.
+    confirmed
+        Whether the run had certainly begun.
     """
 
-    __slots__ = ("run", "ran_seconds", "suspected", "isolated")
+    __slots__ = ("run", "ran_seconds", "suspected", "isolated", "confirmed")
 
     def __init__(
-        self, run: int, ran_seconds: float, suspected: bool = False, isolated: bool = False
+        self,
+        run: int,
+        ran_seconds: float,
+        suspected: bool = False,
+        isolated: bool = False,
+        confirmed: bool = True,
     ) -> None:
+        self.confirmed = confirmed
         self.run = run
         self.ran_seconds = ran_seconds
         self.suspected = suspected
@@ -143,10 +151,14 @@
 
 
 def crashes_workers(crashes: Sequence[TaskCrash]) -> bool:
-    """Return whether a task is to be given up, since it crashes each worker that starts it."""
-    suspected = [crash for crash in crashes if crash.suspected]
-    if len(suspected) >= SUSPECTED_CRASHES_TO_GIVE_UP:
+    """Return whether a task is to be given up, since it crashes each worker that starts it.
+
+    A run that may not have begun counts among the suspected crashes of any kind only.
+    """
+    if sum(crash.suspected for crash in crashes) >= SUSPECTED_CRASHES_TO_GIVE_UP:
         return True
+    crashes = [crash for crash in crashes if crash.confirmed]
+    suspected = [crash for crash in crashes if crash.suspected]
     if not suspected or not suspected[-1].isolated:
         return False
     last = suspected[-1].ran_seconds
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -52,6 +52,10 @@
 ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
 
 
+# What follows the first six fields of a row of `JobProgress.tasks` that does not have it.
+ROW_DEFAULTS: list[Any] = [[], False, [], []]
+
+
 class Task:
     """One task and its current run.
 
@@ -243,23 +247,31 @@
             self.checkpoint,
             sorted(self.ended_runs),
         ]
-        if self.crashes or self.has_begun:
-            row.append([list(crash.values()) for crash in self.crashes])
-        if self.has_begun:
-            row.append(True)
-        if self.failed_runs:
-            row.append(sorted(self.failed_runs))
-        return row
+        unconfirmed = [crash.run for crash in self.crashes if not crash.confirmed]
+        rest = [
+            [list(crash.values()[:-1]) for crash in self.crashes],
+            self.has_begun,
+            sorted(self.failed_runs),
+            unconfirmed,
+        ]
+        while rest and not rest[-1]:
+            rest.pop()
+        return row + rest
 
     def restore(self, row: list[Any]) -> None:
         """Restore what a former owner stored of the task with `to_row`."""
         _, self.run, self.failures, is_done, self.checkpoint, ended_runs, *rest = row
         self.ended_runs = set(ended_runs)
-        self.crashes = [TaskCrash(*fields) for fields in rest[0]] if rest else []
+        # A later version may store more.
+        rest = (rest + ROW_DEFAULTS[len(rest) :])[: len(ROW_DEFAULTS)]
+        crashes, has_begun, failed_runs, unconfirmed = rest
+        self.crashes = [
+            TaskCrash(crash_run, ran_seconds, suspected, isolated, crash_run not in unconfirmed)
+            for crash_run, ran_seconds, suspected, isolated in crashes
+        ]
         # Owners of a former version do not store whether a run has begun.
-        is_known = bool(rest[1:]) and rest[1]
-        self.has_begun = is_known or bool(is_done or self.checkpoint or self.ended_runs)
-        self.failed_runs = set(rest[2]) if rest[2:] else set()
+        self.has_begun = has_begun or bool(is_done or self.checkpoint or self.ended_runs)
+        self.failed_runs = set(failed_runs)
 
 
 class JobProgress(Record):
@@ -273,9 +285,9 @@
         Unix time in seconds at which the job ended; 0 before.
     tasks
         Rows of task position, run, failures, done, checkpoint and ended runs, for the tasks that
-        the owner decided to start. What follows may be missing: the fields of `TaskCrash` for each
-        crash under the task, true if a run of it has begun, and the failed runs of a member of a
-        gang.
+        the owner decided to start. What follows may be missing: the fields of `TaskCrash` but the
+        last for each crash under the task, whether a run of it has begun, the failed runs of a
+        member of a gang, and the runs in these crashes that may not have begun.
     """
 
     __slots__ = ("cancelled", "failed", "ended_unix", "tasks")
@@ -316,8 +328,9 @@
         check_flag(isolated)
     for has_begun in rest[1:2]:
         check_flag(has_begun)
-    for failed_run in check_list(rest[2]) if rest[2:] else []:
-        check_integer(failed_run)
+    for runs in rest[2:4]:
+        for other_run in check_list(runs):
+            check_integer(other_run)
     return list(row)
 
 
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -192,14 +192,17 @@
         Key of the task and number of the run.
     ran_seconds
         Time from the start of the run to the crash, in seconds.
+    confirmed
+        Whether the run had certainly begun: the worker had accepted its start or listed it.
     """
 
-    __slots__ = ("task", "run", "ran_seconds")
+    __slots__ = ("task", "run", "ran_seconds", "confirmed")
 
-    def __init__(self, task: str, run: int, ran_seconds: float) -> None:
+    def __init__(self, task: str, run: int, ran_seconds: float, confirmed: bool = True) -> None:
         self.task = task
         self.run = run
         self.ran_seconds = ran_seconds
+        self.confirmed = confirmed
 
 
 class WorkerCrash(Record):
