--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -45,6 +45,15 @@
     Then the starts of the former owner have not settled
     And the start is not repeated after the next poll
 
+  # The lease of the call is on the clock of the former incarnation, and the new one has accepted no stop.
+  Scenario: A start of a former owner is unsettled again when the worker restarts
+    Given an agent whose worker's clock shows 500 seconds
+    When two calls of a start are not answered, the second one 0.8 seconds after the first
+    And a new owner is followed whose stops are not answered
+    And the worker restarts after the start has been given up
+    Then the starts of the former owner have not settled 4.2 seconds after the first call
+    And the starts of the former owner have settled 14.0 seconds after the first call
+
   # The owner started the task elsewhere at once. A worker may carry out an unanswered call late, also in a new
   # incarnation, whose clock has not reached the end of the lease in the call.
   Scenario: A start without an answer is not lost when the worker restarts before it has taken a stop
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -125,6 +125,13 @@
     context.controller.begin_epoch(2)
 
 
+@when("the worker restarts after the start has been given up")
+def when_restarts(context):
+    context.starting.join(2.0)
+    context.worker.restart()
+    poll(context)
+
+
 @then("the starts of the former owner have not settled")
 def then_not_settled(context):
     assert not context.controller._is_settled()
--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -35,10 +35,12 @@
         self.running = []
         self.error = None
         self.stop_calls = 0
+        self.stopped = []
 
     def stop(self, task, run):
         self.stop_calls += 1
         self._answer()
+        self.stopped.append((task, run, self.born_ms))
 
     def poll(self, lease_ms, acknowledged, wait_seconds):
         self._answer()
@@ -180,19 +182,49 @@
     assert context.accepted == [False] * len(context.accepted), context.accepted
 
 
-@when("a start is not answered and its worker refuses connections for {seconds:f} seconds")
-def when_unanswered(context, seconds):
+def leave_unanswered(context):
+    """Let a start be sent once and not be answered."""
     context.worker.error = SILENT
-    with mock.patch.object(context.controller.crash_witness, "record_failure"):
-        context.controller.grant_until = context.now + 4.0
-        command = StartCommand(UNANSWERED, 1)
-        clock = iter((context.now, context.now, context.now, context.now + 2.0))
-        with mock.patch.object(worker_controller, "now", lambda: next(clock, context.now + 2.0)):
-            outcome = context.controller.start(command, context.now + 1.0, 1)
+    context.controller.grant_until = context.now + 4.0
+    sent_at = context.now
+    send = context.worker.start
+
+    def start_late(command, lease_ms):
+        context.now = sent_at + 1.0
+        send(command, lease_ms)
+
+    with mock.patch.object(context.worker, "start", start_late):
+        outcome = context.controller.start(StartCommand(UNANSWERED, 1), sent_at + 1.0, 1)
     assert outcome is StartOutcome.UNKNOWN
+    context.worker.error = None
+
+
+@when("a start is not answered and its worker refuses connections for {seconds:f} seconds")
+def when_unanswered(context, seconds):
+    leave_unanswered(context)
+    context.now -= 1.0
     when_fault(context, "refuses connections", seconds)
 
 
+@when(
+    "a start is not answered, its stop is accepted and its worker restarts "
+    "{seconds:d} seconds later"
+)
+def when_restarts(context, seconds):
+    leave_unanswered(context)
+    assert context.controller.stop(UNANSWERED, 1, context.now + 1.0)
+    poll(context)
+    context.now += seconds
+    when_reborn(context)
+    gevent.sleep(0.05)
+
+
+@then("the start is {stopped} at the next incarnation")
+def then_stopped_again(context, stopped):
+    expected = (UNANSWERED, 1, context.worker.born_ms)
+    assert (expected in context.worker.stopped) == (stopped == "stopped"), context.worker.stopped
+
+
 @then("it reports a crash under two runs that had begun and one that may not have")
 def then_confirmed(context):
     report = decode_report(encode_report(context.controller.report(), 0.0), lambda _: None)
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -109,6 +109,19 @@
     When a start is not answered and its worker refuses connections for 4.0 seconds
     Then it reports a crash under two runs that had begun and one that may not have
 
+  # The worker had accepted a stop of a start that it left unanswered, restarted under its id, and then
+  # carried out the start: the new incarnation knew of no stop.
+  Scenario Outline: A start that was not answered <seconds> seconds ago is <stopped> at the next incarnation
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When a start is not answered, its stop is accepted and its worker restarts <seconds> seconds later
+    Then the start is <stopped> at the next incarnation
+
+    Examples:
+      | seconds | stopped     |
+      | 4       | stopped     |
+      | 11      | stopped     |
+      | 13      | not stopped |
+
   # The entry that gave the last order is killed while the worker is down.
   Scenario: Crashes are counted across a change of the owner
     Given 8 workers with 3 services and 20 short tasks a second
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -4,7 +4,7 @@
 
 import logging
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -12,6 +12,7 @@
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.pace_sender import PaceSender
 from acaciastand.cluster.run_lease import RunLease
+from acaciastand.cluster.unanswered_starts import UnansweredStarts
 from acaciastand.errors import AcaciastandError
 from acaciastand.platform.http import CallBrokeOff, CallNotSent, CallTimedOut
 from acaciastand.platform.tasks import INCARNATION_HEADER, TaskClient, TokenRefused, WorkerChanged
@@ -19,7 +20,7 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.crash_witness import CrashWitness
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
-from acaciastand.workflow.limits import CLOCK_DRIFT, RUN_LEASE_SECONDS
+from acaciastand.workflow.limits import RUN_LEASE_SECONDS
 from acaciastand.workflow.pacing import FULL_PERCENT, BatchCost, Pacer, RunLimits
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -98,9 +99,8 @@
         What the batch tasks take from the services on this worker, by the owner's last grant.
     starting
         Epoch of the owner of each start in progress, by task and run.
-    unsettled_starts
-        Starts that have ended without an answer and may still take effect, by task and run, with
-        the epoch of their owner and the time after which the worker rejects them as too late.
+    unanswered_starts
+        Starts that have ended without an answer and may still take effect.
     stops
         Results of the stops in progress, by task and run.
     epoch
@@ -146,7 +146,7 @@
         self.costs: dict[str, BatchCost] = {}
         self.pace_percent = FULL_PERCENT
         self.starting: dict[tuple[str, int], int] = {}
-        self.unsettled_starts: dict[tuple[str, int], tuple[int, float]] = {}
+        self.unanswered_starts = UnansweredStarts()
         self.stops: dict[tuple[str, int], AsyncResult] = {}
         self.epoch = 0
         self.settled_poll = 0
@@ -156,8 +156,7 @@
         """Follow a new owner, and stop all runs that former owners may still be starting."""
         self.epoch = epoch
         self.epoch_began_at_poll = self.polls_begun
-        for task, run in {**self.starting, **self.unsettled_starts}:
-            gevent.spawn(self.stop, task, run, now() + RUN_LEASE_SECONDS)
+        self._stop_all([*self.starting, *self.unanswered_starts.unsettled(now())])
 
     def apply_announcement(self, identity: WorkerIdentity, sequence: int) -> bool:
         """Adopt an announcement of the worker; return False if a newer one is known."""
@@ -277,8 +276,7 @@
         finally:
             del self.starting[key]
         if outcome == StartOutcome.UNKNOWN:
-            # The worker rejects each call once the lease that it carries has expired.
-            self.unsettled_starts[key] = (epoch, now() + RUN_LEASE_SECONDS * CLOCK_DRIFT)
+            self.unanswered_starts.record(command.task, command.run, epoch, now())
         elif outcome == StartOutcome.STARTED:
             self.crash_witness.confirm_start(command.task, command.run)
         else:
@@ -347,12 +345,16 @@
             result.set(accepted)
         return accepted
 
+    def _stop_all(self, runs: Iterable[tuple[str, int]]) -> None:
+        for task, run in runs:
+            gevent.spawn(self.stop, task, run, now() + RUN_LEASE_SECONDS)
+
     def _send_stop(self, task: str, run: int, not_after: float) -> bool:
         pause = RETRY_PAUSE_SECONDS
         while now() < not_after:
             try:
                 self.client.stop(task, run)
-                self.unsettled_starts.pop((task, run), None)
+                self.unanswered_starts.record_stop(task, run)
                 return True
             except TokenRefused:
                 self._raise_token()
@@ -426,11 +428,8 @@
 
     def _is_settled(self) -> bool:
         """Return whether no start of a former owner can take effect any more."""
-        self.unsettled_starts = {
-            key: value for key, value in self.unsettled_starts.items() if now() <= value[1]
-        }
-        unanswered_epochs = [epoch for epoch, _ in self.unsettled_starts.values()]
-        return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unanswered_epochs))
+        unsettled = self.unanswered_starts.unsettled(now())
+        return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unsettled.values()))
 
     def _has_unstored_ends(self) -> bool:
         """Return whether the last poll returned ends that are not stored yet."""
@@ -450,6 +449,7 @@
         self.last_poll = None
         self.lease.begin_incarnation()
         self.pace_sender.clear()
+        self._stop_all(self.unanswered_starts.begin_incarnation(now()))
 
     def _was_leaving(self) -> bool:
         """Return whether the worker has announced that it leaves, so that its end is no crash."""
