Give the stored progress of tasks a type and a module of its own

TaskProgress names the fields and holds the encoding and its checks; what is stored does not change.

--- a/features/copies_support.py
+++ b/features/copies_support.py
@@ -2,7 +2,8 @@
 
 from workflow_support import WorkflowWorld, check_consistency
 
-from acaciastand.workflow.job import Job, JobProgress, TaskState
+from acaciastand.workflow.job import Job, TaskState
+from acaciastand.workflow.job_progress import JobProgress
 from acaciastand.workflow.limits import GRANT_SECONDS
 from acaciastand.workflow.scheduler import Scheduler
 
--- a/src/acaciastand/cluster/keys.py
+++ b/src/acaciastand/cluster/keys.py
@@ -11,7 +11,6 @@
     MALFORMED,
     check_address,
     check_bytes,
-    check_flag,
     check_integer,
     check_list,
     check_number,
@@ -21,7 +20,8 @@
 from acaciastand.errors import AcaciastandError, InvalidInput
 from acaciastand.record import Record
 from acaciastand.workflow.interference import InterferenceSnapshot
-from acaciastand.workflow.job import Job, JobProgress, check_task_row
+from acaciastand.workflow.job import Job
+from acaciastand.workflow.job_progress import JobProgress
 from acaciastand.workflow.spec import spec_from_list, spec_to_list
 
 CONTROL_PREFIX = "control/"
@@ -115,7 +115,7 @@
 
 def encode_progress(progress: JobProgress) -> bytes:
     """Return the encoded progress of a job."""
-    return cbor2.dumps(list(progress.values()))
+    return cbor2.dumps(progress.to_list())
 
 
 def restore_progress(job: Job, item: Item) -> None:
@@ -127,14 +127,7 @@
         The item cannot be decoded.
     """
     try:
-        cancelled, failed, ended_unix, rows = check_list(cbor2.loads(item.value))
-        progress = JobProgress(
-            check_flag(cancelled),
-            check_flag(failed),
-            check_number(ended_unix),
-            [check_task_row(row, len(job.tasks)) for row in check_list(rows)],
-        )
-        job.restore(progress)
+        job.restore(JobProgress.from_list(cbor2.loads(item.value), len(job.tasks)))
     except MALFORMED as error:
         raise _unreadable(item.key, error) from error
     job.revision = item.revision
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -4,11 +4,9 @@
 
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
-from typing import Any
 
-from acaciastand.checks import check_flag, check_integer, check_list, check_number, check_text
-from acaciastand.record import Record
 from acaciastand.workflow.crashes import TaskCrash
+from acaciastand.workflow.job_progress import JobProgress, TaskProgress
 from acaciastand.workflow.reports import PollPosition, TaskName
 from acaciastand.workflow.spec import (
     StepSpec,
@@ -52,10 +50,6 @@
 ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
 
 
-# What follows the first six fields of a row of `JobProgress.tasks` that does not have it.
-ROW_DEFAULTS: list[Any] = [[], False, [], []]
-
-
 class Task:
     """One task and its current run.
 
@@ -236,102 +230,29 @@
         """Remove the crash under a run that has turned out to be on its worker still."""
         self.crashes = [crash for crash in self.crashes if crash.run != run]
 
-    def to_row(self, number: int) -> list[Any]:
-        """Return the row of `JobProgress.tasks` for the task at position `number`."""
-        is_done = self.state == TaskState.DONE
-        row = [
-            number,
+    def progress(self, position: int) -> TaskProgress:
+        """Return the progress to be stored of the task at a position of its job."""
+        return TaskProgress(
+            position,
             self.last_run,
             self.failures,
-            is_done,
+            self.state == TaskState.DONE,
             self.checkpoint,
-            sorted(self.ended_runs),
-        ]
-        unconfirmed = [crash.run for crash in self.crashes if not crash.confirmed]
-        rest = [
-            [list(crash.values()[:-1]) for crash in self.crashes],
+            set(self.ended_runs),
+            list(self.crashes),
             self.has_begun,
-            sorted(self.failed_runs),
-            unconfirmed,
-        ]
-        while rest and not rest[-1]:
-            rest.pop()
-        return row + rest
-
-    def restore(self, row: list[Any]) -> None:
-        """Restore what a former owner stored of the task with `to_row`."""
-        _, self.run, self.failures, is_done, self.checkpoint, ended_runs, *rest = row
-        self.ended_runs = set(ended_runs)
-        # A later version may store more.
-        rest = (rest + ROW_DEFAULTS[len(rest) :])[: len(ROW_DEFAULTS)]
-        crashes, has_begun, failed_runs, unconfirmed = rest
-        self.crashes = [
-            TaskCrash(crash_run, ran_seconds, suspected, isolated, crash_run not in unconfirmed)
-            for crash_run, ran_seconds, suspected, isolated in crashes
-        ]
-        # Owners of a former version do not store whether a run has begun.
-        self.has_begun = has_begun or bool(is_done or self.checkpoint or self.ended_runs)
-        self.failed_runs = set(failed_runs)
+            set(self.failed_runs),
+        )
 
-
-class JobProgress(Record):
-    """Progress of a job as it is stored.
-
-    Parameters
-    ----------
-    cancelled, failed
-        Whether the job was cancelled or has failed.
-    ended_unix
-        Unix time in seconds at which the job ended; 0 before.
-    tasks
-        Rows of task position, run, failures, done, checkpoint and ended runs, for the tasks that
-        the owner decided to start. What follows may be missing: the fields of `TaskCrash` but the
-        last for each crash under the task, whether a run of it has begun, the failed runs of a
-        member of a gang, and the runs in these crashes that may not have begun.
-    """
-
-    __slots__ = ("cancelled", "failed", "ended_unix", "tasks")
-
-    def __init__(
-        self,
-        cancelled: bool = False,
-        failed: bool = False,
-        ended_unix: float = 0.0,
-        tasks: list[list[Any]] | None = None,
-    ) -> None:
-        self.cancelled = cancelled
-        self.failed = failed
-        self.ended_unix = ended_unix
-        self.tasks = tasks or []
-
-
-def check_task_row(row: Any, task_count: int) -> list[Any]:
-    """Return a row of `JobProgress.tasks` of a job with `task_count` tasks.
-
-    Raises
-    ------
-    ValueError
-        It holds a value that no such row holds.
-    """
-    number, run, failures, done, checkpoint, ended_runs, *rest = check_list(row)
-    check_integer(number, 0, task_count - 1)
-    check_integer(run)
-    check_integer(failures)
-    check_flag(done)
-    check_text(checkpoint)
-    for ended_run in check_list(ended_runs):
-        check_integer(ended_run)
-    for crash_run, ran_seconds, suspected, isolated in check_list(rest[0]) if rest else []:
-        check_integer(crash_run)
-        check_number(ran_seconds)
-        check_flag(suspected)
-        check_flag(isolated)
-    for has_begun in rest[1:2]:
-        check_flag(has_begun)
-    for runs in rest[2:4]:
-        for other_run in check_list(runs):
-            check_integer(other_run)
-    return list(row)
+    def restore(self, progress: TaskProgress) -> None:
+        """Restore the progress that a former owner stored, but not whether the task is done."""
+        self.run = progress.last_run
+        self.failures = progress.failures
+        self.checkpoint = progress.checkpoint
+        self.ended_runs = set(progress.ended_runs)
+        self.crashes = list(progress.crashes)
+        self.has_begun = progress.has_begun
+        self.failed_runs = set(progress.failed_runs)
 
 
 class Job:
@@ -495,8 +416,8 @@
 
     def progress(self) -> JobProgress:
         """Return the progress to be stored."""
-        rows = [task.to_row(n) for n, task in enumerate(self.tasks.values()) if task.last_run]
-        return JobProgress(self.cancelled, self.failed, self.ended_unix, rows)
+        tasks = [task.progress(n) for n, task in enumerate(self.tasks.values()) if task.last_run]
+        return JobProgress(self.cancelled, self.failed, self.ended_unix, tasks)
 
     def restore(self, progress: JobProgress) -> None:
         """Restore the progress that a former owner stored."""
@@ -504,10 +425,10 @@
         self.failed = progress.failed
         self.ended_unix = progress.ended_unix
         tasks = list(self.tasks.values())
-        for row in progress.tasks:
-            task = tasks[row[0]]
-            task.restore(row)
+        for stored in progress.tasks:
+            task = tasks[stored.position]
+            task.restore(stored)
             self.has_started |= task.has_begun
-            if row[3]:
+            if stored.is_done:
                 self.mark_done(task)
         self.stored_state = self.state
