--- a/features/machines/shard_simulation.py
+++ b/features/machines/shard_simulation.py
@@ -10,7 +10,8 @@
 
 from acaciastand.coordination.entries import Entry
 from acaciastand.coordination.faults import FaultPlan
-from acaciastand.coordination.journal import AppendUnresolved, CompactionNeeded, Fenced, Journal
+from acaciastand.coordination.journal import Journal
+from acaciastand.coordination.journal_errors import AppendUnresolved, CompactionNeeded, Fenced
 from acaciastand.coordination.lease import LeaseSession
 from acaciastand.coordination.memory import MemoryStore
 from acaciastand.coordination.ownership import Ownership
--- a/src/acaciastand/coordination/__init__.py
+++ b/src/acaciastand/coordination/__init__.py
@@ -17,15 +17,14 @@
     FaultPlan,
     FaultPlanFull,
 )
-from acaciastand.coordination.journal import (
-    COMPACT_AFTER,
-    SLOTS,
+from acaciastand.coordination.journal import COMPACT_AFTER, Journal
+from acaciastand.coordination.journal_errors import (
     AppendConflict,
     AppendUnresolved,
     CompactionNeeded,
     Fenced,
-    Journal,
 )
+from acaciastand.coordination.journal_storage import SLOTS
 from acaciastand.coordination.lease import CLOCK_DRIFT, LeaseSession
 from acaciastand.coordination.memory import MemoryStore, StoreFull, ValueTooLarge
 from acaciastand.coordination.ownership import (
--- a/src/acaciastand/coordination/journal.py
+++ b/src/acaciastand/coordination/journal.py
@@ -20,17 +20,23 @@
     Snapshot,
     SnapshotTooLarge,
 )
+from acaciastand.coordination.journal_errors import (
+    AppendConflict,
+    AppendUnresolved,
+    CompactionNeeded,
+    Fenced,
+    answer_lost_error,
+)
+from acaciastand.coordination.journal_storage import SLOTS, JournalStorage, StoredEntry
 from acaciastand.coordination.store import (
     KeyValueStore,
     StoreAnswerLost,
     StoreUnavailable,
-    Versioned,
     VersionMismatch,
 )
-from acaciastand.errors import AcaciastandError, Conflict, Refused
+from acaciastand.errors import AcaciastandError, Conflict
 from acaciastand.record import Record
 
-SLOTS = 64  # Keys of the ring buffer; each holds one entry.
 COMPACT_AFTER = 32  # Number of entries after the snapshot from which a compaction is due.
 RESERVED_SLOTS = 8  # Slots that appends leave free, so that takeovers find room for their entry.
 MAX_LOAD_ATTEMPTS = 8  # Reads of a journal that keeps changing, until `load` fails.
@@ -38,30 +44,6 @@
 MAX_TAKEOVER_ATTEMPTS = 16  # Attempts of a takeover while the former owner keeps appending.
 
 
-class Fenced(Conflict):
-    """Another owner has taken over the journal; this one can no longer write to it."""
-
-    code = "fenced"
-
-
-class AppendConflict(Conflict):
-    """Another writer appended first; nothing was written."""
-
-    code = "append_conflict"
-
-
-class CompactionNeeded(Refused):
-    """The journal has no free slot until it is compacted; nothing was written."""
-
-    code = "compaction_needed"
-
-
-class AppendUnresolved(StoreAnswerLost):
-    """Whether an entry was written can no longer be determined."""
-
-    code = "append_unresolved"
-
-
 class _PendingWrite(Record):
     """Write of an entry whose outcome is not known yet."""
 
@@ -123,6 +105,7 @@
         "snapshot_position",
         "_fenced",
         "_loaded",
+        "_storage",
         "_unresolved_write",
         "_slot_versions",
         "_snapshot_version",
@@ -133,6 +116,7 @@
     ) -> None:
         self.store = store
         self.name = name
+        self._storage = JournalStorage(store, name)
         self.writer_id = writer_id
         self.nonce = nonce
         self.position = 0
@@ -298,19 +282,18 @@
         entries: list[Entry] = []
         while True:
             try:
-                stored = self.store.get(self._slot_key(self.position + 1))
+                stored = self._storage.read_entry(self.position + 1)
             except StoreUnavailable:
                 if not entries:
                     raise
                 # The view has already advanced past these entries, so they are returned now.
                 return self._incremental_state(entries)
-            entry = None if stored is None else Entry.decode(stored.value)
-            if stored is None or entry is None or entry.number <= self.position:
+            if stored is None or stored.entry.number <= self.position:
                 return self._incremental_state(entries)
-            if entry.number != self.position + 1:
+            if stored.entry.number != self.position + 1:
                 return self.load()
-            entries.append(entry)
-            self._advance_to(entry, stored.version)
+            entries.append(stored.entry)
+            self._advance_to(stored.entry, stored.version)
 
     def wait(self, timeout_seconds: float) -> JournalState:
         """Wait with one store call for an entry after `position`, then `refresh`.
@@ -332,7 +315,7 @@
         """
         number = self.position + 1
         slot_version = self._slot_versions[number % SLOTS]
-        self.store.watch(self._slot_key(number), slot_version, timeout_seconds)
+        self._storage.watch_slot(number, slot_version, timeout_seconds)
         return self.refresh()
 
     def compact(self, state: Any) -> None:
@@ -371,9 +354,7 @@
             )
         while self.snapshot_position < self.position:
             try:
-                self._snapshot_version = self.store.put_if(
-                    self._snapshot_key, data, self._snapshot_version
-                )
+                self._snapshot_version = self._storage.write_snapshot(data, self._snapshot_version)
                 self.snapshot_position = self.position
             except VersionMismatch:
                 self._read_snapshot()
@@ -459,15 +440,14 @@
             self._unresolved_write = None
             self._advance_to(write.entry, version)
             return write.entry
-        raise _answer_lost_error(write.entry, self.name)
+        raise answer_lost_error(write.entry, self.name)
 
     def _put_entry(self, write: _PendingWrite) -> int:
-        key = self._slot_key(write.entry.number)
         try:
-            return self.store.put_if(key, write.data, write.expected_version)
+            return self._storage.write_entry(write.entry.number, write.data, write.expected_version)
         except StoreUnavailable as error:
             if write.may_be_applied:
-                raise _answer_lost_error(write.entry, self.name) from error
+                raise answer_lost_error(write.entry, self.name) from error
             raise
 
     def _applied_version(self, write: _PendingWrite) -> int:
@@ -483,7 +463,7 @@
         # Without an earlier attempt that may have been applied, the version mismatch itself shows
         # that another writer wrote the slot.
         stored = self._read_slot(write) if write.may_be_applied else None
-        entry = None if stored is None else Entry.decode(stored.value)
+        entry = None if stored is None else stored.entry
         if stored is not None and entry is not None and entry.nonce == write.entry.nonce:
             return stored.version
         self._unresolved_write = None
@@ -497,11 +477,11 @@
             "call refresh() and append again if the events still apply",
         )
 
-    def _read_slot(self, write: _PendingWrite) -> Versioned | None:
+    def _read_slot(self, write: _PendingWrite) -> StoredEntry | None:
         try:
-            return self.store.get(self._slot_key(write.entry.number))
+            return self._storage.read_entry(write.entry.number)
         except StoreUnavailable as error:
-            raise _answer_lost_error(write.entry, self.name) from error
+            raise answer_lost_error(write.entry, self.name) from error
 
     def _unresolvable_error(self, write: _PendingWrite) -> AppendUnresolved:
         """Mark the view as not loaded, and return the error for a write of unknown outcome."""
@@ -529,9 +509,9 @@
         # The snapshot is read before the slots: if entries after it are then missing from the
         # slots, a later snapshot covers them.
         snapshot = self._read_snapshot()
-        slots = [(stored, Entry.decode(stored.value)) for stored in self._list_slots()]
         entries: list[Entry] = []
-        for stored, entry in sorted(slots, key=lambda slot: slot[1].number):
+        for stored in self._storage.list_entries():
+            entry = stored.entry
             if entry.number <= self.position:
                 self._slot_versions[entry.number % SLOTS] = stored.version
                 continue
@@ -545,10 +525,10 @@
 
     def _read_snapshot(self) -> Snapshot | None:
         """Read the snapshot and its position; a view that is not loaded begins there."""
-        stored = self.store.get(self._snapshot_key)
+        stored = self._storage.read_snapshot()
         if stored is None:
             return None
-        snapshot = Snapshot.decode(stored.value)
+        snapshot = stored.snapshot
         self._snapshot_version = stored.version
         self.snapshot_position = snapshot.position
         if not self._loaded:
@@ -556,22 +536,5 @@
             self.epoch = snapshot.epoch
         return snapshot
 
-    def _list_slots(self) -> list[Versioned]:
-        return self.store.list(f"{self.name}/log/")
-
     def _incremental_state(self, entries: list[Entry]) -> JournalState:
         return JournalState(None, entries, self.position, self.epoch, False)
-
-    def _slot_key(self, number: int) -> str:
-        return f"{self.name}/log/{number % SLOTS}"
-
-    @property
-    def _snapshot_key(self) -> str:
-        return f"{self.name}/snapshot"
-
-
-def _answer_lost_error(entry: Entry, name: str) -> StoreAnswerLost:
-    return StoreAnswerLost(
-        f"the store's response to the write of entry {entry.number} of journal {name!r} was lost",
-        "call resolve() later",
-    )
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -10,12 +10,8 @@
 from gevent.event import AsyncResult, Event
 from gevent.pool import Pool
 
-from acaciastand.coordination.journal import (
-    AppendUnresolved,
-    CompactionNeeded,
-    Fenced,
-    Journal,
-)
+from acaciastand.coordination.journal import Journal
+from acaciastand.coordination.journal_errors import AppendUnresolved, CompactionNeeded, Fenced
 from acaciastand.coordination.ownership import Ownership
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -13,7 +13,8 @@
 import gevent
 from gevent.event import Event
 
-from acaciastand.coordination.journal import CompactionNeeded, Journal
+from acaciastand.coordination.journal import Journal
+from acaciastand.coordination.journal_errors import CompactionNeeded
 from acaciastand.coordination.lease import LeaseSession
 from acaciastand.coordination.ownership import Ownership, rendezvous_order
 from acaciastand.coordination.store import KeyValueStore, StoreUnavailable
--- a/src/acaciastand/settings/repository.py
+++ b/src/acaciastand/settings/repository.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from acaciastand.coordination.entries import Entry, JournalState
-from acaciastand.coordination.journal import SLOTS, AppendConflict, CompactionNeeded, Journal
+from acaciastand.coordination.journal import Journal
+from acaciastand.coordination.journal_errors import AppendConflict, CompactionNeeded
+from acaciastand.coordination.journal_storage import SLOTS
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.settings.edits import EditBatch, HistoryItem
 from acaciastand.settings.errors import (
