--- a/features/run_numbers.feature
+++ b/features/run_numbers.feature
@@ -8,6 +8,18 @@
     When worker 1 reports that its run has lapsed, and a third owner follows
     Then the run on worker 2 goes on and nothing else starts
 
+  # The second failure or crash had the number of the first one and was left out of the count.
+  Scenario Outline: Two runs of two owners that <event> count twice
+    Given an owner that starts a task on worker 1 and is lost before it stores that
+    And a second owner that waits for worker 1, which is cut off, and starts the task on worker 2
+    When both runs <event>, and a third owner hears of the second one only
+    Then the task has 2 <entries>
+
+    Examples:
+      | event               | entries  |
+      | fail                | failures |
+      | crash their workers | crashes  |
+
   Scenario Outline: No run number is given twice by <owners> owners of which none stores its starts
     Given <owners> owners in a row, each of which starts a task and is lost before it stores that
     Then each start had a higher number than those before
--- a/features/steps/run_number_steps.py
+++ b/features/steps/run_number_steps.py
@@ -51,6 +51,31 @@
     assert len(world.started) == starts and not world.stopped, (world.started, world.stopped)
 
 
+@when("both runs {event}, and a third owner hears of the second one only")
+def when_both(context, event):
+    world = context.world
+    world.cut_off = set()
+    world.reconnect()
+    for agent_id, follows in (("1", True), ("2", False)):
+        worker = world.workers[agent_id]
+        if event == "fail":
+            worker.end(TASK, "failed")
+            world.report(agent_id)
+        else:
+            world.crash(agent_id)
+            world.report(agent_id, crashes=[worker.crash_report])
+        world.store_progress()
+        if follows:
+            world.take_over()
+
+
+@then("the task has 2 {entries}")
+def then_two(context, entries):
+    task = context.world.job.tasks[TASK]
+    counts = {"failures": task.failures, "crashes": len(task.crashes)}
+    assert counts[entries] == 2, counts
+
+
 @given("{owners:d} owners in a row, each of which starts a task and is lost before it stores that")
 def given_owners(context, owners):
     world = context.world = TakeoverWorld()
