Let the report of a former version end before the field that it does not know

The scenario "A report of the former version tells how long the worker is slow" took the last field off the message of a report. It now cuts the message before the field by its name, so the message is that of a version which knows neither; the check on the decoded report is unchanged.

--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -18,7 +18,8 @@
 from acaciastand.platform.operator import ZONE_DRAIN_PREFIX
 from acaciastand.telemetry.ignored_values import IgnoredValues
 from acaciastand.telemetry.metrics import Metrics
-from acaciastand.wire.codec import decode, encode
+from acaciastand.wire.codec import HEADER_FIELDS, decode, encode
+from acaciastand.wire.messages import RunReport
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.job import StartState, TaskState
@@ -179,7 +180,8 @@
     identity = WorkerIdentity("w", 5, "desk", "10.0.0.1:1", slow_start_seconds=float(seconds))
     frame = cbor2.loads(encode(encode_report(AgentReport(identity), 1.0)))
     if version == "the former":
-        frame.pop()  # The former version knows no such field.
+        # The former version knows neither this field nor those after it.
+        del frame[HEADER_FIELDS + RunReport.fields().index("slow_start_seconds") :]
     context.report = decode_report(decode(cbor2.dumps(frame)).message, raise_error)
 
 
