--- a/src/acaciastand/workflow/crashes.py
+++ b/src/acaciastand/workflow/crashes.py
@@ -27,7 +27,8 @@
 # Two starts on a worker are apart if this much time lies between them.
 QUIET_SECONDS = 0.3
 # Numbers of crashes under a task at which it is given up: at the same point of its runs, the last
-# one after a start apart from others, immediately or later; and of suspected ones of any kind.
+# one after a start apart from others, either immediately under runs that had begun or at any point;
+# and of suspected ones of any kind.
 IMMEDIATE_CRASHES_TO_GIVE_UP = 2
 SIMILAR_CRASHES_TO_GIVE_UP = 3
 SUSPECTED_CRASHES_TO_GIVE_UP = 4
