Tell why a task waits

For tasks that have waited for two seconds the line 'task waits' counts the workers that could hold them by the rule for which each is passed over, bounded in number and length; explain puts it into a sentence, and the gauge excluded_workers counts workers by rule.

--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -13,6 +13,7 @@
 A, B, C, E, F, G = "a" * 16, "b" * 16, "c" * 16, "e" * 16, "f" * 16, "1" * 16
 H = "3" * 16
 MOVED = "2" * 16
+WAITING, UNKNOWN, RESUMED = "4" * 16, "5" * 16, "6" * 16
 LINES = (
     {"time": "30", "message": "copy started", "subject": f"{H}.0.0.0", "why": "old report"},
     {"time": "31", "message": "copy won", "subject": f"{H}.0.0.0", "run": 2},
@@ -50,6 +51,25 @@
     {"time": "13", "message": "job over", "subject": G, "state": "failed"},
     {"time": "14", "message": "run moved", "subject": f"{MOVED}.0.0.0", "zone": "zone-b"},
     {"time": "15", "message": "job over", "subject": MOVED, "state": "completed"},
+    {"time": "16", "message": "start", "subject": f"{WAITING}.0.0.0", "run": 1},
+    {
+        "time": "17",
+        "message": "task waits",
+        "subject": f"{WAITING}.0.0.0",
+        "waited_s": 2.1,
+        "why": "passed over",
+        "passed_over": {"no capacity": 9, "quarantined": 3},
+    },
+    {
+        "time": "18",
+        "message": "task waits",
+        "subject": f"{UNKNOWN}.0.0.0",
+        "waited_s": 2.1,
+        "why": "a former owner may have started it",
+        "silent_agents": 2,
+    },
+    {"time": "19", "message": "task waits", "subject": f"{RESUMED}.0.0.0", "passed_over": {}},
+    {"time": "20", "message": "start", "subject": f"{RESUMED}.0.0.0", "run": 1},
 )
 
 
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -34,6 +34,7 @@
 from acaciastand.cluster.prefix_watch import follow_prefix
 from acaciastand.cluster.supervision import supervised
 from acaciastand.cluster.takeover import StoredState
+from acaciastand.cluster.wait_gauges import WaitGauges
 from acaciastand.cluster.zone_drain_watch import ZoneDrainWatch
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.coordination.transactions import (
@@ -136,6 +137,7 @@
         self.scheduler.catalog = catalog
         self.ignored = IgnoredValues(metrics, now)
         self.committer = Committer(store, self.scheduler, fence, metrics, self._handle_stored_jobs)
+        self.wait_gauges = WaitGauges(metrics)
         self.job_retention = JobRetention(store, self.scheduler, fence)
         self.interference_store = InterferenceStore(
             store, self.scheduler.interference, fence, self.ignored
@@ -388,7 +390,7 @@
             self.committer.commit_due.set()
         decisions, self.scheduler.decisions = self.scheduler.decisions, []
         log_decisions(decisions, self.metrics, self.record.epoch, now() - self.confirmed_at)
-        self.metrics.set("waiting_tasks", len(self.scheduler.waiting))
+        self.wait_gauges.update(self.scheduler)
 
     def _send_start(self, start: StartDecision) -> None:
         decided_at = now()
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -46,6 +46,9 @@
     answer = _last(found, "answered")
     if answer is not None and _is_refused_submission(answer.content):
         return _cause_of_refusal(answer.content, found)
+    passed_over = _last(found, "task waits")
+    if passed_over is not None and not _has_started_since(passed_over, found):
+        return _cause_of_passing_over(passed_over.content)
     if _last(found, "start") is None:
         waits = _last(found, "job late before its start")
         if waits is not None:
@@ -135,6 +138,29 @@
     )
 
 
+def _has_started_since(waits: LogLine, found: list[LogLine]) -> bool:
+    """Return whether the task of a line on its wait has been started after it."""
+    task = waits.content.get("subject")
+    return any(
+        line.content.get("message") == "start" and line.content.get("subject") == task
+        for line in found[found.index(waits) :]
+    )
+
+
+def _cause_of_passing_over(line: dict[str, Any]) -> str:
+    task, waited_s, why = line.get("subject"), line.get("waited_s"), line.get("why")
+    sentence = f"{task} had waited for {waited_s} s: {why}"
+    passed_over = line.get("passed_over")
+    if isinstance(passed_over, dict) and passed_over:
+        listed = ", ".join(f"{count} {rule}" for rule, count in passed_over.items())
+        return f"{sentence}; workers that could hold it: {listed}"
+    if "silent_agents" in line:
+        return f"{sentence}; {line['silent_agents']} agents have not reported to the owner"
+    if passed_over is not None:
+        return f"{sentence}; no worker could hold it"
+    return sentence
+
+
 def _last(found: list[LogLine], message: str) -> LogLine | None:
     return next((line for line in reversed(found) if line.content.get("message") == message), None)
 
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -55,6 +55,7 @@
     "configuration_version": ("", "Version of the configuration in use."),
     "configuration_age_seconds": ("", "Time since the store last confirmed the configuration."),
     "waiting_tasks": ("", "Tasks that wait for room."),
+    "excluded_workers": ("why", "Workers that get no new work, by the rule that keeps it off."),
     "backlog_core_seconds": ("priority", "Accepted work that is still worth something."),
     "drain_cores": ("", "Core-seconds of work that the workers do in a second."),
     "drained_zones": ("", "Zones that the operators drain, as the owner knows them."),
--- a/src/acaciastand/workflow/backlog.py
+++ b/src/acaciastand/workflow/backlog.py
@@ -9,9 +9,9 @@
 from acaciastand.checks import check_integer, check_list, check_number, check_text
 from acaciastand.record import Record
 from acaciastand.workflow.catalog import Queue
+from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.finished_runs import DrainRate
 from acaciastand.workflow.job import Job
-from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.open_work import (
     OpenWork,
     longest_waiting,
@@ -241,7 +241,7 @@
         """Return the workers in service, by the services of all queues and workers."""
         workers: dict[str, list[WorkerView]] = {q.service: [] for q in self.state.catalog.queues}
         for worker in self.state.workers.values():
-            if worker.identity and worker.is_schedulable(now, MAX_REPORT_AGE_SECONDS):
+            if worker.identity and is_schedulable(worker, now):
                 workers.setdefault(worker.identity.service, []).append(worker)
         return workers
 
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -10,6 +10,7 @@
 
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.decisions import StartDecision
+from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.job import ON_WORKER, Task, TaskState
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.quarantine import FAILURES_TO_QUARANTINE
@@ -240,7 +241,7 @@
         service = identity.service
         self.cores_left[service] = self.cores_left.get(service, 0.0) + cores
         if (
-            worker.is_schedulable(now, MAX_REPORT_AGE_SECONDS)
+            is_schedulable(worker, now)
             and now >= worker.full_until
             and worker.takes_starts(now, suspected=False)
             and not suspect_reason(worker, now)
--- /dev/null
+++ b/src/acaciastand/workflow/exclusions.py
@@ -0,0 +1,83 @@
+"""Rules by which a worker gets no new work.
+
+All rules are listed here, so that the planner, the log and the metrics agree on them.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from acaciastand.workflow.job import Task
+from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
+from acaciastand.workflow.placement import exceeds_step_limit
+from acaciastand.workflow.worker import WorkerView
+
+
+class Exclusion(StrEnum):
+    """Reason for which a worker that could hold a task is passed over."""
+
+    NOT_ANNOUNCED = "not announced"
+    DRAINING = "draining"
+    UNREACHABLE = "agent unreachable"
+    UNRESPONSIVE = "worker unresponsive"
+    STARTS_WITHHELD = "starts withheld"
+    OLD_REPORT = "old report"
+    QUARANTINED = "quarantined"
+    REFUSED_START = "refused a start"
+    OBSERVED = "observed after a crash"
+    RESERVED = "reserved for a suspect"
+    NO_TICKET = "no ticket"
+    STEP_LIMIT = "limit of the step"
+    NO_CAPACITY = "no capacity"
+    STOPPING_RUNS = "capacity of runs being stopped"
+    PLACEMENT = "policy on placement"  # Such as no leftover time, or services at their limits.
+
+
+def worker_exclusion(worker: WorkerView, now: float) -> Exclusion | None:
+    """Return why no task may be assigned to a worker; None if one may."""
+    if worker.identity is None:
+        return Exclusion.NOT_ANNOUNCED
+    if worker.identity.draining:
+        return Exclusion.DRAINING
+    if not worker.reachable:
+        return Exclusion.UNREACHABLE
+    if worker.worker_unresponsive:
+        return Exclusion.UNRESPONSIVE
+    if worker.starts_withheld:
+        return Exclusion.STARTS_WITHHELD
+    if now - worker.last_report_at > MAX_REPORT_AGE_SECONDS:
+        return Exclusion.OLD_REPORT
+    if now < worker.quarantined_until:
+        return Exclusion.QUARANTINED
+    return None
+
+
+def is_schedulable(worker: WorkerView, now: float) -> bool:
+    """Return whether new work may be assigned to a worker."""
+    return worker_exclusion(worker, now) is None
+
+
+def task_exclusion(
+    task: Task, worker: WorkerView, is_suspected: bool, now: float
+) -> Exclusion | None:
+    """Return why a schedulable worker that could hold a task does not take it now.
+
+    None if only the policy on placement can keep the task off the worker.
+
+    Parameters
+    ----------
+    is_suspected
+        Whether the task is suspected of a crash.
+    """
+    if now < worker.full_until:
+        return Exclusion.REFUSED_START
+    if now < worker.observed_until:
+        return Exclusion.OBSERVED
+    if not worker.takes_starts(now, is_suspected):
+        return Exclusion.RESERVED
+    if exceeds_step_limit(task, worker):
+        return Exclusion.STEP_LIMIT
+    if worker.has_capacity(task.step.reserved):
+        return None
+    stopping = sum(leaving.size.cores for leaving in worker.leaving_runs.values())
+    return Exclusion.STOPPING_RUNS if stopping else Exclusion.NO_CAPACITY
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -68,9 +68,13 @@
     assert worker.identity is not None
     if not _has_label(step, worker):
         return False
-    if step.max_per_worker and _count_same_step(task, worker) >= step.max_per_worker:
-        return False
-    return worker.has_capacity(step.reserved)
+    return not exceeds_step_limit(task, worker) and worker.has_capacity(step.reserved)
+
+
+def exceeds_step_limit(task: Task, worker: WorkerView) -> bool:
+    """Return whether a worker has as many tasks of the step of a task as the step allows."""
+    limit = task.step.max_per_worker
+    return bool(limit) and _count_same_step(task, worker) >= limit
 
 
 def could_hold(step: StepSpec, worker: WorkerView) -> bool:
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -18,6 +18,7 @@
 from acaciastand.workflow.command_processing import CommandProcessor
 from acaciastand.workflow.copies import CopyPlanner
 from acaciastand.workflow.decisions import StartDecision, StopDecision
+from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.interference import (
     Interference,
     LearnedInterference,
@@ -25,7 +26,6 @@
 )
 from acaciastand.workflow.isolation import is_quiet
 from acaciastand.workflow.job import Job, StartState, Task, TaskState
-from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.moves import WaitingCores, runs_to_move, slowed_runs
 from acaciastand.workflow.overdue import LongestSibling, OverduePolicy, overdue_runs
 from acaciastand.workflow.pacing import BatchCost, RunLimits
@@ -41,6 +41,7 @@
 from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartPlanner
+from acaciastand.workflow.wait_monitor import WaitMonitor
 from acaciastand.workflow.worker import WorkerView, services_by_step
 
 # Longest time that a worker takes to stop a run, unless the settings give another.
@@ -73,6 +74,8 @@
         Placement of waiting tasks on workers.
     copy_planner
         Copies of tasks whose steps allow them.
+    wait_monitor
+        Records why tasks wait.
     report_processor, command_processor
         Effects of the agents' reports and of their replies to commands.
     overdue_policy
@@ -103,6 +106,7 @@
             self.run_numbers,
         )
         self.copy_planner = CopyPlanner(self, self.start_planner)
+        self.wait_monitor = WaitMonitor(self)
         self.report_processor = ReportProcessor(self)
         self.command_processor = CommandProcessor(self)
         self.overdue_policy: OverduePolicy = LongestSibling()
@@ -303,6 +307,7 @@
         )
         starts += self.copy_planner.plan_copies(start, now, now_unix)
         self.backlog.update(now, now_unix)
+        self.wait_monitor.update(now)
         stops, self.pending_stops = self.pending_stops, []
         return starts, stops
 
@@ -313,9 +318,7 @@
         ranked = self.start_planner.tasks_by_rank(
             self.waiting.values(), self.catalog, now, now_unix
         )
-        workers = [
-            w for w in self.workers.values() if w.is_schedulable(now, MAX_REPORT_AGE_SECONDS)
-        ]
+        workers = [w for w in self.workers.values() if is_schedulable(w, now)]
         return self.advice.next_request(ranked, workers, now)
 
     def record_advice(self, request: AdviceRequest, advice: Advice, requested_at: float) -> None:
@@ -418,9 +421,7 @@
             self.request_stop(task, now)
 
     def _move_slowed(self, now: float, now_unix: float) -> None:
-        workers = [
-            w for w in self.workers.values() if w.is_schedulable(now, MAX_REPORT_AGE_SECONDS)
-        ]
+        workers = [w for w in self.workers.values() if is_schedulable(w, now)]
         self.moving = [task for task in self.moving if task.state == TaskState.STOPPING]
         slowed = slowed_runs(workers, self.interference, now)
         if not slowed:
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -8,10 +8,10 @@
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.crashes import is_suspect
 from acaciastand.workflow.decisions import StartDecision
+from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.gang import place_gang
 from acaciastand.workflow.isolation import IsolatedPlacement
 from acaciastand.workflow.job import Task
-from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import Placement
 from acaciastand.workflow.ranking import RankingPolicy
 from acaciastand.workflow.run_numbers import RunNumbers
@@ -83,11 +83,7 @@
         """
         if not waiting:
             return []
-        available = [
-            w
-            for w in workers
-            if w.is_schedulable(now, MAX_REPORT_AGE_SECONDS) and now >= w.full_until
-        ]
+        available = [w for w in workers if is_schedulable(w, now) and now >= w.full_until]
         if not available:
             return []
         leaving = {task for worker in workers for task, _ in worker.leaving_runs}
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -310,21 +310,6 @@
             and now - task.started_at >= MEASURED_AFTER_SECONDS
         )
 
-    def is_schedulable(self, now: float, max_report_age_seconds: float) -> bool:
-        """Return whether new work may be assigned to the worker.
-
-        Its agent must have reported within `max_report_age_seconds`.
-        """
-        return (
-            self.identity is not None
-            and not self.identity.draining
-            and self.reachable
-            and not self.worker_unresponsive
-            and not self.starts_withheld
-            and now - self.last_report_at <= max_report_age_seconds
-            and now >= self.quarantined_until
-        )
-
 
 def services_by_step(worker: WorkerView) -> dict[str, Task]:
     """Return one service task of each job, occurrence and step on a worker.
--- a/src/acaciastand/workflow/zone_moves.py
+++ b/src/acaciastand/workflow/zone_moves.py
@@ -10,6 +10,7 @@
 
 from acaciastand.record import Record
 from acaciastand.workflow.catalog import Queue
+from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.limits import COMMAND_SECONDS, MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import Placement, could_hold
@@ -185,9 +186,7 @@
 
     def _find_destinations(self, now: float) -> Destinations:
         workers = [
-            w
-            for w in self.state.workers.values()
-            if w.is_schedulable(now, MAX_REPORT_AGE_SECONDS) and now >= w.full_until
+            w for w in self.state.workers.values() if is_schedulable(w, now) and now >= w.full_until
         ]
         return Destinations(workers, self._contended_services(workers))
 
