--- a/features/machines/failure_attribution_machine.py
+++ b/features/machines/failure_attribution_machine.py
@@ -11,13 +11,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from acaciastand.placement.failure_attribution import (
-    MAX_PROBE_PAUSE_SECONDS,
-    MAX_QUARANTINED_SHARE,
     AttemptOutcome,
     AttemptStart,
     EvidenceBasedAttribution,
 )
+from acaciastand.placement.quarantine import QuarantineRules
 from acaciastand.placement.worker import WorkerView
+from acaciastand.workflow.quarantine import RULES
 
 FAILING_JOB = "failing-job"
 WORKERS = 9
@@ -30,10 +30,12 @@
 class FailureAttributionMachine(RuleBasedStateMachine):
     """Workers 0 to `last_broken` fail every task; the others fail only those of `FAILING_JOB`."""
 
+    limits = QuarantineRules()
+
     @initialize(last_broken=st.integers(-1, WORKERS - 1))
     def start(self, last_broken):
         self.now = 100.0
-        self.failure_attribution = EvidenceBasedAttribution()
+        self.failure_attribution = EvidenceBasedAttribution(self.limits)
         self.last_broken = last_broken
         self.views = [
             WorkerView(f"agent-{number}", "1", f"zone-{number % ZONES}")
@@ -93,6 +95,17 @@
         self.wait(11.0)
         self.assign(int(agent_id.partition("-")[2]), job)
 
+    @precondition(lambda self: self.quarantine.quarantined and self.last_broken >= 0)
+    @rule(index=st.integers(0, 1000), job=jobs)
+    def probe_repaired(self, index, job):
+        self.repair_workers()
+        self.now += self.limits.max_probe_pause_seconds
+        self.refresh_quarantine()
+        started = self.started
+        self.probe(index, job)
+        if self.started > started:
+            self.end_task(f"{job}/{self.started}", True)
+
     @precondition(lambda self: self.running)
     @rule(index=st.integers(0, 1000), outcome_known=st.booleans())
     def end(self, index, outcome_known):
@@ -132,7 +145,7 @@
     @precondition(lambda self: self.quarantine.quarantined and not self.running)
     @rule()
     def probe_comes_in_time(self):
-        self.now += MAX_PROBE_PAUSE_SECONDS
+        self.now += self.limits.max_probe_pause_seconds
         self.refresh_quarantine()
         assert all(
             self.quarantine.quarantined.values()
@@ -154,7 +167,7 @@
             if view.agent_id in self.quarantine.quarantined
         )
         for zone, count in quarantined.items():
-            assert count <= MAX_QUARANTINED_SHARE * in_zone[zone], f"{count} quarantined in {zone}"
+            assert count <= self.limits.max_share * in_zone[zone], f"{count} quarantined in {zone}"
 
     @invariant()
     def check_healthy(self):
@@ -166,4 +179,10 @@
             assert not flagged & healthy, f"healthy workers {flagged & healthy} are flagged"
 
 
+class JobSchedulerRulesMachine(FailureAttributionMachine):
+    """The same with the limits of the scheduler of jobs of dependent steps."""
+
+    limits = RULES
+
+
 MACHINES = {"blame": FailureAttributionMachine}
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -11,7 +11,6 @@
 from acaciastand.placement import interference as interference_module
 from acaciastand.placement.estimates import SizeEstimator
 from acaciastand.placement.failure_attribution import (
-    FIRST_PROBE_PAUSE_SECONDS,
     AttemptOutcome,
     AttemptStart,
     EvidenceBasedAttribution,
@@ -24,6 +23,7 @@
     LeastInterferenceFit,
 )
 from acaciastand.placement.placer import BestFit, PlacementRequest
+from acaciastand.placement.quarantine import FIRST_PROBE_PAUSE_SECONDS
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
 from acaciastand.shard import shard as shard_module
@@ -44,7 +44,7 @@
     return failures.count
 
 
-def all_flagged(flagged, _views, _workers):
+def all_flagged(flagged, _views, _workers, _max_share):
     return [agent_id for _, agent_id in flagged]
 
 
--- a/src/acaciastand/placement/failure_attribution.py
+++ b/src/acaciastand/placement/failure_attribution.py
@@ -8,33 +8,31 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter, OrderedDict
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import Enum
 
-from acaciastand.placement.worker import WorkerView
+from acaciastand.placement.quarantine import (
+    Quarantine,
+    QuarantineRules,
+    QuarantineSubject,
+)
 from acaciastand.record import Record
 
 # Workers with recorded failures; the one that failed longest ago is dropped.
 MAX_WORKERS_WITH_FAILURES = 9_600
 # Jobs with recorded failures; the one that failed longest ago is dropped.
 MAX_JOBS_WITH_FAILURES = 4_096
+# Workers that are recorded for one job; failures on further ones tell nothing more of it.
+MAX_WORKERS_PER_JOB = 16
 MAX_STARTS = 131_072  # Attempts whose start time is known; the oldest is dropped.
 # Failed jobs that are recorded for one worker; failures of further jobs are not counted.
 MAX_JOBS_PER_WORKER = 16
-# Score at which a worker is flagged. The score counts the jobs that failed on the worker since its
-# last success, and every failure of a job that succeeded elsewhere in the meantime.
-SCORE_TO_QUARANTINE = 3
-# A job that failed on this many workers since its last success is assumed to fail everywhere.
+# A job is assumed to fail everywhere if since its last success it failed on this many workers that
+# fail no other job.
 WORKERS_TO_SUSPECT_JOB = 3
-# Share of the workers of an availability zone that can be quarantined; the number is rounded down.
-MAX_QUARANTINED_SHARE = 0.34
-# Age at which failures of a worker that is not flagged are forgotten.
-EVIDENCE_LIFETIME_SECONDS = 600.0
-# An attempt that has run for this long counts as a successful start.
-MIN_SUCCESSFUL_RUN_SECONDS = 10.0
-# Initial pause before a probe; doubles after each probe that did not succeed.
-FIRST_PROBE_PAUSE_SECONDS = 5.0
-MAX_PROBE_PAUSE_SECONDS = 300.0
+# A run shows that its worker does not fail all runs once it has gone on for this multiple of the
+# shortest run that failed there, within the limits of the rules.
+SUCCESS_FACTOR = 2.0
 
 
 class AttemptOutcome(Enum):
@@ -73,27 +71,6 @@
         return self.task_id.rpartition("/")[0]
 
 
-class Quarantine(Record):
-    """Workers that are currently flagged as failing.
-
-    Parameters
-    ----------
-    quarantined
-        Agents that are assigned only probes, each with whether it may be assigned one now.
-    suspected
-        Flagged agents beyond the largest quarantined share of their zone. They stay in use, but not
-        for urgent tasks and tasks that have failed.
-    """
-
-    __slots__ = ("quarantined", "suspected")
-
-    def __init__(
-        self, quarantined: dict[str, bool] | None = None, suspected: frozenset[str] = frozenset()
-    ) -> None:
-        self.quarantined = quarantined or {}
-        self.suspected = suspected
-
-
 class FailureAttribution(ABC):
     """Attributes failed attempts to workers or to jobs and decides which workers to quarantine.
 
@@ -114,7 +91,7 @@
         """Record the outcome of an attempt."""
 
     @abstractmethod
-    def current_quarantine(self, workers: Sequence[WorkerView], now: float) -> Quarantine:
+    def current_quarantine(self, workers: Collection[QuarantineSubject], now: float) -> Quarantine:
         """Return which of the workers are quarantined or suspected."""
 
     @abstractmethod
@@ -137,7 +114,7 @@
     def record_end(self, task_id: str, attempt: int, outcome: AttemptOutcome, now: float) -> None:
         """Ignore the end."""
 
-    def current_quarantine(self, workers: Sequence[WorkerView], now: float) -> Quarantine:
+    def current_quarantine(self, workers: Collection[QuarantineSubject], now: float) -> Quarantine:
         """Return no flagged workers."""
         return Quarantine()
 
@@ -154,11 +131,6 @@
         self.failed_on: set[str] = set()
         self.succeeded_at = float("-inf")
 
-    @property
-    def always_fails(self) -> bool:
-        """Whether the job failed on `WORKERS_TO_SUSPECT_JOB` workers since its last success."""
-        return len(self.failed_on) >= WORKERS_TO_SUSPECT_JOB
-
 
 class JobFailures:
     """Failures of one job on one worker since the worker's last success."""
@@ -178,8 +150,12 @@
     ----------
     failures
         Failures by job id.
+    shortest_run
+        Duration in seconds of the shortest run that failed.
+    last_failure_at
+        Time of the last failure.
     flagged_at
-        Time at which the score reached `SCORE_TO_QUARANTINE`; None while it is lower.
+        Time at which the score reached that of the rules; None while it is lower.
     probe
         Task id and attempt number of the current probe, if there is one.
     next_probe_at
@@ -188,18 +164,31 @@
         Seconds between the end of a probe and the next one.
     """
 
-    __slots__ = ("incarnation", "failures", "flagged_at", "probe", "next_probe_at", "pause")
-
-    def __init__(self, incarnation: str) -> None:
+    __slots__ = (
+        "incarnation",
+        "failures",
+        "shortest_run",
+        "last_failure_at",
+        "flagged_at",
+        "probe",
+        "next_probe_at",
+        "pause",
+    )
+
+    def __init__(self, incarnation: str, pause: float) -> None:
         self.incarnation = incarnation
         self.failures: dict[str, JobFailures] = {}
+        self.shortest_run = float("inf")
+        self.last_failure_at = float("-inf")
         self.flagged_at: float | None = None
         self.probe: tuple[str, int] | None = None
         self.next_probe_at = float("-inf")
-        self.pause = FIRST_PROBE_PAUSE_SECONDS
+        self.pause = pause
 
-    def add_failure(self, job_id: str, now: float) -> None:
+    def add_failure(self, job_id: str, ran_seconds: float, now: float) -> None:
         """Count a failure of a job, unless `MAX_JOBS_PER_WORKER` other jobs are recorded."""
+        self.shortest_run = min(self.shortest_run, ran_seconds)
+        self.last_failure_at = now
         if job_id not in self.failures and len(self.failures) >= MAX_JOBS_PER_WORKER:
             return
         failures = self.failures.setdefault(job_id, JobFailures(now))
@@ -223,16 +212,23 @@
 
     The score of a worker counts each job that failed on it once, because one job that always fails
     may fail many tasks. It counts each failure of a job that has succeeded on another worker since
-    it first failed on this one. It does not count jobs that failed on `WORKERS_TO_SUSPECT_JOB`
-    workers since their last success.
+    it first failed on this one. It does not count jobs that since their last success failed on
+    `WORKERS_TO_SUSPECT_JOB` workers on which no other job has failed.
+
+    A worker whose score reaches that of the rules is flagged, and assigned one probe at a time
+    until an attempt succeeds on it. Failures of attempts that began before add nothing to the
+    pauses between probes. At most a share of the workers of each redundancy group is quarantined,
+    those flagged first, so that the failure of a rack or a network switch does not leave a zone
+    without workers. Further flagged workers are suspected.
 
-    A worker whose score reaches `SCORE_TO_QUARANTINE` is flagged, and assigned one probe at a time
-    until an attempt succeeds on it. At most `MAX_QUARANTINED_SHARE` of the workers of each
-    availability zone are quarantined, those flagged first, so that the failure of a rack or a
-    network switch does not leave a zone without workers. Further flagged workers are suspected.
+    Parameters
+    ----------
+    rules
+        Limits of the quarantine; the defaults are those of shards.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rules: QuarantineRules | None = None) -> None:
+        self.rules = rules or QuarantineRules()
         self._workers: OrderedDict[str, WorkerEvidence] = OrderedDict()
         self._jobs: OrderedDict[str, JobEvidence] = OrderedDict()
         self._starts: OrderedDict[str, AttemptStart] = OrderedDict()
@@ -248,14 +244,38 @@
             worker.probe = (start.task_id, start.attempt)
 
     def record_running(self, agent_id: str, task_id: str, attempt: int, now: float) -> None:
-        """Record a success if the attempt has run for `MIN_SUCCESSFUL_RUN_SECONDS`."""
+        """Record a success if the attempt has run for long enough."""
         if agent_id not in self._workers and task_id.rpartition("/")[0] not in self._jobs:
             return
         start = self._starts.get(task_id)
         if start is None or start.attempt != attempt or start.agent_id != agent_id:
             return
-        if now - start.started_at >= MIN_SUCCESSFUL_RUN_SECONDS:
-            self._record_success(start, start.started_at + MIN_SUCCESSFUL_RUN_SECONDS)
+        ran_seconds = now - start.started_at
+        if ran_seconds >= self._successful_run_seconds(agent_id):
+            self._clear_worker(start)
+        if ran_seconds >= self.rules.max_successful_run_seconds:
+            self._clear_job(start, start.started_at + self.rules.max_successful_run_seconds)
+
+    def has_evidence(self, agent_id: str) -> bool:
+        """Return whether failures of a worker are recorded."""
+        return agent_id in self._workers
+
+    def has_probe(self, agent_id: str) -> bool:
+        """Return whether a probe is on a worker."""
+        worker = self._workers.get(agent_id)
+        return worker is not None and worker.probe is not None
+
+    def failed_jobs(self, agent_id: str) -> list[str]:
+        """Return the jobs that failed on a worker, as far as they are recorded."""
+        worker = self._workers.get(agent_id)
+        return list(worker.failures) if worker is not None else []
+
+    def _successful_run_seconds(self, agent_id: str) -> float:
+        """Return how long a run has to go on to show that its worker does not fail it."""
+        worker = self._workers.get(agent_id)
+        shortest = worker.shortest_run if worker is not None else 0.0
+        seconds = max(self.rules.min_successful_run_seconds, SUCCESS_FACTOR * shortest)
+        return min(seconds, self.rules.max_successful_run_seconds)
 
     def record_end(self, task_id: str, attempt: int, outcome: AttemptOutcome, now: float) -> None:
         """Record the outcome; it is ignored if the start of the attempt is not known."""
@@ -264,13 +284,17 @@
             return
         del self._starts[task_id]
         if outcome is AttemptOutcome.SUCCEEDED:
-            self._record_success(start, now)
+            self._clear_worker(start)
+            self._clear_job(start, now)
         elif outcome is AttemptOutcome.FAILED:
             self._record_failure(start, now)
         self._end_probe(start, now)
 
-    def current_quarantine(self, workers: Sequence[WorkerView], now: float) -> Quarantine:
-        """Return the flagged agents; those within the cap of each zone are quarantined."""
+    def current_quarantine(self, workers: Collection[QuarantineSubject], now: float) -> Quarantine:
+        """Return the flagged agents; those within the cap of each group are quarantined."""
+        if not self._workers:
+            self._quarantined = frozenset()
+            return Quarantine()
         views = {view.agent_id: view for view in workers if view.agent_id in self._workers}
         for view in views.values():
             self._drop_if_replaced(view)
@@ -279,12 +303,17 @@
             for agent_id in views
             if (flagged_at := self._update_flag(agent_id, now)) is not None
         ]
-        within_cap = _within_cap(sorted(flagged), views, workers) if flagged else []
+        within_cap = (
+            _within_cap(sorted(flagged), views, workers, self.rules.max_share) if flagged else []
+        )
         self._quarantined = frozenset(within_cap)
         quarantined = {agent_id: self._may_probe(agent_id, now) for agent_id in within_cap}
-        return Quarantine(
-            quarantined, frozenset(agent_id for _, agent_id in flagged) - self._quarantined
-        )
+        suspected = frozenset(agent_id for _, agent_id in flagged) - self._quarantined
+        retry_from = {
+            agent_id: self._workers[agent_id].last_failure_at + self.rules.retry_pause_seconds
+            for _, agent_id in flagged
+        }
+        return Quarantine(quarantined, suspected, retry_from)
 
     def forget_attempts(self, task_ids: Sequence[str]) -> None:
         """Forget the attempts; a probe among them ends without an outcome or a longer pause."""
@@ -294,11 +323,15 @@
             if worker is not None and worker.probe is not None and worker.probe[0] == task_id:
                 worker.probe = None
 
-    def _record_success(self, start: AttemptStart, succeeded_at: float) -> None:
+    def _clear_worker(self, start: AttemptStart) -> None:
+        """Forget the failures of a worker on which an attempt has succeeded."""
         worker = self._workers.get(start.agent_id)
         # An attempt that started before a failure says nothing about the worker since the failure.
         if worker is not None and self._newer_than_failures(start, worker):
             del self._workers[start.agent_id]
+
+    def _clear_job(self, start: AttemptStart, succeeded_at: float) -> None:
+        """Forget the failures of a job of which an attempt has succeeded."""
         job = self._jobs.get(start.job_id)
         if job is not None and succeeded_at > job.succeeded_at:
             job.failed_on.clear()
@@ -312,14 +345,16 @@
     def _record_failure(self, start: AttemptStart, now: float) -> None:
         worker = self._workers.get(start.agent_id)
         if worker is None or worker.incarnation != start.incarnation:
-            worker = self._workers[start.agent_id] = WorkerEvidence(start.incarnation)
-        worker.add_failure(start.job_id, now)
+            worker = self._workers[start.agent_id] = WorkerEvidence(
+                start.incarnation, self.rules.first_probe_pause_seconds
+            )
+        worker.add_failure(start.job_id, now - start.started_at, now)
         self._workers.move_to_end(start.agent_id)
         if len(self._workers) > MAX_WORKERS_WITH_FAILURES:
             self._workers.popitem(last=False)
         job = self._jobs.setdefault(start.job_id, JobEvidence())
         # A failure on a worker that is already flagged is no evidence against the job.
-        if worker.flagged_at is None and not job.always_fails:
+        if worker.flagged_at is None and len(job.failed_on) < MAX_WORKERS_PER_JOB:
             job.failed_on.add(start.agent_id)
         self._jobs.move_to_end(start.job_id)
         if len(self._jobs) > MAX_JOBS_WITH_FAILURES:
@@ -331,9 +366,9 @@
             return
         worker.probe = None
         worker.next_probe_at = now + worker.pause
-        worker.pause = min(worker.pause * 2.0, MAX_PROBE_PAUSE_SECONDS)
+        worker.pause = min(worker.pause * 2.0, self.rules.max_probe_pause_seconds)
 
-    def _drop_if_replaced(self, view: WorkerView) -> None:
+    def _drop_if_replaced(self, view: QuarantineSubject) -> None:
         worker = self._workers[view.agent_id]
         if view.incarnation and worker.incarnation != view.incarnation:
             del self._workers[view.agent_id]
@@ -343,12 +378,12 @@
         if worker is None:
             return None
         if worker.flagged_at is None:
-            worker.drop_failures_before(now - EVIDENCE_LIFETIME_SECONDS)
-        if self._score(worker) < SCORE_TO_QUARANTINE:
+            worker.drop_failures_before(now - self.rules.evidence_lifetime_seconds)
+        if self._score(worker) < self.rules.score:
             worker.flagged_at = None  # Its failed jobs turned out to fail on other workers too.
         elif worker.flagged_at is None:
             worker.flagged_at = now
-            worker.next_probe_at = now + FIRST_PROBE_PAUSE_SECONDS
+            worker.next_probe_at = now + self.rules.first_probe_pause_seconds
         return worker.flagged_at
 
     def _score(self, worker: WorkerEvidence) -> int:
@@ -360,27 +395,39 @@
         job = self._jobs.get(job_id)
         if job is None:
             return 1
-        if job.always_fails:
+        if self._always_fails(job_id, job):
             return 0
         return failures.count if job.succeeded_at > failures.first_at else 1
 
+    def _always_fails(self, job_id: str, job: JobEvidence) -> bool:
+        """Return whether a job fails on enough workers on which no other job has failed."""
+        found = 0
+        for agent_id in job.failed_on:
+            worker = self._workers.get(agent_id)
+            if worker is None or worker.failures.keys() <= {job_id}:
+                found += 1
+                if found >= WORKERS_TO_SUSPECT_JOB:
+                    return True
+        return False
+
     def _may_probe(self, agent_id: str, now: float) -> bool:
         worker = self._workers[agent_id]
         return worker.probe is None and now >= worker.next_probe_at
 
 
 def _within_cap(
-    flagged: list[tuple[float, str]], views: dict[str, WorkerView], workers: Sequence[WorkerView]
+    flagged: list[tuple[float, str]],
+    views: Mapping[str, QuarantineSubject],
+    workers: Collection[QuarantineSubject],
+    max_share: float,
 ) -> list[str]:
     """Return the agents that may be quarantined, in the order of `flagged`."""
-    remaining = {
-        zone: int(count * MAX_QUARANTINED_SHARE)
-        for zone, count in Counter(view.availability_zone for view in workers).items()
-    }
+    sizes = Counter(view.redundancy_group for view in workers)
+    remaining = {group: int(count * max_share) for group, count in sizes.items()}
     within_cap = []
     for _, agent_id in flagged:
-        zone = views[agent_id].availability_zone
-        if remaining[zone] > 0:
-            remaining[zone] -= 1
+        group = views[agent_id].redundancy_group
+        if remaining[group] > 0:
+            remaining[group] -= 1
             within_cap.append(agent_id)
     return within_cap
--- a/src/acaciastand/placement/worker.py
+++ b/src/acaciastand/placement/worker.py
@@ -58,6 +58,11 @@
         self.draining = draining
         self.load = load
 
+    @property
+    def redundancy_group(self) -> str:
+        """Availability zone, whose workers can stand in for each other."""
+        return self.availability_zone
+
     def suits(self, size: Resources, service: str) -> bool:
         """Return whether the worker could ever run a task of `size` for `service`."""
         return size.fits_in(self.capacity) and (not service or service in self.services)
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -41,12 +41,23 @@
 
 
 class WorkerPool:
-    """Workers in a list for placement, which can also be found by agent id."""
+    """Workers in a list for placement, which can also be found by agent id.
 
-    __slots__ = ("views", "_positions")
+    Parameters
+    ----------
+    views
+        All workers; those in quarantine that may not be assigned a probe have no free capacity.
+    last_resort
+        The same workers in quarantine with their free capacity, for tasks without another place.
+    """
+
+    __slots__ = ("views", "last_resort", "_positions")
 
-    def __init__(self, views: Iterable[WorkerView]) -> None:
+    def __init__(
+        self, views: Iterable[WorkerView], last_resort: Mapping[str, WorkerView] | None = None
+    ) -> None:
         self.views = list(views)
+        self.last_resort = dict(last_resort or {})
         self._positions = {view.agent_id: index for index, view in enumerate(self.views)}
 
     def get(self, agent_id: str) -> WorkerView | None:
@@ -56,6 +67,9 @@
 
     def put(self, view: WorkerView) -> None:
         """Replace the view of a worker that is in the pool."""
+        if view.agent_id in self.last_resort:
+            self.last_resort[view.agent_id] = view
+            return
         self.views[self._positions[view.agent_id]] = view
 
 
@@ -125,7 +139,7 @@
         """
         unused_quotas = dict(remaining_quotas)
         self.process_ends(now)
-        pool = WorkerPool(self._without_quarantined(list(self._with_reservations(workers)), now))
+        pool = self._make_pool(list(self._with_reservations(workers)), now)
         started = 0
         unplaceable: set[tuple[object, ...]] = set()
         for job in self._jobs_by_priority():
@@ -164,15 +178,17 @@
             # further tasks until its next heartbeat.
             yield worker.replace(free=NO_CAPACITY if has_refused else free)
 
-    def _without_quarantined(self, views: list[WorkerView], now: float) -> Iterator[WorkerView]:
+    def _make_pool(self, views: list[WorkerView], now: float) -> WorkerPool:
         self.quarantine = self.failure_attribution.current_quarantine(views, now)
         quarantined = self.quarantine.quarantined
         self.probe_agents = frozenset(
             agent_id for agent_id, may_probe in quarantined.items() if may_probe
         )
-        for view in views:
-            is_excluded = not quarantined.get(view.agent_id, True)
-            yield view.replace(free=NO_CAPACITY) if is_excluded else view
+        held_back = {v.agent_id: v for v in views if not quarantined.get(v.agent_id, True)}
+        return WorkerPool(
+            [v.replace(free=NO_CAPACITY) if v.agent_id in held_back else v for v in views],
+            held_back,
+        )
 
     def _jobs_by_priority(self) -> list[Job]:
         jobs = [
@@ -204,7 +220,7 @@
                 continue
             if not _within_quota(job.spec, remaining_quotas):
                 break
-            worker = self._choose_worker(job, task, size, pool)
+            worker = self._choose_worker(job, task, size, pool, now)
             if worker is None:
                 if not self._agents_to_avoid(job, task, size, pool):
                     unplaceable.add(requirements)
@@ -222,13 +238,37 @@
         return size if fits else spec.size
 
     def _choose_worker(
-        self, job: Job, task: Task, size: Resources, pool: WorkerPool
+        self, job: Job, task: Task, size: Resources, pool: WorkerPool, now: float
     ) -> WorkerView | None:
         workers = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         locations = [(v.availability_zone, v.rack, v.agent_id) for v in workers if v is not None]
         avoid = self._agents_to_avoid(job, task, size, pool)
         request = PlacementRequest(size, job.spec.service, avoid, locations, job.spec.batch_class)
-        return self.placer.choose(request, pool.views)
+        worker = self.placer.choose(request, pool.views)
+        if worker is None and pool.last_resort:
+            return self._choose_last_resort(job, task, request, pool, now)
+        return worker
+
+    def _choose_last_resort(
+        self, job: Job, task: Task, request: PlacementRequest, pool: WorkerPool, now: float
+    ) -> WorkerView | None:
+        """Return a worker in quarantine if no other could ever run a task; None if one could.
+
+        After a failure the task waits for a moment.
+        """
+        if any(
+            v.suits(request.size, job.spec.service)
+            for v in pool.views
+            if v.agent_id not in self.quarantine.quarantined
+        ):
+            return None
+        retry_from = self.quarantine.retry_from
+        usable = [
+            v
+            for v in pool.last_resort.values()
+            if not task.failures or now >= retry_from.get(v.agent_id, now)
+        ]
+        return self.placer.choose(request, usable)
 
     def _agents_to_avoid(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> set[str]:
         last_failed_agent = self.shard.last_failed_agents.get(task.task_id)
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -13,13 +13,12 @@
 from acaciastand.workflow.exclusions import is_schedulable
 from acaciastand.workflow.job import ON_WORKER, Task, TaskState
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
-from acaciastand.workflow.quarantine import FAILURES_TO_QUARANTINE
 from acaciastand.workflow.report_processing import MAX_POLL_AGE_SECONDS
 from acaciastand.workflow.reports import WorkerIdentity
 from acaciastand.workflow.scheduler_state import SchedulerState
 from acaciastand.workflow.starts import StartCallback, StartPlanner
 from acaciastand.workflow.task_copy import TaskCopy
-from acaciastand.workflow.worker import WorkerView
+from acaciastand.workflow.worker import Standing, WorkerView
 
 CHECK_SECONDS = 0.2  # Minimum time between two checks for runs to copy.
 # A run is slow from this multiple of the longest of its finished siblings. Data on another rack
@@ -166,9 +165,9 @@
         return "worker unresponsive"
     if now - worker.last_report_at > MAX_REPORT_AGE_SECONDS:
         return "old report"
-    if now < worker.quarantined_until:
+    if worker.standing is Standing.QUARANTINED:
         return "worker in quarantine"
-    if len(worker.recently_failed_jobs) >= FAILURES_TO_QUARANTINE:
+    if worker.standing is Standing.SUSPECTED:
         return "worker fails tasks"
     return ""
 
--- a/src/acaciastand/workflow/decisions.py
+++ b/src/acaciastand/workflow/decisions.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from acaciastand.record import Record
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.reports import StartCommand
 
+RecordDecision = Callable[..., None]  # As `SchedulerState.record_decision`.
+
 
 class StartDecision(Record):
     """Decision that an agent starts a run.
--- a/src/acaciastand/workflow/exclusions.py
+++ b/src/acaciastand/workflow/exclusions.py
@@ -10,7 +10,7 @@
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.limits import MAX_REPORT_AGE_SECONDS
 from acaciastand.workflow.placement import exceeds_step_limit
-from acaciastand.workflow.worker import WorkerView
+from acaciastand.workflow.worker import Standing, WorkerView
 
 
 class Exclusion(StrEnum):
@@ -26,6 +26,7 @@
     REFUSED_START = "refused a start"
     OBSERVED = "observed after a crash"
     RESERVED = "reserved for a suspect"
+    SUSPECTED = "suspected of failing tasks"
     NO_TICKET = "no ticket"
     STEP_LIMIT = "limit of the step"
     NO_CAPACITY = "no capacity"
@@ -34,7 +35,10 @@
 
 
 def worker_exclusion(worker: WorkerView, now: float) -> Exclusion | None:
-    """Return why no task may be assigned to a worker; None if one may."""
+    """Return why no task may be assigned to a worker; None if one may.
+
+    Quarantine comes last: alone it does not keep off probes and tasks without another place.
+    """
     if worker.identity is None:
         return Exclusion.NOT_ANNOUNCED
     if worker.identity.draining:
@@ -47,16 +51,21 @@
         return Exclusion.STARTS_WITHHELD
     if now - worker.last_report_at > MAX_REPORT_AGE_SECONDS:
         return Exclusion.OLD_REPORT
-    if now < worker.quarantined_until:
+    if worker.standing is Standing.QUARANTINED:
         return Exclusion.QUARANTINED
     return None
 
 
 def is_schedulable(worker: WorkerView, now: float) -> bool:
-    """Return whether new work may be assigned to a worker."""
+    """Return whether any new work may be assigned to a worker."""
     return worker_exclusion(worker, now) is None
 
 
+def is_usable(worker: WorkerView, now: float) -> bool:
+    """Return whether at least a probe or a task without another place may be assigned."""
+    return worker_exclusion(worker, now) in (None, Exclusion.QUARANTINED)
+
+
 def task_exclusion(
     task: Task, worker: WorkerView, is_suspected: bool, now: float
 ) -> Exclusion | None:
@@ -78,6 +87,6 @@
     if exceeds_step_limit(task, worker):
         return Exclusion.STEP_LIMIT
     if worker.has_capacity(task.step.reserved):
-        return None
+        return Exclusion.SUSPECTED if worker.standing is Standing.SUSPECTED else None
     stopping = sum(leaving.size.cores for leaving in worker.leaving_runs.values())
     return Exclusion.STOPPING_RUNS if stopping else Exclusion.NO_CAPACITY
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -293,8 +293,8 @@
     revision
         Revision of the stored progress in the store; 0 before it is stored.
     idle_since
-        Time since when the job waits for leftover processor time without a task on a worker; 0 if
-        it does not.
+        Time at which the job was first found without a task on a worker since its last start; 0 if
+        it was not.
     highest_former_run
         Highest number of a run that former owners can have started without storing it; 0 if none
         can have started tasks of the job.
@@ -414,6 +414,14 @@
         """Return whether no task of the job is on a worker."""
         return not any(task.state in ON_WORKER for task in self.tasks.values())
 
+    def idle_seconds(self, now: float) -> float:
+        """Return for how long the job has been found without a task on a worker."""
+        if not self.is_idle():
+            self.idle_since = 0.0
+            return 0.0
+        self.idle_since = self.idle_since or now
+        return now - self.idle_since
+
     def progress(self) -> JobProgress:
         """Return the progress to be stored."""
         tasks = [task.progress(n) for n, task in enumerate(self.tasks.values()) if task.last_run]
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from acaciastand.workflow import crashes, quarantine
+from acaciastand.workflow import crashes
 from acaciastand.workflow.crash_processing import CrashProcessor
 from acaciastand.workflow.decisions import StopDecision
 from acaciastand.workflow.job import ON_WORKER, StartState, Task, TaskState
@@ -99,6 +99,8 @@
         holder = task.find_run(end.run) if task is not None else None
         if holder is not None and holder.agent_id != worker.agent_id:
             holder = None
+        if task is not None:
+            self.state.quarantine.record_end(task, end.run, end.how, now)
         # The end of a run that is still tracked on this worker has not been processed.
         is_processed = (
             task is not None
@@ -158,7 +160,6 @@
             self.state.record_stopped_copy(task, "first run done")
 
     def _handle_done(self, worker: WorkerView, task: Task, now: float, now_unix: float) -> None:
-        quarantine.record_success(worker)
         job = task.job
         # The end of one member of a gang stands for all members.
         for member in job.siblings(task) if task.step.gang else [task]:
@@ -197,14 +198,6 @@
         if end.how == RunEnd.FAILED:
             task.job.record_failure(task, end.run)
             task.avoided_agent_id = worker.agent_id
-            quarantine_seconds = quarantine.record_failure(
-                worker, task.job.job_id, self.state.workers.values(), now
-            )
-            if quarantine_seconds:
-                jobs = worker.recently_failed_jobs[:]
-                self.state.record_decision(
-                    "worker set aside", worker.agent_id, failed_jobs=jobs, for_s=quarantine_seconds
-                )
         if end.how == RunEnd.FAILED and self.state.has_used_attempts(task):
             self.state.fail_job(task, now, now_unix, failures=task.job.count_failures(task))
         elif holder is not None or task.state == TaskState.WAITING:
@@ -238,6 +231,7 @@
             return
         self.state.record_begin(task)
         if not worker.worker_unresponsive:
+            self.state.quarantine.record_listed(worker, task, active_run.run, now)
             task.withdraw_crash(active_run.run)
         if self._may_be_adopted(worker, task):
             self._adopt_run(worker, task, active_run, now)
@@ -354,8 +348,6 @@
         """Reset a worker that has restarted; runs that it no longer lists are lost."""
         worker.pending_ends.clear()
         worker.acknowledged = 0
-        worker.recently_failed_jobs.clear()
-        worker.quarantined_until = 0.0
         worker.leaving_runs.clear()
         assert report.identity is not None
         self.state.record_decision(
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -18,7 +18,7 @@
 from acaciastand.workflow.command_processing import CommandProcessor
 from acaciastand.workflow.copies import CopyPlanner
 from acaciastand.workflow.decisions import StartDecision, StopDecision
-from acaciastand.workflow.exclusions import is_schedulable
+from acaciastand.workflow.exclusions import is_schedulable, is_usable
 from acaciastand.workflow.interference import (
     Interference,
     LearnedInterference,
@@ -104,6 +104,7 @@
             placement or SeparatingPlacement(self.interference),
             self.advice,
             self.run_numbers,
+            self.quarantine,
         )
         self.copy_planner = CopyPlanner(self, self.start_planner)
         self.wait_monitor = WaitMonitor(self)
@@ -292,6 +293,7 @@
             Latest time at which it is certain that no other owner had been elected.
         """
         self.zone_drains.mark_workers(self.workers.values(), now)
+        self.quarantine.update(self.workers.values(), now)
         self._check_uncertain(now)
         if now - self.last_check_at >= CHECK_INTERVAL_SECONDS:
             self.last_check_at = now
@@ -318,8 +320,13 @@
         ranked = self.start_planner.tasks_by_rank(
             self.waiting.values(), self.catalog, now, now_unix
         )
-        workers = [w for w in self.workers.values() if is_schedulable(w, now)]
-        return self.advice.next_request(ranked, workers, now)
+        workers = [w for w in self.workers.values() if is_usable(w, now)]
+        trusted = [w for w in workers if is_schedulable(w, now)]
+        request = self.advice.next_request(ranked, trusted, now)
+        if request is None and len(trusted) < len(workers):
+            # Perhaps only workers in quarantine may run a step.
+            request = self.advice.next_request(ranked, workers, now)
+        return request
 
     def record_advice(self, request: AdviceRequest, advice: Advice, requested_at: float) -> None:
         """Record the advice on a request that was sent at `requested_at`."""
@@ -345,6 +352,7 @@
         is_isolated = is_quiet(worker, now)
         worker.last_start_at = now
         worker.assign(task)
+        self.quarantine.record_start(task, worker, now)
         if is_isolated and crashes.is_suspect(task.crashes):
             seconds = START_SECONDS + crashes.observation_seconds(task.crashes)
             worker.observe(task, now + seconds)
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -10,6 +10,7 @@
 from acaciastand.workflow.finished_runs import FinishedRuns
 from acaciastand.workflow.interference import Interference
 from acaciastand.workflow.job import ON_WORKER, Job, Task, TaskState
+from acaciastand.workflow.quarantine import WorkerQuarantine
 from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.task_copy import TaskCopy, promote_copy
 from acaciastand.workflow.worker import WorkerView
@@ -57,6 +58,8 @@
         Decisions to be logged; the owner empties the list.
     finished_runs
         What is known of the runs that are done.
+    quarantine
+        Standing of the workers by what failed on them.
     last_check_at
         When the time limits were last checked.
     event_count
@@ -82,6 +85,7 @@
         self.pending_stops: list[StopDecision] = []
         self.decisions: list[DecisionRecord] = []
         self.finished_runs = FinishedRuns()
+        self.quarantine = WorkerQuarantine(self.record_decision)
         self.last_check_at = float("-inf")
         self.event_count = 0
 
@@ -144,6 +148,7 @@
         worker = self.workers.get(task.agent_id)
         if worker is not None:
             worker.remove(task)
+            self.quarantine.record_end(task, task.run, "", self.last_check_at)
             self.event_count += 1
         task.state = TaskState.WAITING
         task.agent_id = ""
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -2,24 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from acaciastand.workflow.advice import AdviceCache
 from acaciastand.workflow.catalog import Catalog, Queue
 from acaciastand.workflow.crashes import is_suspect
 from acaciastand.workflow.decisions import StartDecision
-from acaciastand.workflow.exclusions import is_schedulable
+from acaciastand.workflow.exclusions import is_usable
 from acaciastand.workflow.gang import place_gang
 from acaciastand.workflow.isolation import IsolatedPlacement
 from acaciastand.workflow.job import Task
+from acaciastand.workflow.limits import STARVING_SECONDS
 from acaciastand.workflow.placement import Placement
+from acaciastand.workflow.quarantine import WorkerQuarantine
 from acaciastand.workflow.ranking import RankingPolicy
 from acaciastand.workflow.run_numbers import RunNumbers
 from acaciastand.workflow.worker import WorkerView
 
-# Maximum time for which a job without a task on a worker waits for leftover processor time.
-STARVING_SECONDS = 1.5
-
 # Assigns a task to a worker as a run with this number.
 StartCallback = Callable[[Task, WorkerView, int], StartDecision]
 
@@ -35,6 +34,8 @@
         Tickets for tasks of advised queues.
     run_numbers
         Numbers that the owner may give to runs.
+    quarantine
+        Standing of the workers by what failed on them.
     """
 
     def __init__(
@@ -43,7 +44,9 @@
         placement: Placement,
         advice: AdviceCache,
         run_numbers: RunNumbers,
+        quarantine: WorkerQuarantine,
     ) -> None:
+        self.quarantine = quarantine
         self.run_numbers = run_numbers
         self.ranking = ranking
         self.placement = placement
@@ -83,34 +86,36 @@
         """
         if not waiting:
             return []
-        available = [w for w in workers if is_schedulable(w, now) and now >= w.full_until]
+        available = [w for w in workers if is_usable(w, now)]
         if not available:
             return []
         leaving = {task for worker in workers for task, _ in worker.leaving_runs}
         starts: list[StartDecision] = []
-        # Job, step, avoided agent and suspicion of the tasks of which no further one can be placed.
-        exhausted: set[tuple[str, int, str, bool]] = set()
+        # Job, step, avoided agent, suspicion and whether they have failed, of the tasks of which no
+        # further one can be placed.
+        exhausted: set[tuple[str, int, str, bool, bool]] = set()
         for task, queue in self.tasks_by_rank(waiting.values(), catalog, now, now_unix):
             is_suspected = is_suspect(task.crashes)
-            group = (task.job.job_id, task.name.step, task.avoided_agent_id, is_suspected)
+            group = (
+                task.job.job_id,
+                task.name.step,
+                task.avoided_agent_id,
+                is_suspected,
+                bool(task.failures),
+            )
             if group in exhausted or not self._may_start(task, leaving):
                 continue
+            places = self._find_places(task, queue, available, now)
             candidates = [
-                w
-                for w in available
-                if w.identity
-                and w.identity.service == queue.service
-                and w.takes_starts(now, is_suspected)
+                w for w in places if now >= w.full_until and w.takes_starts(now, is_suspected)
             ]
-            if queue.advised:
-                candidates = [w for w in candidates if self.advice.find_ticket(task, w, now)]
+            tiers = self.quarantine.tiers(task, queue, candidates, places, now)
             if task.step.gang:
                 exhausted.add(group)  # All tasks of a gang are placed at once, or none.
                 if all(self._may_start(member, leaving) for member in task.job.siblings(task)):
-                    starts += self._start_gang(task, waiting, candidates, start, now)
+                    starts += self._start_gang(task, waiting, tiers, start, now)
                 continue
-            placement = self.isolated_placement if is_suspected else self.placement
-            worker = placement.choose(task, candidates, now, _is_starving(task, now))
+            worker = self._choose_worker(task, tiers, now)
             if worker is None:
                 exhausted.add(group)
                 continue
@@ -151,18 +156,46 @@
         is_leaving = task.key in leaving and not task.step.allows_copies
         return not is_leaving and task.next_run <= self.run_numbers.highest
 
+    def _find_places(
+        self, task: Task, queue: Queue, available: Iterable[WorkerView], now: float
+    ) -> list[WorkerView]:
+        """Return the available workers of the service of a task that take it on its ticket."""
+        places = [w for w in available if w.identity and w.identity.service == queue.service]
+        if queue.advised:
+            places = [w for w in places if self.advice.find_ticket(task, w, now)]
+        return places
+
+    def _choose_worker(
+        self, task: Task, tiers: Iterable[list[WorkerView]], now: float
+    ) -> WorkerView | None:
+        """Return the worker for a task from the first tier in which it finds a place."""
+        starving = _is_starving(task, now)
+        for workers in tiers:
+            worker = self.placement.choose(task, workers, now, starving)
+            if worker is not None:
+                if is_suspect(task.crashes):
+                    return self.isolated_placement.choose(task, workers, now, starving)
+                return worker
+        return None
+
     def _start_gang(
         self,
         task: Task,
         waiting: Mapping[str, Task],
-        workers: list[WorkerView],
+        tiers: Iterable[list[WorkerView]],
         start: StartCallback,
         now: float,
     ) -> list[StartDecision]:
         members = task.job.siblings(task)
         if not all(member.key in waiting for member in members):
             return []
-        chosen = place_gang(members, workers, self.placement, now)
+        chosen = None
+        workers: list[WorkerView] = []
+        for tier in tiers:
+            workers = workers + tier
+            chosen = place_gang(members, workers, self.placement, now)
+            if chosen is not None:
+                break
         if chosen is None:
             return []
         run = max(member.next_run for member in members)
@@ -171,9 +204,4 @@
 
 def _is_starving(task: Task, now: float) -> bool:
     """Return whether the job of a waiting batch task has had no task on a worker for too long."""
-    job = task.job
-    if not task.step.uses_leftover or not job.is_idle():
-        job.idle_since = 0.0
-        return False
-    job.idle_since = job.idle_since or now
-    return now - job.idle_since >= STARVING_SECONDS
+    return task.step.uses_leftover and task.job.idle_seconds(now) >= STARVING_SECONDS
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from enum import Enum
 
 from acaciastand.record import Record
 from acaciastand.resources import Resources
@@ -14,6 +15,14 @@
 ROUNDING_TOLERANCE_CORES = 1e-6  # Sums of fractions of cores are inexact.
 
 
+class Standing(Enum):
+    """What a worker's failures say of it."""
+
+    TRUSTED = "trusted"
+    SUSPECTED = "suspected"  # It fails what it starts, but too many are in quarantine already.
+    QUARANTINED = "quarantined"
+
+
 class LeavingRun(Record):
     """A run that is being stopped without being the current run of a task.
 
@@ -89,12 +98,14 @@
         of the job that must be stored first.
     acknowledged
         Number of the last end that is acknowledged.
-    recently_failed_jobs
-        Ids of the jobs of which a task failed on the worker since the last success there.
-    quarantined_until
-        End of the quarantine.
-    quarantine_count
-        Number of quarantines since the last success.
+    standing
+        Whether the worker is in quarantine or suspected, since it fails what it starts.
+    is_probe_due
+        Whether a task may start on it although it is in quarantine, to show whether it works again.
+    has_probe
+        Whether such a task is on it.
+    retry_from
+        Time from which a task without another place may start on it in spite of its standing.
     full_until
         Time until which the worker gets no starts, because it rejected one for lack of capacity.
     last_start_at
@@ -139,9 +150,10 @@
         "leftover_started_at",
         "pending_ends",
         "acknowledged",
-        "recently_failed_jobs",
-        "quarantined_until",
-        "quarantine_count",
+        "standing",
+        "is_probe_due",
+        "has_probe",
+        "retry_from",
         "full_until",
         "last_start_at",
         "reserved_until",
@@ -179,9 +191,10 @@
         self.leftover_started_at = float("-inf")
         self.pending_ends: list[tuple[int, str, int]] = []
         self.acknowledged = 0
-        self.recently_failed_jobs: list[str] = []
-        self.quarantined_until = 0.0
-        self.quarantine_count = 0
+        self.standing = Standing.TRUSTED
+        self.is_probe_due = False
+        self.has_probe = False
+        self.retry_from = 0.0
         self.full_until = 0.0
         self.last_start_at = float("-inf")
         self.reserved_until = 0.0
@@ -201,6 +214,17 @@
         """Availability zone of the worker; empty before its first announcement."""
         return self.identity.availability_zone if self.identity else ""
 
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the worker as text; empty before its first announcement."""
+        return str(self.identity.born_ms) if self.identity else ""
+
+    @property
+    def redundancy_group(self) -> str:
+        """Service and availability zone; workers with the same can stand in for each other."""
+        service = self.identity.service if self.identity else ""
+        return f"{service}/{self.availability_zone}"
+
     @property
     def rack(self) -> str:
         """Rack of the worker; by convention the last label."""
--- a/src/acaciastand/workflow/zone_drains.py
+++ b/src/acaciastand/workflow/zone_drains.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from acaciastand.record import Record
+from acaciastand.workflow.decisions import RecordDecision
 from acaciastand.workflow.worker import WorkerView
 
 # Share of the bound after which an unconfirmed view may have missed a request. Commands that are on
@@ -14,8 +15,6 @@
 # Share of the bound for which a view is recent enough to stop runs on the strength of it.
 CONFIRMED_SHARE = 0.5
 
-RecordDecision = Callable[..., None]  # As `SchedulerState.record_decision`.
-
 
 class ZoneDrainRequest(Record):
     """Request of the operators to drain an availability zone.
