--- a/features/machines/copies_machine.py
+++ b/features/machines/copies_machine.py
@@ -13,7 +13,7 @@
 
 AGENTS = ("1", "2", "3", "4")
 AGENT = st.sampled_from(AGENTS)
-SETTLE_SECONDS = 120.0  # A worker that fails tasks is in quarantine for up to 24 s.
+SETTLE_SECONDS = 120.0  # A worker that fails tasks gets probes at pauses of up to 24 s.
 
 
 class CopyAllRuns(CopyPolicy):
--- a/src/acaciastand/workflow/quarantine.py
+++ b/src/acaciastand/workflow/quarantine.py
@@ -31,6 +31,7 @@
     max_probe_pause_seconds=24.0,
     retry_pause_seconds=1.0,
 )
+UPDATE_SECONDS = 0.1  # Longest time between two updates of the standing of the workers.
 URGENT_PRIORITY = 0  # A task of such a queue is no probe while it has another place.
 MAX_LOGGED_JOBS = 4  # Failed jobs that are named in the log for one worker.
 
@@ -54,12 +55,18 @@
         Evidence on workers and jobs.
     flagged_at
         When each worker that is not trusted lost its standing, by the id of its agent.
+    updated_at
+        When the standing of the workers was last set.
+    has_changed
+        Whether there may be new evidence since.
     """
 
     def __init__(self, record_decision: RecordDecision) -> None:
         self.record_decision = record_decision
         self.attribution = EvidenceBasedAttribution(RULES)
         self.flagged_at: dict[str, float] = {}
+        self.updated_at = float("-inf")
+        self.has_changed = False
 
     # Evidence
 
@@ -71,21 +78,28 @@
         if worker.standing is Standing.QUARANTINED:
             worker.is_probe_due = False
             worker.has_probe = True
+            self.has_changed = True
 
     def record_listed(self, worker: WorkerView, task: Task, run: int, now: float) -> None:
         """Record that a worker lists a run, which shows after a while that it does not fail it."""
         if self.attribution.has_evidence(worker.agent_id):
             self.attribution.record_running(worker.agent_id, _run_name(task, run), run, now)
+            self.has_changed = True
 
     def record_end(self, task: Task, run: int, how: str, now: float) -> None:
         """Record the end of a run; empty or any end but done and failed is no evidence."""
         outcome = OUTCOMES.get(how, AttemptOutcome.UNKNOWN)
         self.attribution.record_end(_run_name(task, run), run, outcome, now)
+        self.has_changed |= bool(self.flagged_at) or outcome is AttemptOutcome.FAILED
 
     # Standing
 
     def update(self, workers: Collection[WorkerView], now: float) -> None:
-        """Set the standing of all workers for the next plan."""
+        """Set the standing of all workers for the next plan, if it may be another."""
+        if not self.has_changed and now - self.updated_at < UPDATE_SECONDS:
+            return
+        self.has_changed = False
+        self.updated_at = now
         current = self.attribution.current_quarantine(workers, now)
         if not (current.quarantined or current.suspected or self.flagged_at):
             return
