Bound the time for which a quarantine holds tasks back, and spare their attempts

Only failures of runs that began since a worker was flagged postpone the next start, by 3 s at most. One task without another place starts at a time, those with most attempts left first, until one has gone on for 2 s. A task that lasts starts after 3 s in any case. Only failed probes lengthen the pause between probes, and successes of jobs count on every worker. The standing of workers is looked at last, so that 'task waits' tells a quarantine from a lack of room. Scores are computed once for each job, and groups counted once a second.

--- a/src/acaciastand/placement/failure_attribution.py
+++ b/src/acaciastand/placement/failure_attribution.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from acaciastand.placement.quarantine import (
+    Access,
     Quarantine,
     QuarantineRules,
     QuarantineSubject,
@@ -30,6 +31,7 @@
 # A job is assumed to fail everywhere if since its last success it failed on this many workers that
 # fail no other job.
 WORKERS_TO_SUSPECT_JOB = 3
+COUNT_SECONDS = 1.0  # Longest time between two counts of the workers of each redundancy group.
 # A run shows that its worker does not fail all runs once it has gone on for this multiple of the
 # shortest run that failed there, within the limits of the rules.
 SUCCESS_FACTOR = 2.0
@@ -152,8 +154,6 @@
         Failures by job id.
     shortest_run
         Duration in seconds of the shortest run that failed.
-    last_failure_at
-        Time of the last failure.
     flagged_at
         Time at which the score reached that of the rules; None while it is lower.
     probe
@@ -162,33 +162,38 @@
         Earliest time of the next probe.
     pause
         Seconds between the end of a probe and the next one.
+    retry_at
+        Earliest time at which a task without another place may start.
+    retry_pause
+        Seconds between a failure since the worker was flagged and that time.
     """
 
     __slots__ = (
         "incarnation",
         "failures",
         "shortest_run",
-        "last_failure_at",
         "flagged_at",
         "probe",
         "next_probe_at",
         "pause",
+        "retry_at",
+        "retry_pause",
     )
 
-    def __init__(self, incarnation: str, pause: float) -> None:
+    def __init__(self, incarnation: str, rules: QuarantineRules) -> None:
         self.incarnation = incarnation
         self.failures: dict[str, JobFailures] = {}
         self.shortest_run = float("inf")
-        self.last_failure_at = float("-inf")
         self.flagged_at: float | None = None
         self.probe: tuple[str, int] | None = None
         self.next_probe_at = float("-inf")
-        self.pause = pause
+        self.pause = rules.first_probe_pause_seconds
+        self.retry_at = float("-inf")
+        self.retry_pause = rules.first_retry_pause_seconds
 
     def add_failure(self, job_id: str, ran_seconds: float, now: float) -> None:
         """Count a failure of a job, unless `MAX_JOBS_PER_WORKER` other jobs are recorded."""
         self.shortest_run = min(self.shortest_run, ran_seconds)
-        self.last_failure_at = now
         if job_id not in self.failures and len(self.failures) >= MAX_JOBS_PER_WORKER:
             return
         failures = self.failures.setdefault(job_id, JobFailures(now))
@@ -232,15 +237,18 @@
         self._workers: OrderedDict[str, WorkerEvidence] = OrderedDict()
         self._jobs: OrderedDict[str, JobEvidence] = OrderedDict()
         self._starts: OrderedDict[str, AttemptStart] = OrderedDict()
-        self._quarantined: frozenset[str] = frozenset()
+        self._always_fails_by_job: dict[str, bool] = {}
+        self._group_sizes: Counter[str] = Counter()
+        self._worker_count = 0
+        self._counted_at = float("-inf")
 
     def record_start(self, start: AttemptStart) -> None:
-        """Record the start; on a quarantined worker without a probe, the attempt is its probe."""
+        """Record the start; on a flagged worker without a probe, the attempt is its probe."""
         self._starts[start.task_id] = start
         if len(self._starts) > MAX_STARTS:
             self._starts.popitem(last=False)
         worker = self._workers.get(start.agent_id)
-        if worker is not None and start.agent_id in self._quarantined and worker.probe is None:
+        if worker is not None and worker.flagged_at is not None and worker.probe is None:
             worker.probe = (start.task_id, start.attempt)
 
     def record_running(self, agent_id: str, task_id: str, attempt: int, now: float) -> None:
@@ -256,14 +264,9 @@
         if ran_seconds >= self.rules.max_successful_run_seconds:
             self._clear_job(start, start.started_at + self.rules.max_successful_run_seconds)
 
-    def has_evidence(self, agent_id: str) -> bool:
-        """Return whether failures of a worker are recorded."""
-        return agent_id in self._workers
-
-    def has_probe(self, agent_id: str) -> bool:
-        """Return whether a probe is on a worker."""
-        worker = self._workers.get(agent_id)
-        return worker is not None and worker.probe is not None
+    def has_evidence(self, agent_id: str, job_id: str) -> bool:
+        """Return whether failures of a worker or of a job are recorded."""
+        return agent_id in self._workers or job_id in self._jobs
 
     def failed_jobs(self, agent_id: str) -> list[str]:
         """Return the jobs that failed on a worker, as far as they are recorded."""
@@ -288,13 +291,13 @@
             self._clear_job(start, now)
         elif outcome is AttemptOutcome.FAILED:
             self._record_failure(start, now)
-        self._end_probe(start, now)
+        self._end_probe(start, outcome is AttemptOutcome.FAILED, now)
 
     def current_quarantine(self, workers: Collection[QuarantineSubject], now: float) -> Quarantine:
         """Return the flagged agents; those within the cap of each group are quarantined."""
         if not self._workers:
-            self._quarantined = frozenset()
             return Quarantine()
+        self._always_fails_by_job.clear()
         views = {view.agent_id: view for view in workers if view.agent_id in self._workers}
         for view in views.values():
             self._drop_if_replaced(view)
@@ -303,17 +306,22 @@
             for agent_id in views
             if (flagged_at := self._update_flag(agent_id, now)) is not None
         ]
-        within_cap = (
-            _within_cap(sorted(flagged), views, workers, self.rules.max_share) if flagged else []
-        )
-        self._quarantined = frozenset(within_cap)
+        if not flagged:
+            return Quarantine()
+        self._count_groups(workers, now)
+        within_cap = _within_cap(sorted(flagged), views, self._group_sizes, self.rules.max_share)
         quarantined = {agent_id: self._may_probe(agent_id, now) for agent_id in within_cap}
-        suspected = frozenset(agent_id for _, agent_id in flagged) - self._quarantined
-        retry_from = {
-            agent_id: self._workers[agent_id].last_failure_at + self.rules.retry_pause_seconds
-            for _, agent_id in flagged
-        }
-        return Quarantine(quarantined, suspected, retry_from)
+        suspected = frozenset(agent_id for _, agent_id in flagged) - quarantined.keys()
+        access = {agent_id: self._access(agent_id, now) for _, agent_id in flagged}
+        return Quarantine(quarantined, suspected, access)
+
+    def _count_groups(self, workers: Collection[QuarantineSubject], now: float) -> None:
+        """Count the workers of each redundancy group, unless that was done a moment ago."""
+        is_recent = now - self._counted_at < COUNT_SECONDS
+        if is_recent and len(workers) == self._worker_count:
+            return
+        self._counted_at, self._worker_count = now, len(workers)
+        self._group_sizes = Counter(view.redundancy_group for view in workers)
 
     def forget_attempts(self, task_ids: Sequence[str]) -> None:
         """Forget the attempts; a probe among them ends without an outcome or a longer pause."""
@@ -345,10 +353,11 @@
     def _record_failure(self, start: AttemptStart, now: float) -> None:
         worker = self._workers.get(start.agent_id)
         if worker is None or worker.incarnation != start.incarnation:
-            worker = self._workers[start.agent_id] = WorkerEvidence(
-                start.incarnation, self.rules.first_probe_pause_seconds
-            )
+            worker = self._workers[start.agent_id] = WorkerEvidence(start.incarnation, self.rules)
         worker.add_failure(start.job_id, now - start.started_at, now)
+        if worker.flagged_at is not None and start.started_at >= worker.flagged_at:
+            worker.retry_at = now + worker.retry_pause
+            worker.retry_pause = min(2.0 * worker.retry_pause, self.rules.max_retry_pause_seconds)
         self._workers.move_to_end(start.agent_id)
         if len(self._workers) > MAX_WORKERS_WITH_FAILURES:
             self._workers.popitem(last=False)
@@ -360,13 +369,14 @@
         if len(self._jobs) > MAX_JOBS_WITH_FAILURES:
             self._jobs.popitem(last=False)
 
-    def _end_probe(self, start: AttemptStart, now: float) -> None:
+    def _end_probe(self, start: AttemptStart, failed: bool, now: float) -> None:
         worker = self._workers.get(start.agent_id)
         if worker is None or worker.probe != (start.task_id, start.attempt):
             return
         worker.probe = None
         worker.next_probe_at = now + worker.pause
-        worker.pause = min(worker.pause * 2.0, self.rules.max_probe_pause_seconds)
+        if failed:
+            worker.pause = min(worker.pause * 2.0, self.rules.max_probe_pause_seconds)
 
     def _drop_if_replaced(self, view: QuarantineSubject) -> None:
         worker = self._workers[view.agent_id]
@@ -384,6 +394,7 @@
         elif worker.flagged_at is None:
             worker.flagged_at = now
             worker.next_probe_at = now + self.rules.first_probe_pause_seconds
+            worker.retry_at = now + self.rules.first_retry_pause_seconds
         return worker.flagged_at
 
     def _score(self, worker: WorkerEvidence) -> int:
@@ -395,7 +406,9 @@
         job = self._jobs.get(job_id)
         if job is None:
             return 1
-        if self._always_fails(job_id, job):
+        if job_id not in self._always_fails_by_job:
+            self._always_fails_by_job[job_id] = self._always_fails(job_id, job)
+        if self._always_fails_by_job[job_id]:
             return 0
         return failures.count if job.succeeded_at > failures.first_at else 1
 
@@ -410,6 +423,16 @@
                     return True
         return False
 
+    def _access(self, agent_id: str, now: float) -> Access:
+        worker = self._workers[agent_id]
+        if now < worker.retry_at:
+            return Access.NONE
+        if worker.probe is None:
+            return Access.ONE
+        start = self._starts.get(worker.probe[0])
+        is_proven = start is None or now - start.started_at >= self.rules.proven_run_seconds
+        return Access.ANY if is_proven else Access.NONE
+
     def _may_probe(self, agent_id: str, now: float) -> bool:
         worker = self._workers[agent_id]
         return worker.probe is None and now >= worker.next_probe_at
@@ -418,16 +441,15 @@
 def _within_cap(
     flagged: list[tuple[float, str]],
     views: Mapping[str, QuarantineSubject],
-    workers: Collection[QuarantineSubject],
+    group_sizes: Mapping[str, int],
     max_share: float,
 ) -> list[str]:
     """Return the agents that may be quarantined, in the order of `flagged`."""
-    sizes = Counter(view.redundancy_group for view in workers)
-    remaining = {group: int(count * max_share) for group, count in sizes.items()}
+    remaining = {group: int(count * max_share) for group, count in group_sizes.items()}
     within_cap = []
     for _, agent_id in flagged:
         group = views[agent_id].redundancy_group
-        if remaining[group] > 0:
+        if remaining.get(group, 0) > 0:
             remaining[group] -= 1
             within_cap.append(agent_id)
     return within_cap
--- a/src/acaciastand/placement/quarantine.py
+++ b/src/acaciastand/placement/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from enum import Enum
 from typing import Protocol
 
 from acaciastand.record import Record
@@ -14,7 +15,17 @@
 MIN_SUCCESSFUL_RUN_SECONDS = 10.0
 FIRST_PROBE_PAUSE_SECONDS = 5.0
 MAX_PROBE_PAUSE_SECONDS = 300.0
-RETRY_PAUSE_SECONDS = 5.0
+FIRST_RETRY_PAUSE_SECONDS = 2.0
+MAX_RETRY_PAUSE_SECONDS = 10.0
+PROVEN_RUN_SECONDS = 5.0
+
+
+class Access(Enum):
+    """How many tasks without another place may start on a flagged worker now."""
+
+    NONE = "none"
+    ONE = "one"
+    ANY = "any"
 
 
 class QuarantineSubject(Protocol):
@@ -49,11 +60,13 @@
         Limits of the time after which a run that goes on counts as a success of its worker. From
         the longer one on it counts as a success of its job too.
     first_probe_pause_seconds, max_probe_pause_seconds
-        Pause before the first probe, and the longest one. It doubles after each probe that did not
-        succeed.
-    retry_pause_seconds
-        Time from the last failure on a flagged worker until a task without another place may start
-        there.
+        Pause before the first probe, and the longest one. It doubles after each probe that failed.
+    first_retry_pause_seconds, max_retry_pause_seconds
+        Pause before one task without another place may start on a flagged worker, and the longest
+        one. It doubles after each failure of a run that began there since the worker was flagged.
+    proven_run_seconds
+        Once a probe, or such a task, has gone on for this long, further tasks without another place
+        may start beside it.
     """
 
     __slots__ = (
@@ -64,7 +77,9 @@
         "max_successful_run_seconds",
         "first_probe_pause_seconds",
         "max_probe_pause_seconds",
-        "retry_pause_seconds",
+        "first_retry_pause_seconds",
+        "max_retry_pause_seconds",
+        "proven_run_seconds",
     )
 
     def __init__(
@@ -76,7 +91,9 @@
         max_successful_run_seconds: float = MIN_SUCCESSFUL_RUN_SECONDS,
         first_probe_pause_seconds: float = FIRST_PROBE_PAUSE_SECONDS,
         max_probe_pause_seconds: float = MAX_PROBE_PAUSE_SECONDS,
-        retry_pause_seconds: float = RETRY_PAUSE_SECONDS,
+        first_retry_pause_seconds: float = FIRST_RETRY_PAUSE_SECONDS,
+        max_retry_pause_seconds: float = MAX_RETRY_PAUSE_SECONDS,
+        proven_run_seconds: float = PROVEN_RUN_SECONDS,
     ) -> None:
         self.score = score
         self.max_share = max_share
@@ -85,7 +102,9 @@
         self.max_successful_run_seconds = max_successful_run_seconds
         self.first_probe_pause_seconds = first_probe_pause_seconds
         self.max_probe_pause_seconds = max_probe_pause_seconds
-        self.retry_pause_seconds = retry_pause_seconds
+        self.first_retry_pause_seconds = first_retry_pause_seconds
+        self.max_retry_pause_seconds = max_retry_pause_seconds
+        self.proven_run_seconds = proven_run_seconds
 
 
 class Quarantine(Record):
@@ -99,18 +118,18 @@
     suspected
         Flagged agents beyond the largest quarantined share of their group. They stay in use, but
         not for urgent tasks and tasks that have failed.
-    retry_from
-        Time from which a task without another place may start on a flagged agent.
+    access
+        How many tasks without another place may start on each flagged agent now.
     """
 
-    __slots__ = ("quarantined", "suspected", "retry_from")
+    __slots__ = ("quarantined", "suspected", "access")
 
     def __init__(
         self,
         quarantined: Mapping[str, bool] | None = None,
         suspected: frozenset[str] = frozenset(),
-        retry_from: Mapping[str, float] | None = None,
+        access: Mapping[str, Access] | None = None,
     ) -> None:
         self.quarantined = quarantined or {}
         self.suspected = suspected
-        self.retry_from = retry_from or {}
+        self.access = access or {}
--- a/src/acaciastand/shard/scheduling.py
+++ b/src/acaciastand/shard/scheduling.py
@@ -12,9 +12,9 @@
     AttemptStart,
     FailureAttribution,
     NoAttribution,
-    Quarantine,
 )
 from acaciastand.placement.placer import PlacementRequest, Placer
+from acaciastand.placement.quarantine import Access, Quarantine
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
 from acaciastand.shard.events import AttemptEnd
@@ -48,7 +48,7 @@
     views
         All workers; those in quarantine that may not be assigned a probe have no free capacity.
     last_resort
-        The same workers in quarantine with their free capacity, for tasks without another place.
+        Those of them that may be assigned a task without another place, with their free capacity.
     """
 
     __slots__ = ("views", "last_resort", "_positions")
@@ -67,9 +67,6 @@
 
     def put(self, view: WorkerView) -> None:
         """Replace the view of a worker that is in the pool."""
-        if view.agent_id in self.last_resort:
-            self.last_resort[view.agent_id] = view
-            return
         self.views[self._positions[view.agent_id]] = view
 
 
@@ -185,9 +182,14 @@
             agent_id for agent_id, may_probe in quarantined.items() if may_probe
         )
         held_back = {v.agent_id: v for v in views if not quarantined.get(v.agent_id, True)}
+        last_resort = {
+            agent_id: view
+            for agent_id, view in held_back.items()
+            if self.quarantine.access.get(agent_id) is not Access.NONE
+        }
         return WorkerPool(
             [v.replace(free=NO_CAPACITY) if v.agent_id in held_back else v for v in views],
-            held_back,
+            last_resort,
         )
 
     def _jobs_by_priority(self) -> list[Job]:
@@ -220,7 +222,7 @@
                 continue
             if not _within_quota(job.spec, remaining_quotas):
                 break
-            worker = self._choose_worker(job, task, size, pool, now)
+            worker = self._choose_worker(job, task, size, pool)
             if worker is None:
                 if not self._agents_to_avoid(job, task, size, pool):
                     unplaceable.add(requirements)
@@ -238,7 +240,7 @@
         return size if fits else spec.size
 
     def _choose_worker(
-        self, job: Job, task: Task, size: Resources, pool: WorkerPool, now: float
+        self, job: Job, task: Task, size: Resources, pool: WorkerPool
     ) -> WorkerView | None:
         workers = (pool.get(t.agent_id) for t in job.tasks if t.state == TaskState.RUNNING)
         locations = [(v.availability_zone, v.rack, v.agent_id) for v in workers if v is not None]
@@ -246,29 +248,20 @@
         request = PlacementRequest(size, job.spec.service, avoid, locations, job.spec.batch_class)
         worker = self.placer.choose(request, pool.views)
         if worker is None and pool.last_resort:
-            return self._choose_last_resort(job, task, request, pool, now)
+            return self._choose_last_resort(job, request, pool)
         return worker
 
     def _choose_last_resort(
-        self, job: Job, task: Task, request: PlacementRequest, pool: WorkerPool, now: float
+        self, job: Job, request: PlacementRequest, pool: WorkerPool
     ) -> WorkerView | None:
-        """Return a worker in quarantine if no other could ever run a task; None if one could.
-
-        After a failure the task waits for a moment.
-        """
+        """Return a worker in quarantine if no other could ever run a task; None if one could."""
         if any(
             v.suits(request.size, job.spec.service)
             for v in pool.views
             if v.agent_id not in self.quarantine.quarantined
         ):
             return None
-        retry_from = self.quarantine.retry_from
-        usable = [
-            v
-            for v in pool.last_resort.values()
-            if not task.failures or now >= retry_from.get(v.agent_id, now)
-        ]
-        return self.placer.choose(request, usable)
+        return self.placer.choose(request, list(pool.last_resort.values()))
 
     def _agents_to_avoid(self, job: Job, task: Task, size: Resources, pool: WorkerPool) -> set[str]:
         last_failed_agent = self.shard.last_failed_agents.get(task.task_id)
@@ -289,12 +282,22 @@
     def _start_task(
         self, task: Task, worker: WorkerView, size: Resources, pool: WorkerPool, now: float
     ) -> None:
-        is_probe = worker.agent_id in self.probe_agents
-        pool.put(worker.replace(free=NO_CAPACITY if is_probe else worker.free.minus(size)))
+        if worker.agent_id in pool.last_resort:
+            self._take_last_resort(pool, worker, size)
+        else:
+            is_probe = worker.agent_id in self.probe_agents
+            pool.put(worker.replace(free=NO_CAPACITY if is_probe else worker.free.minus(size)))
         self.shard.start_attempt(task, worker.agent_id, worker.incarnation, size)
         start = AttemptStart(worker.agent_id, worker.incarnation, task.task_id, task.attempt, now)
         self.failure_attribution.record_start(start)
 
+    def _take_last_resort(self, pool: WorkerPool, worker: WorkerView, size: Resources) -> None:
+        """Take the capacity of a task from a worker in quarantine, or all if it may have one."""
+        if self.quarantine.access.get(worker.agent_id) is Access.ANY:
+            pool.last_resort[worker.agent_id] = worker.replace(free=worker.free.minus(size))
+        else:
+            del pool.last_resort[worker.agent_id]
+
     # Buckets
 
     def start_buckets(self, workers: Iterable[WorkerView], now: float) -> int:
--- a/src/acaciastand/workflow/exclusions.py
+++ b/src/acaciastand/workflow/exclusions.py
@@ -34,10 +34,17 @@
     PLACEMENT = "policy on placement"  # Such as no leftover time, or services at their limits.
 
 
+EXCLUSION_BY_STANDING = {
+    Standing.QUARANTINED: Exclusion.QUARANTINED,
+    Standing.SUSPECTED: Exclusion.SUSPECTED,
+}
+
+
 def worker_exclusion(worker: WorkerView, now: float) -> Exclusion | None:
     """Return why no task may be assigned to a worker; None if one may.
 
-    Quarantine comes last: alone it does not keep off probes and tasks without another place.
+    A worker that fails what it starts may still be assigned a probe or a task without another
+    place, see `standing_exclusion`.
     """
     if worker.identity is None:
         return Exclusion.NOT_ANNOUNCED
@@ -51,25 +58,28 @@
         return Exclusion.STARTS_WITHHELD
     if now - worker.last_report_at > MAX_REPORT_AGE_SECONDS:
         return Exclusion.OLD_REPORT
-    if worker.standing is Standing.QUARANTINED:
-        return Exclusion.QUARANTINED
     return None
 
 
+def is_usable(worker: WorkerView, now: float) -> bool:
+    """Return whether at least a probe or a task without another place may be assigned."""
+    return worker_exclusion(worker, now) is None
+
+
 def is_schedulable(worker: WorkerView, now: float) -> bool:
     """Return whether any new work may be assigned to a worker."""
-    return worker_exclusion(worker, now) is None
+    return is_usable(worker, now) and worker.standing is not Standing.QUARANTINED
 
 
-def is_usable(worker: WorkerView, now: float) -> bool:
-    """Return whether at least a probe or a task without another place may be assigned."""
-    return worker_exclusion(worker, now) in (None, Exclusion.QUARANTINED)
+def standing_exclusion(worker: WorkerView) -> Exclusion | None:
+    """Return whether a worker gets only some tasks because it fails what it starts."""
+    return EXCLUSION_BY_STANDING.get(worker.standing)
 
 
 def task_exclusion(
     task: Task, worker: WorkerView, is_suspected: bool, now: float
 ) -> Exclusion | None:
-    """Return why a schedulable worker that could hold a task does not take it now.
+    """Return why a usable worker that could hold a task does not take it now.
 
     None if only the policy on placement can keep the task off the worker.
 
@@ -87,6 +97,6 @@
     if exceeds_step_limit(task, worker):
         return Exclusion.STEP_LIMIT
     if worker.has_capacity(task.step.reserved):
-        return Exclusion.SUSPECTED if worker.standing is Standing.SUSPECTED else None
+        return standing_exclusion(worker)
     stopping = sum(leaving.size.cores for leaving in worker.leaving_runs.values())
     return Exclusion.STOPPING_RUNS if stopping else Exclusion.NO_CAPACITY
--- a/src/acaciastand/workflow/job.py
+++ b/src/acaciastand/workflow/job.py
@@ -7,6 +7,7 @@
 
 from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.job_progress import JobProgress, TaskProgress
+from acaciastand.workflow.limits import MAX_HELD_SECONDS
 from acaciastand.workflow.reports import PollPosition, TaskName
 from acaciastand.workflow.spec import (
     StepSpec,
@@ -80,6 +81,8 @@
         Progress and measurement of the run from the last poll, as in `ActiveRun`.
     not_before
         Earliest time of the next start.
+    waiting_since
+        When the task was first found waiting since its last run; 0 before.
     avoided_agent_id
         Agent whose worker the next run avoids if possible, because the last run failed, took too
         long or was slowed down there; empty for none.
@@ -135,6 +138,7 @@
         "percent",
         "measurement",
         "not_before",
+        "waiting_since",
         "avoided_agent_id",
         "started_at",
         "is_run_timed",
@@ -165,6 +169,7 @@
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.not_before = 0.0
+        self.waiting_since = 0.0
         self.avoided_agent_id = ""
         self.ended_runs: set[int] = set()
         self.has_begun = False
@@ -211,6 +216,10 @@
         """Return the task and its copies except this one, each with its current run."""
         return list(self.copies)
 
+    def is_held(self, now: float) -> bool:
+        """Return whether it lasts and has waited for too long for the place that it prefers."""
+        return self.step.continuous and now - self.waiting_since >= MAX_HELD_SECONDS
+
     def record_run(self, run: int) -> None:
         """Record the number of a run that need not be the current one."""
         self.other_run = max(self.other_run, run)
--- a/src/acaciastand/workflow/limits.py
+++ b/src/acaciastand/workflow/limits.py
@@ -13,4 +13,6 @@
 MAX_REPORT_AGE_SECONDS = 1.5  # An agent whose last report is older gets no new work.
 # Time for which a job may have nothing on a worker before its tasks wait for no better place.
 STARVING_SECONDS = 1.5
+# A task that lasts waits no longer than this for a place that another rule prefers.
+MAX_HELD_SECONDS = 3.0
 COMMAND_SECONDS = 1.5  # A command that takes longer to reach its agent is dropped.
--- a/src/acaciastand/workflow/quarantine.py
+++ b/src/acaciastand/workflow/quarantine.py
@@ -7,15 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Iterable, Mapping
 
 from acaciastand.placement.failure_attribution import (
     AttemptOutcome,
     AttemptStart,
     EvidenceBasedAttribution,
 )
-from acaciastand.placement.quarantine import QuarantineRules
+from acaciastand.placement.quarantine import Access, QuarantineRules
 from acaciastand.workflow.catalog import Queue
+from acaciastand.workflow.crashes import is_suspect
 from acaciastand.workflow.decisions import RecordDecision
 from acaciastand.workflow.job import Task
 from acaciastand.workflow.limits import STARVING_SECONDS
@@ -29,7 +30,9 @@
     min_successful_run_seconds=1.0,
     first_probe_pause_seconds=1.5,
     max_probe_pause_seconds=24.0,
-    retry_pause_seconds=1.0,
+    first_retry_pause_seconds=1.0,
+    max_retry_pause_seconds=3.0,
+    proven_run_seconds=2.0,
 )
 UPDATE_SECONDS = 0.1  # Longest time between two updates of the standing of the workers.
 URGENT_PRIORITY = 0  # A task of such a queue is no probe while it has another place.
@@ -72,48 +75,47 @@
 
     def record_start(self, task: Task, worker: WorkerView, now: float) -> None:
         """Record that a run was assigned; on a worker in quarantine it may be the probe."""
-        name = _run_name(task, task.run)
+        name = _run_name(task, task.run, worker.agent_id)
         start = AttemptStart(worker.agent_id, worker.incarnation, name, task.run, now)
         self.attribution.record_start(start)
-        if worker.standing is Standing.QUARANTINED:
+        if worker.standing is not Standing.TRUSTED:
             worker.is_probe_due = False
-            worker.has_probe = True
+            if worker.access is Access.ONE:
+                worker.access = Access.NONE
             self.has_changed = True
 
     def record_listed(self, worker: WorkerView, task: Task, run: int, now: float) -> None:
         """Record that a worker lists a run, which shows after a while that it does not fail it."""
-        if self.attribution.has_evidence(worker.agent_id):
-            self.attribution.record_running(worker.agent_id, _run_name(task, run), run, now)
+        if self.attribution.has_evidence(worker.agent_id, task.job.job_id):
+            name = _run_name(task, run, worker.agent_id)
+            self.attribution.record_running(worker.agent_id, name, run, now)
             self.has_changed = True
 
-    def record_end(self, task: Task, run: int, how: str, now: float) -> None:
-        """Record the end of a run; empty or any end but done and failed is no evidence."""
+    def record_end(self, task: Task, run: int, agent_id: str, how: str, now: float) -> None:
+        """Record the end of a run on a worker; only done and failed are evidence."""
         outcome = OUTCOMES.get(how, AttemptOutcome.UNKNOWN)
-        self.attribution.record_end(_run_name(task, run), run, outcome, now)
+        self.attribution.record_end(_run_name(task, run, agent_id), run, outcome, now)
         self.has_changed |= bool(self.flagged_at) or outcome is AttemptOutcome.FAILED
 
     # Standing
 
-    def update(self, workers: Collection[WorkerView], now: float) -> None:
+    def update(self, workers: Mapping[str, WorkerView], now: float) -> None:
         """Set the standing of all workers for the next plan, if it may be another."""
         if not self.has_changed and now - self.updated_at < UPDATE_SECONDS:
             return
         self.has_changed = False
         self.updated_at = now
-        current = self.attribution.current_quarantine(workers, now)
-        if not (current.quarantined or current.suspected or self.flagged_at):
-            return
-        for worker in workers:
-            agent_id = worker.agent_id
+        current = self.attribution.current_quarantine(workers.values(), now)
+        for agent_id in {*current.access, *self.flagged_at}:
+            worker = workers[agent_id]
             if agent_id in current.quarantined:
                 self._set_standing(worker, Standing.QUARANTINED, now)
             elif agent_id in current.suspected:
                 self._set_standing(worker, Standing.SUSPECTED, now)
-            elif worker.standing is not Standing.TRUSTED:
+            else:
                 self._set_standing(worker, Standing.TRUSTED, now)
             worker.is_probe_due = current.quarantined.get(agent_id, False)
-            worker.has_probe = self.attribution.has_probe(agent_id)
-            worker.retry_from = current.retry_from.get(agent_id, 0.0)
+            worker.access = current.access.get(agent_id, Access.NONE)
 
     def _set_standing(self, worker: WorkerView, standing: Standing, now: float) -> None:
         if worker.standing is standing:
@@ -133,15 +135,25 @@
 
     # Use
 
-    def tiers(
-        self,
-        task: Task,
-        queue: Queue,
-        workers: list[WorkerView],
-        places: Iterable[WorkerView],
-        now: float,
-    ) -> Iterator[list[WorkerView]]:
-        """Yield the workers that a task may start on, in the order in which they are to be tried.
+    def trusted(self, task: Task, queue: Queue, workers: Iterable[WorkerView]) -> list[WorkerView]:
+        """Return the workers on which a task starts before it starts on any other.
+
+        These are the trusted ones and, for a task that can spare an attempt, those that are due for
+        a probe.
+        """
+        may_probe = _may_probe(task, queue)
+        return [
+            w for w in workers if w.standing is Standing.TRUSTED or (may_probe and w.is_probe_due)
+        ]
+
+    def flagged(
+        self, task: Task, workers: Iterable[WorkerView], places: Iterable[WorkerView], now: float
+    ) -> list[WorkerView]:
+        """Return the flagged workers on which a task may start that found no trusted one.
+
+        Tasks that last cannot use up their attempts, and do not wait for the outcome of others for
+        long. Any other may try a worker that is merely suspected while it has not failed, and each
+        worker if it has no other place.
 
         Parameters
         ----------
@@ -150,52 +162,34 @@
         places
             These, and the workers that are closed to it for a moment.
         """
-        if not self.flagged_at:
-            yield workers
-            return
-        quarantined = [w for w in workers if w.standing is Standing.QUARANTINED]
-        trusted = [w for w in workers if w.standing is Standing.TRUSTED]
-        probes = [w for w in quarantined if w.is_probe_due] if _may_probe(task, queue) else []
-        yield trusted + probes
-        suspected = [w for w in workers if w.standing is Standing.SUSPECTED]
-        if suspected or quarantined:
-            yield from self._flagged_tiers(task, suspected, quarantined, places, now)
-
-    def _flagged_tiers(
-        self,
-        task: Task,
-        suspected: list[WorkerView],
-        quarantined: list[WorkerView],
-        places: Iterable[WorkerView],
-        now: float,
-    ) -> Iterator[list[WorkerView]]:
-        """Yield the workers on which a task that finds no other place may fail.
-
-        After a failure there, a task that can be given up waits for a moment. It does not wait for
-        the outcome of other tasks if no worker that is trusted could ever hold it.
+        flagged = [w for w in workers if w.standing is not Standing.TRUSTED]
+        if task.is_held(now):
+            return flagged
+        accessible = [w for w in flagged if w.access is not Access.NONE]
+        if task.step.continuous or self._has_no_other_place(task, places, now):
+            return accessible
+        if task.failures:
+            return []
+        return [w for w in accessible if w.standing is Standing.SUSPECTED]
+
+    def _has_no_other_place(self, task: Task, places: Iterable[WorkerView], now: float) -> bool:
+        """Return whether a task can wait no longer for a worker that is trusted.
+
+        Either none could ever hold it, or its job has had nothing on a worker for too long.
         """
         trusted = (w for w in places if w.standing is Standing.TRUSTED)
         if not any(could_hold(task.step, worker) for worker in trusted):
-            for workers in (suspected, quarantined):
-                yield [w for w in workers if not task.failures or now >= w.retry_from]
-            return
-        due = [w for w in quarantined if now >= w.retry_from]
-        is_starving = not task.step.continuous and task.job.idle_seconds(now) >= STARVING_SECONDS
-        if task.step.continuous or is_starving or not task.failures:
-            yield [w for w in suspected if now >= w.retry_from]
-        if task.step.continuous:
-            yield due
-        elif is_starving:
-            yield [w for w in due if not w.has_probe]
+            return True
+        return task.job.idle_seconds(now) >= STARVING_SECONDS
 
 
 def _may_probe(task: Task, queue: Queue) -> bool:
     """Return whether a task may show whether a worker works again although it has another place."""
-    if task.failures or task.step.gang or task.crashes:
+    if task.failures or task.step.gang or is_suspect(task.crashes):
         return False
     return task.step.continuous or queue.priority > URGENT_PRIORITY
 
 
-def _run_name(task: Task, run: int) -> str:
+def _run_name(task: Task, run: int, agent_id: str) -> str:
     """Return the name of a run for the attribution, which takes the job from its first part."""
-    return f"{task.job.job_id}/{task.key}:{run}"
+    return f"{task.job.job_id}/{task.key}:{run}@{agent_id}"
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -100,7 +100,7 @@
         if holder is not None and holder.agent_id != worker.agent_id:
             holder = None
         if task is not None:
-            self.state.quarantine.record_end(task, end.run, end.how, now)
+            self.state.quarantine.record_end(task, end.run, worker.agent_id, end.how, now)
         # The end of a run that is still tracked on this worker has not been processed.
         is_processed = (
             task is not None
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -293,7 +293,7 @@
             Latest time at which it is certain that no other owner had been elected.
         """
         self.zone_drains.mark_workers(self.workers.values(), now)
-        self.quarantine.update(self.workers.values(), now)
+        self.quarantine.update(self.workers, now)
         self._check_uncertain(now)
         if now - self.last_check_at >= CHECK_INTERVAL_SECONDS:
             self.last_check_at = now
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -123,6 +123,7 @@
         occurrence of a repeated job is due.
         """
         task.state = TaskState.WAITING
+        task.waiting_since = 0.0
         self.event_count += 1
         self.forget_waiting(task)
         job = task.job
@@ -148,7 +149,7 @@
         worker = self.workers.get(task.agent_id)
         if worker is not None:
             worker.remove(task)
-            self.quarantine.record_end(task, task.run, "", self.last_check_at)
+            self.quarantine.record_end(task, task.run, task.agent_id, "", self.last_check_at)
             self.event_count += 1
         task.state = TaskState.WAITING
         task.agent_id = ""
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -23,6 +23,65 @@
 StartCallback = Callable[[Task, WorkerView, int], StartDecision]
 
 
+class StartRound:
+    """One round of starts.
+
+    Parameters
+    ----------
+    waiting
+        Waiting tasks by key; a start removes its task.
+    available
+        Workers that take any starts at present.
+    leaving
+        Keys of the tasks with runs that are being stopped and not tracked.
+    start
+        Called for each start.
+    now
+        Seconds of the owner's clock.
+
+    Attributes
+    ----------
+    starts
+        Results of the calls of `start`.
+    exhausted
+        Groups of tasks of which no further one can be placed.
+    has_place
+        Keys of the tasks that wait for a trusted worker to become quiet.
+    """
+
+    __slots__ = (
+        "waiting",
+        "available",
+        "leaving",
+        "start",
+        "now",
+        "starts",
+        "exhausted",
+        "has_place",
+    )
+
+    def __init__(
+        self,
+        waiting: Mapping[str, Task],
+        available: list[WorkerView],
+        leaving: Collection[str],
+        start: StartCallback,
+        now: float,
+    ) -> None:
+        self.waiting = waiting
+        self.available = available
+        self.leaving = leaving
+        self.start = start
+        self.now = now
+        self.starts: list[StartDecision] = []
+        self.exhausted: set[tuple[str, int, str, bool, int]] = set()
+        self.has_place: set[str] = set()
+
+
+# Returns the workers on which a task may start now.
+WorkerFinder = Callable[[Task, Queue, StartRound], list[WorkerView]]
+
+
 class StartPlanner:
     """Places the waiting tasks on workers, the most urgent first.
 
@@ -90,38 +149,42 @@
         if not available:
             return []
         leaving = {task for worker in workers for task, _ in worker.leaving_runs}
-        starts: list[StartDecision] = []
-        # Job, step, avoided agent, suspicion and whether they have failed, of the tasks of which no
-        # further one can be placed.
-        exhausted: set[tuple[str, int, str, bool, bool]] = set()
-        for task, queue in self.tasks_by_rank(waiting.values(), catalog, now, now_unix):
-            is_suspected = is_suspect(task.crashes)
-            group = (
-                task.job.job_id,
-                task.name.step,
-                task.avoided_agent_id,
-                is_suspected,
-                bool(task.failures),
-            )
-            if group in exhausted or not self._may_start(task, leaving):
+        planning = StartRound(waiting, available, leaving, start, now)
+        ranked = self.tasks_by_rank(waiting.values(), catalog, now, now_unix)
+        for task, _ in ranked:
+            task.waiting_since = task.waiting_since or now
+        self._start_in_order(ranked, planning, self._trusted_workers)
+        if self.quarantine.flagged_at:
+            planning.exhausted.clear()
+            rest = [row for row in ranked if row[0].key not in planning.has_place]
+            # Of the tasks that can be given up, those with most attempts left try flagged workers.
+            rest.sort(key=lambda row: 0 if row[0].step.continuous else row[0].failures)
+            self._start_in_order(rest, planning, self._flagged_workers)
+        return planning.starts
+
+    def _start_in_order(
+        self, rows: Iterable[tuple[Task, Queue]], planning: StartRound, find_workers: WorkerFinder
+    ) -> None:
+        """Start the tasks that fit on the workers that `find_workers` returns for each."""
+        for task, queue in rows:
+            group = _group(task)
+            if (
+                task.key not in planning.waiting
+                or group in planning.exhausted
+                or not self._may_start(task, planning.leaving)
+            ):
                 continue
-            places = self._find_places(task, queue, available, now)
-            candidates = [
-                w for w in places if now >= w.full_until and w.takes_starts(now, is_suspected)
-            ]
-            tiers = self.quarantine.tiers(task, queue, candidates, places, now)
+            workers = find_workers(task, queue, planning)
             if task.step.gang:
-                exhausted.add(group)  # All tasks of a gang are placed at once, or none.
-                if all(self._may_start(member, leaving) for member in task.job.siblings(task)):
-                    starts += self._start_gang(task, waiting, tiers, start, now)
+                planning.exhausted.add(group)  # All tasks of a gang are placed at once, or none.
+                self._start_gang(task, workers, planning)
                 continue
-            worker = self._choose_worker(task, tiers, now)
+            worker = self._choose_worker(task, workers, planning)
             if worker is None:
-                exhausted.add(group)
+                planning.exhausted.add(group)
                 continue
             task.job.idle_since = 0.0
-            starts.append(start(task, worker, task.next_run))
-        return starts
+            planning.starts.append(planning.start(task, worker, task.next_run))
 
     def tasks_by_rank(
         self, waiting: Collection[Task], catalog: Catalog, now: float, now_unix: float
@@ -156,50 +219,72 @@
         is_leaving = task.key in leaving and not task.step.allows_copies
         return not is_leaving and task.next_run <= self.run_numbers.highest
 
-    def _find_places(
-        self, task: Task, queue: Queue, available: Iterable[WorkerView], now: float
-    ) -> list[WorkerView]:
+    def _find_places(self, task: Task, queue: Queue, planning: StartRound) -> list[WorkerView]:
         """Return the available workers of the service of a task that take it on its ticket."""
-        places = [w for w in available if w.identity and w.identity.service == queue.service]
+        places = [
+            w for w in planning.available if w.identity and w.identity.service == queue.service
+        ]
         if queue.advised:
-            places = [w for w in places if self.advice.find_ticket(task, w, now)]
+            places = [w for w in places if self.advice.find_ticket(task, w, planning.now)]
         return places
 
+    def _trusted_workers(self, task: Task, queue: Queue, planning: StartRound) -> list[WorkerView]:
+        open_workers = _open_workers(task, self._find_places(task, queue, planning), planning.now)
+        return self.quarantine.trusted(task, queue, open_workers)
+
+    def _flagged_workers(self, task: Task, queue: Queue, planning: StartRound) -> list[WorkerView]:
+        places = self._find_places(task, queue, planning)
+        open_workers = _open_workers(task, places, planning.now)
+        flagged = self.quarantine.flagged(task, open_workers, places, planning.now)
+        if task.step.gang and flagged:
+            return self.quarantine.trusted(task, queue, open_workers) + flagged
+        return flagged
+
     def _choose_worker(
-        self, task: Task, tiers: Iterable[list[WorkerView]], now: float
+        self, task: Task, workers: list[WorkerView], planning: StartRound
     ) -> WorkerView | None:
-        """Return the worker for a task from the first tier in which it finds a place."""
+        """Return the worker for a task; a suspect of a crash starts in isolation."""
+        now = planning.now
         starving = _is_starving(task, now)
-        for workers in tiers:
-            worker = self.placement.choose(task, workers, now, starving)
-            if worker is not None:
-                if is_suspect(task.crashes):
-                    return self.isolated_placement.choose(task, workers, now, starving)
-                return worker
-        return None
-
-    def _start_gang(
-        self,
-        task: Task,
-        waiting: Mapping[str, Task],
-        tiers: Iterable[list[WorkerView]],
-        start: StartCallback,
-        now: float,
-    ) -> list[StartDecision]:
+        if not is_suspect(task.crashes):
+            return self.placement.choose(task, workers, now, starving)
+        worker = self.isolated_placement.choose(task, workers, now, starving)
+        if worker is None and self.placement.choose(task, workers, now, starving) is not None:
+            planning.has_place.add(task.key)
+        return worker
+
+    def _start_gang(self, task: Task, workers: list[WorkerView], planning: StartRound) -> None:
         members = task.job.siblings(task)
-        if not all(member.key in waiting for member in members):
-            return []
-        chosen = None
-        workers: list[WorkerView] = []
-        for tier in tiers:
-            workers = workers + tier
-            chosen = place_gang(members, workers, self.placement, now)
-            if chosen is not None:
-                break
+        if not all(
+            member.key in planning.waiting and self._may_start(member, planning.leaving)
+            for member in members
+        ):
+            return
+        chosen = place_gang(members, workers, self.placement, planning.now)
         if chosen is None:
-            return []
+            return
         run = max(member.next_run for member in members)
-        return [start(member, worker, run) for member, worker in zip(members, chosen, strict=True)]
+        planning.starts += [
+            planning.start(member, worker, run)
+            for member, worker in zip(members, chosen, strict=True)
+        ]
+
+
+def _group(task: Task) -> tuple[str, int, str, bool, int]:
+    """Return what the tasks share of which no further one finds a place once one has found none."""
+    return (
+        task.job.job_id,
+        task.name.step,
+        task.avoided_agent_id,
+        is_suspect(task.crashes),
+        task.failures,
+    )
+
+
+def _open_workers(task: Task, places: Iterable[WorkerView], now: float) -> list[WorkerView]:
+    """Return the workers that are not closed to a task for a moment."""
+    is_suspected = is_suspect(task.crashes)
+    return [w for w in places if now >= w.full_until and w.takes_starts(now, is_suspected)]
 
 
 def _is_starving(task: Task, now: float) -> bool:
--- a/src/acaciastand/workflow/task_copy.py
+++ b/src/acaciastand/workflow/task_copy.py
@@ -61,6 +61,7 @@
     failed_runs = _shared("failed_runs")
     checkpoint = _shared("checkpoint")
     not_before = _shared("not_before")
+    waiting_since = _shared("waiting_since")
     avoided_agent_id = _shared("avoided_agent_id")
     ended_runs = _shared("ended_runs")
     has_begun = _shared("has_begun")
--- a/src/acaciastand/workflow/wait_monitor.py
+++ b/src/acaciastand/workflow/wait_monitor.py
@@ -12,7 +12,12 @@
 from acaciastand.record import Record
 from acaciastand.workflow.catalog import Queue
 from acaciastand.workflow.crashes import is_suspect
-from acaciastand.workflow.exclusions import Exclusion, task_exclusion, worker_exclusion
+from acaciastand.workflow.exclusions import (
+    Exclusion,
+    standing_exclusion,
+    task_exclusion,
+    worker_exclusion,
+)
 from acaciastand.workflow.job import Task, TaskState
 from acaciastand.workflow.placement import could_hold
 from acaciastand.workflow.scheduler_state import SchedulerState
@@ -81,7 +86,10 @@
         if now - self.checked_at < CHECK_SECONDS:
             return
         self.checked_at = now
-        exclusions = (worker_exclusion(worker, now) for worker in self.state.workers.values())
+        exclusions = (
+            worker_exclusion(worker, now) or standing_exclusion(worker)
+            for worker in self.state.workers.values()
+        )
         self.excluded_workers = Counter(why.value for why in exclusions if why is not None)
         waiting = {**self.state.waiting, **self.state.uncertain}
         self.waiting_since = {key: self.waiting_since.get(key, now) for key in waiting}
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from enum import Enum
 
+from acaciastand.placement.quarantine import Access
 from acaciastand.record import Record
 from acaciastand.resources import Resources
 from acaciastand.workflow.job import Task, TaskState
@@ -102,10 +103,8 @@
         Whether the worker is in quarantine or suspected, since it fails what it starts.
     is_probe_due
         Whether a task may start on it although it is in quarantine, to show whether it works again.
-    has_probe
-        Whether such a task is on it.
-    retry_from
-        Time from which a task without another place may start on it in spite of its standing.
+    access
+        How many tasks without another place may start on it in spite of its standing.
     full_until
         Time until which the worker gets no starts, because it rejected one for lack of capacity.
     last_start_at
@@ -152,8 +151,7 @@
         "acknowledged",
         "standing",
         "is_probe_due",
-        "has_probe",
-        "retry_from",
+        "access",
         "full_until",
         "last_start_at",
         "reserved_until",
@@ -193,8 +191,7 @@
         self.acknowledged = 0
         self.standing = Standing.TRUSTED
         self.is_probe_due = False
-        self.has_probe = False
-        self.retry_from = 0.0
+        self.access = Access.NONE
         self.full_until = 0.0
         self.last_start_at = float("-inf")
         self.reserved_until = 0.0
