Bound the time for which tasks that last wait for isolation (LOST)

What callers would see: after a worker has crashed under many tasks that had just started, the last of them ran again 9 to 12 s later although another worker had room.

Cause: each of them is a suspect, and starts only where nothing else has started for a moment and nothing else starts until it has outlived the point of the crash. With few workers they wait for each other, so the wait grows with their number.

A task that lasts and has waited for 3 s starts without isolation, and on workers that are reserved or observed. It may be one of many, and a task that crashes its workers is given up by the number of crashes then.

--- a/features/quarantine_bounds.feature
+++ b/features/quarantine_bounds.feature
@@ -30,3 +30,8 @@
     Given 6 workers on which all runs of two jobs fail
     When other tasks are submitted for 4 seconds
     Then all of these workers are trusted and ran other tasks
+
+  Scenario: Many sound tasks that last start soon after a crash for which they are suspected
+    Given 8 tasks that last have just started on a worker, and one other has room for them
+    When the worker crashes for good
+    Then all of them run on the other within 7 seconds of the report of the crash
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -243,10 +243,13 @@
     def _choose_worker(
         self, task: Task, workers: list[WorkerView], planning: StartRound
     ) -> WorkerView | None:
-        """Return the worker for a task; a suspect of a crash starts in isolation."""
+        """Return the worker for a task; a suspect of a crash starts in isolation.
+
+        A suspect that lasts does not wait for isolation for long: it may be one of many.
+        """
         now = planning.now
         starving = _is_starving(task, now)
-        if not is_suspect(task.crashes):
+        if not is_suspect(task.crashes) or task.is_held(now):
             return self.placement.choose(task, workers, now, starving)
         worker = self.isolated_placement.choose(task, workers, now, starving)
         if worker is None and self.placement.choose(task, workers, now, starving) is not None:
@@ -283,8 +286,11 @@
 
 def _open_workers(task: Task, places: Iterable[WorkerView], now: float) -> list[WorkerView]:
     """Return the workers that are not closed to a task for a moment."""
+    is_held = task.is_held(now)
     is_suspected = is_suspect(task.crashes)
-    return [w for w in places if now >= w.full_until and w.takes_starts(now, is_suspected)]
+    return [
+        w for w in places if now >= w.full_until and (is_held or w.takes_starts(now, is_suspected))
+    ]
 
 
 def _is_starving(task: Task, now: float) -> bool:
