Stop an unanswered start for as long as the worker may carry it out (LOST)

Callers saw tasks that wait for up to 12 s after a change of the owner, although there was room.

Cause: the agent gave up its stops of a former owner's start after 3 s, or with a shorter stop that the owner had commanded and whose calls they shared. A worker that restarts under its id may carry the start out for 12 s unless it accepts a stop. The agent reported all that time that it had not settled, and the owner then starts none of the tasks that its predecessor may have started.

RepeatedStops repeats the stops until the start can no longer take effect, so the agent settles soon after the worker answers again. Nothing is counted as settled earlier than before: that still takes a stop that the worker has accepted, or the end of its lease.

The scenario outline "An agent stops a start of a former owner for as long as the worker may carry it out" failed in both examples on: `behave features/commands_in_flight.feature`, 13 scenarios passed, 2 failed; with this change 15 passed.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -54,6 +54,22 @@
     Then the starts of the former owner have not settled 4.2 seconds after the first call
     And the starts of the former owner have settled 14.0 seconds after the first call
 
+  # The agent gave up its stops after 3 seconds, or with a stop of the owner that was in progress. All tasks that a
+  # former owner may have started then waited until the start could not be carried out any more, for 12 seconds.
+  Scenario Outline: An agent stops a start of a former owner for as long as the worker may carry it out
+    Given an agent whose worker's clock shows 500 seconds
+    When two calls of a start are not answered, the second one 0.8 seconds after the first
+    And a stop for <stop> seconds is in progress and a new owner is followed
+    And the worker restarts after the start has been given up
+    And the worker answers stops <answer> seconds after its restart
+    Then the starts of the former owner have not settled 0.2 seconds earlier
+    And the starts of the former owner have settled within 1.0 seconds
+
+    Examples:
+      | stop | answer |
+      | 1.0  | 1.5    |
+      | 0.0  | 3.5    |
+
   # The owner started the task elsewhere at once. A worker may carry out an unanswered call late, also in a new
   # incarnation, whose clock has not reached the end of the lease in the call.
   Scenario: A start without an answer is not lost when the worker restarts before it has taken a stop
--- a/features/lease_support.py
+++ b/features/lease_support.py
@@ -20,6 +20,7 @@
         self.starts = 0
         self.errors = []
         self.incarnation_header = {}
+        self.answers_stops = False
         self.during_poll = lambda: None
 
     def clock_ms(self):
@@ -42,7 +43,8 @@
         return result
 
     def stop(self, task, run):
-        raise CallTimedOut("no answer", "repeat the call")
+        if not self.answers_stops:
+            raise CallTimedOut("no answer", "repeat the call")
 
     def start(self, command, lease_ms):
         self.starts += 1
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -6,6 +6,7 @@
 import gevent
 from behave import given, then, when
 from lease_support import poll, start
+from waiting import wait_for
 
 from acaciastand.cluster import worker_controller
 from acaciastand.cluster.clock import now
@@ -132,6 +133,33 @@
     poll(context)
 
 
+@when("a stop for {seconds:f} seconds is in progress and a new owner is followed")
+def when_stop_and_new_owner(context, seconds):
+    context.starting.join(2.0)
+    stopping = gevent.spawn(context.controller.stop, TASK, 1, now() + seconds)
+    context.stack.callback(stopping.kill)
+    gevent.sleep(0.02)
+    context.controller.begin_epoch(2)
+
+
+@when("the worker answers stops {seconds:f} seconds after its restart")
+def when_answers_stops(context, seconds):
+    gevent.sleep(seconds - 0.2)
+    context.was_settled = context.controller._is_settled()
+    gevent.sleep(0.2)
+    context.worker.answers_stops = True
+
+
+@then("the starts of the former owner have not settled 0.2 seconds earlier")
+def then_was_not_settled(context):
+    assert not context.was_settled
+
+
+@then("the starts of the former owner have settled within {seconds:f} seconds")
+def then_settled_within(context, seconds):
+    wait_for(context.controller._is_settled, "the starts have settled", seconds)
+
+
 @then("the starts of the former owner have not settled")
 def then_not_settled(context):
     assert not context.controller._is_settled()
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -4,13 +4,14 @@
 
 import logging
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import gevent
 from gevent.event import AsyncResult, Event
 
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.pace_sender import PaceSender
+from acaciastand.cluster.repeated_stops import RepeatedStops
 from acaciastand.cluster.run_lease import RunLease
 from acaciastand.cluster.unanswered_starts import UnansweredStarts
 from acaciastand.errors import AcaciastandError
@@ -20,7 +21,6 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.crash_witness import CrashWitness
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
-from acaciastand.workflow.limits import RUN_LEASE_SECONDS
 from acaciastand.workflow.pacing import FULL_PERCENT, BatchCost, Pacer, RunLimits
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -103,6 +103,8 @@
         Starts that have ended without an answer and may still take effect.
     stops
         Results of the stops in progress, by task and run.
+    repeated_stops
+        Stops of runs whose starts may still take effect.
     epoch
         Highest epoch of an owner that this agent has accepted.
     epoch_began_at_poll
@@ -148,6 +150,7 @@
         self.starting: dict[tuple[str, int], int] = {}
         self.unanswered_starts = UnansweredStarts()
         self.stops: dict[tuple[str, int], AsyncResult] = {}
+        self.repeated_stops = RepeatedStops(self.stop, self._may_take_effect)
         self.epoch = 0
         self.settled_poll = 0
         self.epoch_began_at_poll = 0
@@ -156,7 +159,7 @@
         """Follow a new owner, and stop all runs that former owners may still be starting."""
         self.epoch = epoch
         self.epoch_began_at_poll = self.polls_begun
-        self._stop_all([*self.starting, *self.unanswered_starts.unsettled(now())])
+        self.repeated_stops.add([*self.starting, *self.unanswered_starts.unsettled(now())])
 
     def apply_announcement(self, identity: WorkerIdentity, sequence: int) -> bool:
         """Adopt an announcement of the worker; return False if a newer one is known."""
@@ -345,10 +348,6 @@
             result.set(accepted)
         return accepted
 
-    def _stop_all(self, runs: Iterable[tuple[str, int]]) -> None:
-        for task, run in runs:
-            gevent.spawn(self.stop, task, run, now() + RUN_LEASE_SECONDS)
-
     def _send_stop(self, task: str, run: int, not_after: float) -> bool:
         pause = RETRY_PAUSE_SECONDS
         while now() < not_after:
@@ -431,6 +430,9 @@
         unsettled = self.unanswered_starts.unsettled(now())
         return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unsettled.values()))
 
+    def _may_take_effect(self, key: tuple[str, int]) -> bool:
+        return key in self.starting or key in self.unanswered_starts.unsettled(now())
+
     def _has_unstored_ends(self) -> bool:
         """Return whether the last poll returned ends that are not stored yet."""
         ended = self.last_poll.ended if self.last_poll else []
@@ -449,7 +451,7 @@
         self.last_poll = None
         self.lease.begin_incarnation()
         self.pace_sender.clear()
-        self._stop_all(self.unanswered_starts.begin_incarnation(now()))
+        self.repeated_stops.add(self.unanswered_starts.begin_incarnation(now()))
 
     def _was_leaving(self) -> bool:
         """Return whether the worker has announced that it leaves, so that its end is no crash."""
