Settle no start for a new incarnation by what the former one accepted (TWICE)

What a caller could see: a task of a former owner runs twice.

Cause: two answers of the former incarnation of a worker counted for the next one, which may carry out a start that the agent got no answer to. A report took its flag `settled` from the last poll that had begun after all starts of former owners had settled, also when a later poll found that the worker had restarted, and the poll that found the restart used what held before it. And a stop that was accepted while the agent learned of the restart settled the start.

The flag now belongs to the poll whose result is reported; the poll that finds a restart counts the starts as unsettled that the new incarnation may carry out; and a stop counts only if the agent knows the same incarnation before and after the call. WorkerController._unsettled_starts returns the starts in place of _is_settled, which told only whether there were any; the steps that called it check the same.

--- a/features/commands_in_flight.feature
+++ b/features/commands_in_flight.feature
@@ -54,6 +54,23 @@
     Then the starts of the former owner have not settled 4.2 seconds after the first call
     And the starts of the former owner have settled 14.0 seconds after the first call
 
+  # The answer of the poll that finds the restart came from the new incarnation, but what the former one had accepted
+  # counted for it. The new owner started the task elsewhere, while the new incarnation could carry out the start.
+  Scenario: The poll that finds a restart does not report a start as settled that the former incarnation rejects
+    Given an agent whose worker's clock shows 500 seconds
+    When two calls of a start are not answered, the second one 0.8 seconds after the first
+    And a new owner is followed whose stop the worker accepts
+    Then the agent reports that the starts of the former owner have settled
+    When the worker restarts after the start has been given up
+    Then the agent does not report that the starts of the former owner have settled
+
+  Scenario: A stop that the former incarnation accepted does not settle a start for the next one
+    Given an agent whose worker's clock shows 500 seconds
+    When two calls of a start are not answered, the second one 0.8 seconds after the first
+    And a new owner is followed whose stop the worker accepts while it restarts
+    Then the starts of the former owner have not settled
+    And the agent does not report that the starts of the former owner have settled
+
   # The agent gave up its stops after 3 seconds, or with a stop of the owner that was in progress. All tasks that a
   # former owner may have started then waited until the start could not be carried out any more, for 12 seconds.
   Scenario Outline: An agent stops a start of a former owner for as long as the worker may carry it out
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -145,7 +145,7 @@
 @when("the worker answers stops {seconds:f} seconds after its restart")
 def when_answers_stops(context, seconds):
     gevent.sleep(seconds - 0.2)
-    context.was_settled = context.controller._is_settled()
+    context.was_settled = not context.controller._unsettled_starts()
     gevent.sleep(0.2)
     context.worker.answers_stops = True
 
@@ -157,12 +157,46 @@
 
 @then("the starts of the former owner have settled within {seconds:f} seconds")
 def then_settled_within(context, seconds):
-    wait_for(context.controller._is_settled, "the starts have settled", seconds)
+    controller = context.controller
+    wait_for(lambda: not controller._unsettled_starts(), "the starts have settled", seconds)
+
+
+@when("a new owner is followed whose stop the worker accepts")
+def when_stop_accepted(context):
+    context.starting.join(2.0)
+    context.worker.answers_stops = True
+    context.controller.begin_epoch(2)
+    gevent.sleep(0.1)
+    context.worker.answers_stops = False
+    poll(context)
+
+
+@when("a new owner is followed whose stop the worker accepts while it restarts")
+def when_stop_accepted_late(context):
+    context.starting.join(2.0)
+    context.worker.stop = lambda task, run: gevent.sleep(0.2)
+    context.controller.begin_epoch(2)
+    gevent.sleep(0.1)
+    del context.worker.stop
+    context.worker.restart()
+    poll(context)
+    gevent.sleep(0.2)
+
+
+@then("the agent reports that the starts of the former owner have settled")
+def then_reports_settled(context):
+    assert context.controller.report().settled
+
+
+@then("the agent does not report that the starts of the former owner have settled")
+def then_not_reports_settled(context):
+    report = context.controller.report()
+    assert report.position.number and not report.settled
 
 
 @then("the starts of the former owner have not settled")
 def then_not_settled(context):
-    assert not context.controller._is_settled()
+    assert context.controller._unsettled_starts()
 
 
 @then("the starts of the former owner have not settled {seconds:f} seconds after the first call")
@@ -179,7 +213,7 @@
     context.starting.join(2.0)
     later = context.first_call_at + seconds
     with mock.patch.object(worker_controller, "now", lambda: later):
-        return context.controller._is_settled()
+        return not context.controller._unsettled_starts()
 
 
 @then("the start is not repeated after the next poll")
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -109,8 +109,8 @@
         Highest epoch of an owner that this agent has accepted.
     epoch_began_at_poll
         Number of polls that had begun when that epoch was accepted.
-    settled_poll
-        Number of the last successful poll that began after all starts of former owners had settled.
+    unsettled
+        Starts of former owners that could still take effect when the last successful poll began.
     """
 
     def __init__(
@@ -152,7 +152,7 @@
         self.stops: dict[tuple[str, int], AsyncResult] = {}
         self.repeated_stops = RepeatedStops(self.stop, self._may_take_effect)
         self.epoch = 0
-        self.settled_poll = 0
+        self.unsettled: set[tuple[str, int]] = set()
         self.epoch_began_at_poll = 0
 
     def begin_epoch(self, epoch: int) -> None:
@@ -219,7 +219,7 @@
                 crashes=crashes,
                 alive_seconds=alive_seconds,
             )
-        settled = self.settled_poll > self.epoch_began_at_poll
+        settled = self.poll_number > self.epoch_began_at_poll and not self.unsettled
         return AgentReport(
             self.identity,
             position,
@@ -351,9 +351,11 @@
     def _send_stop(self, task: str, run: int, not_after: float) -> bool:
         pause = RETRY_PAUSE_SECONDS
         while now() < not_after:
+            born_ms = self.born_ms
             try:
                 self.client.stop(task, run)
-                self.unanswered_starts.record_stop(task, run)
+                if self.born_ms == born_ms:
+                    self.unanswered_starts.record_stop(task, run)
                 return True
             except TokenRefused:
                 self._raise_token()
@@ -371,7 +373,7 @@
         self.polls_begun += 1
         began_at = now()
         poll_number = self.polls_begun
-        is_settled = self._is_settled()
+        unsettled = self._unsettled_starts()
         wait_seconds = 0.0 if self._has_unstored_ends() else POLL_WAIT_SECONDS
         # After an unanswered call no lease is sent until a poll is answered. The runs of a worker
         # that is lost have thus certainly ended once the lease expires.
@@ -398,6 +400,7 @@
             raise CallBrokeOff("the worker restarted during a poll", "poll again")
         if result.born_ms != self.born_ms:
             self._begin_incarnation(result.born_ms)
+            unsettled |= self._unsettled_starts()  # The new incarnation may carry out more.
         if self.failed_polls >= UNRESPONSIVE_POLLS:
             logger.info("worker regained", extra={"failed_polls": self.failed_polls})
         self.failed_polls = 0
@@ -407,7 +410,7 @@
         has_new_ends = newest > self.last_end_number
         self.last_end_number = max(newest, self.last_end_number)
         self.poll_number = poll_number
-        self.settled_poll = poll_number if is_settled else self.settled_poll
+        self.unsettled = unsettled
         self.last_poll = result
         self._update_paces(result)
         if has_new_ends:
@@ -425,10 +428,10 @@
         if self.failed_polls == UNRESPONSIVE_POLLS:
             logger.warning("worker lost", extra={"error": str(error)})
 
-    def _is_settled(self) -> bool:
-        """Return whether no start of a former owner can take effect any more."""
-        unsettled = self.unanswered_starts.unsettled(now())
-        return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unsettled.values()))
+    def _unsettled_starts(self) -> set[tuple[str, int]]:
+        """Return the starts of former owners that may still take effect."""
+        epochs = {**self.starting, **self.unanswered_starts.unsettled(now())}
+        return {key for key, epoch in epochs.items() if epoch < self.epoch}
 
     def _may_take_effect(self, key: tuple[str, int]) -> bool:
         return key in self.starting or key in self.unanswered_starts.unsettled(now())
