Hold back only the tasks whose starts by a former owner are unsettled (LOST)

Callers saw tasks that wait for up to 12 s after a change of the owner, although there was room.

Cause: an agent whose worker could still carry out one start of a former owner reported only that it had not settled. The owner then started none of the tasks that its predecessor may have started, on any worker. Such an agent goes on reporting, so its grant does not expire either.

A report now names the unsettled starts, in the last field of RunReport, if they are all that may be unknown: its poll began after the agent had followed the owner, and there are at most 100. The owner takes the worker as reported except for their tasks. These, and the rest of their gangs, stay uncertain, get no copy, and start once a report with a complete list of ends no longer names them, or once the lease or the grant of the worker has ended. A report with an odd row among them names none. Owners of the former version ignore the field and read that the report is not settled; reports of agents of the former version have no such field and hold back all tasks as before.

The sentence of `explain` on silent agents says what they have not reported, since an agent with an unsettled start does report; its scenario checks the new sentence.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -17,7 +17,7 @@
       | 3333333333333333 | 3     | completed; on the way: 1 x copy started, 1 x copy won |
       | 2222222222222222 | 2     | completed; on the way: 1 x run moved out of a drained zone |
       | 4444444444444444 | 2     | had waited for 2.1 s: passed over; workers that could hold it: 9 no capacity, 3 quarantined |
-      | 5555555555555555 | 1     | a former owner may have started it; 2 agents have not reported to the owner |
+      | 5555555555555555 | 1     | a former owner may have started it; 2 agents have not reported what became of it |
       | 6666666666666666 | 2     | not over: its tasks have started         |
       | dddddddddddddddd | 0     | no line names                            |
 
--- a/features/workflow_support.py
+++ b/features/workflow_support.py
@@ -51,6 +51,7 @@
         self.crashed_at = None
         self.max_listed_ends = None
         self.answers = True
+        self.report_changes = {}  # Fields in which the reports of its agent differ.
 
     def crash(self, crashed_at):
         """End all runs without a list of their ends."""
@@ -172,7 +173,7 @@
             [ActiveRun(key, run) for key, run in worker.running.items()],
             worker.listed_ends(view.acknowledged),
             has_more_ends=worker.has_more_ends(view.acknowledged),
-        ).replace(**changes)
+        ).replace(**{**worker.report_changes, **changes})
         self.scheduler.process_report(agent_id, report, self.now, self.now_unix)
         view.granted_until = max(view.granted_until, self.now + 4.0)
 
--- a/src/acaciastand/cluster/run_reports.py
+++ b/src/acaciastand/cluster/run_reports.py
@@ -32,6 +32,7 @@
 )
 
 MAX_ALIVE_SECONDS = 3_600.0  # Longest time for which an agent may report that runs can be alive.
+MAX_UNSETTLED_STARTS = 100  # A report names no more unsettled starts than this, or none of them.
 
 
 def encode_report(report: AgentReport, sent_at: float) -> RunReport:
@@ -62,6 +63,7 @@
             for run in crash.runs
             if not run.confirmed
         ],
+        _encode_unsettled(report.unsettled_starts),
     )
 
 
@@ -94,6 +96,7 @@
         message.has_more_ends,
         check_number(message.alive_seconds, 0.0, MAX_ALIVE_SECONDS),
         decode_rows(message.untold, check_task_name, on_ignored),
+        _decode_unsettled(message.unsettled, on_ignored),
     )
 
 
@@ -154,6 +157,18 @@
     )
 
 
+def _encode_unsettled(starts: list[tuple[str, int]]) -> list[list[Any]]:
+    return [list(start) for start in starts] if len(starts) <= MAX_UNSETTLED_STARTS else []
+
+
+def _decode_unsettled(
+    rows: list[Any], on_ignored: Callable[[Exception], None]
+) -> list[tuple[str, int]]:
+    """Return the unsettled starts in rows; none if one is left out, since the others may start."""
+    starts = decode_rows(rows, _decode_run_key, on_ignored)
+    return starts if len(starts) == len(rows) <= MAX_UNSETTLED_STARTS else []
+
+
 def _decode_active_run(row: Any) -> ActiveRun:
     return check_active_run(ActiveRun(*check_list(row)))
 
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -219,7 +219,7 @@
                 crashes=crashes,
                 alive_seconds=alive_seconds,
             )
-        settled = self.poll_number > self.epoch_began_at_poll and not self.unsettled
+        is_of_epoch = self.poll_number > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
             position,
@@ -227,13 +227,14 @@
             result.ended,
             expired,
             unresponsive,
-            settled,
+            is_of_epoch and not self.unsettled,
             self.pace_percent,
             self.pacer.tail_share,
             crashes,
             result.has_more_ends,
             alive_seconds,
             [run.task for run in result.running if run.task not in self.limits],
+            sorted(self.unsettled) if is_of_epoch else [],
         )
 
     def record_stored_ends(self, born_ms: int, number: int) -> None:
--- a/src/acaciastand/programs/explain.py
+++ b/src/acaciastand/programs/explain.py
@@ -155,7 +155,7 @@
         listed = ", ".join(f"{count} {rule}" for rule, count in passed_over.items())
         return f"{sentence}; workers that could hold it: {listed}"
     if "silent_agents" in line:
-        return f"{sentence}; {line['silent_agents']} agents have not reported to the owner"
+        return f"{sentence}; {line['silent_agents']} agents have not reported what became of it"
     if passed_over is not None:
         return f"{sentence}; no worker could hold it"
     return sentence
--- a/src/acaciastand/wire/runs.py
+++ b/src/acaciastand/wire/runs.py
@@ -90,6 +90,9 @@
     unconfirmed
         Task and number of each run in `crashes` that may not have begun, in rows. Owners of former
         versions take it for begun.
+    unsettled
+        Task and number of each run whose start keeps the report from being settled, in rows; empty
+        if they are not known or too many. Owners of former versions wait for a settled report.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "alive_seconds",
         "slow_start_seconds",
         "unconfirmed",
+        "unsettled",
     )
     type_number = 21
 
@@ -132,6 +136,7 @@
         alive_seconds: float = 0.0,
         slow_start_seconds: float = 0.0,
         unconfirmed: list[list[Any]] | None = None,
+        unsettled: list[list[Any]] | None = None,
     ) -> None:
         self.sent_at = sent_at
         self.identity = identity or []
@@ -150,6 +155,7 @@
         self.alive_seconds = alive_seconds
         self.slow_start_seconds = slow_start_seconds
         self.unconfirmed = unconfirmed or []
+        self.unsettled = unsettled or []
 
 
 class RunGrant(Message):
--- a/src/acaciastand/workflow/copies.py
+++ b/src/acaciastand/workflow/copies.py
@@ -318,9 +318,10 @@
         if now - self.checked_at < CHECK_SECONDS:
             return []
         self.checked_at = now
-        if not all(worker.has_reported for worker in self.state.workers.values()):
+        if not self.state.all_have_reported:
             return []  # A former owner may have started a copy that is not reported yet.
-        slow = dict(self._slow_tasks(now))
+        unsettled = self.state.unsettled_tasks()
+        slow = {task: why for task, why in self._slow_tasks(now) if task.key not in unsettled}
         if not slow:
             return []
         starts = []
--- a/src/acaciastand/workflow/report_processing.py
+++ b/src/acaciastand/workflow/report_processing.py
@@ -63,8 +63,9 @@
         former_agent = worker.measured_poll.agent_incarnation
         if former_agent and former_agent != report.position.agent_incarnation:
             self.state.record_decision("agent restarted", agent_id, runs=len(worker.tasks))
-        if report.settled and not report.has_more_ends:
+        if not report.has_more_ends and (report.settled or report.unsettled_starts):
             worker.has_reported = True
+            worker.unsettled_starts = set(report.unsettled_starts)
         pending = {number for number, _, _ in worker.pending_ends}
         for end in report.ended:
             if end.number > worker.acknowledged and end.number not in pending:
@@ -84,7 +85,7 @@
         The agent answers commands and sends reports over one connection, in order. A start that it
         has not answered may not have reached it when it sent the report.
         """
-        worker.has_reported = True
+        worker.settle_former_starts()
         worker.leaving_runs.clear()
         for task in list(worker.tasks.values()):
             if task.start_state != StartState.PENDING:
--- a/src/acaciastand/workflow/reports.py
+++ b/src/acaciastand/workflow/reports.py
@@ -401,6 +401,10 @@
         Time for which runs can be alive without another grant if the worker is never reached again.
     untold_tasks
         Running tasks whose limits the agent does not know, since it was restarted.
+    unsettled_starts
+        Tasks and numbers of the runs whose starts keep the report from being settled: no other
+        command of a former owner could take effect when the poll began. Empty if they are not
+        known or too many.
     """
 
     __slots__ = (
@@ -417,6 +421,7 @@
         "has_more_ends",
         "alive_seconds",
         "untold_tasks",
+        "unsettled_starts",
     )
 
     def __init__(
@@ -434,6 +439,7 @@
         has_more_ends: bool = False,
         alive_seconds: float = 0.0,
         untold_tasks: list[str] | None = None,
+        unsettled_starts: list[tuple[str, int]] | None = None,
     ) -> None:
         self.identity = identity
         self.position = position or PollPosition()
@@ -448,3 +454,4 @@
         self.has_more_ends = has_more_ends
         self.alive_seconds = alive_seconds
         self.untold_tasks = untold_tasks or []
+        self.unsettled_starts = unsettled_starts or []
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -396,18 +396,21 @@
             if confirmed_at <= worker.granted_until:
                 self.unconfirmed_grant_end = max(self.unconfirmed_grant_end, worker.granted_until)
                 continue
-            worker.has_reported = True
+            worker.settle_former_starts()
             worker.leaving_runs.clear()
             report_age = round(now - worker.last_report_at, 2)
             for task in list(worker.tasks.values()):
                 self.mark_lost(task, "grant expired", report_age_s=report_age)
 
     def _check_uncertain(self, now: float) -> None:
-        if not self.uncertain or not all(worker.has_reported for worker in self.workers.values()):
+        if not self.uncertain or not self.all_have_reported:
             return
-        tasks, self.uncertain = self.uncertain, {}
-        for task in tasks.values():
-            self.make_waiting(task)
+        unsettled = self.unsettled_tasks()
+        for task in list(self.uncertain.values()):
+            # The members of a gang start together, so one of them keeps the others waiting.
+            members = task.job.siblings(task) if task.step.gang else [task]
+            if not any(m.key in unsettled and m.key in self.uncertain for m in members):
+                self.make_waiting(task)
 
     def _check_due(self, now_unix: float) -> None:
         for task in list(self.not_yet_due.values()):
--- a/src/acaciastand/workflow/scheduler_state.py
+++ b/src/acaciastand/workflow/scheduler_state.py
@@ -174,12 +174,21 @@
         else:
             self.make_waiting(task)
 
+    @property
+    def all_have_reported(self) -> bool:
+        """Whether it is known what former owners started, but for `unsettled_tasks`."""
+        return all(worker.has_reported for worker in self.workers.values())
+
+    def unsettled_tasks(self) -> set[str]:
+        """Return the keys of the tasks with starts of former owners that may still take effect."""
+        return {key for worker in self.workers.values() for key, _ in worker.unsettled_starts}
+
     def _may_have_unknown_run(self, task: Task) -> bool:
         """Return whether a former owner may have started a copy that is not reported yet."""
         return (
             task.step.allows_copies
             and not task.job.has_ended
-            and not all(worker.has_reported for worker in self.workers.values())
+            and any(worker.may_have_unknown_run(task.key) for worker in self.workers.values())
         )
 
     def record_lost_copy(self, task: Task, run: int, why: str) -> None:
--- a/src/acaciastand/workflow/wait_monitor.py
+++ b/src/acaciastand/workflow/wait_monitor.py
@@ -113,7 +113,8 @@
     def _record(self, task: Task, now: float) -> None:
         waited_s = round(now - self.waiting_since[task.key], 1)
         if task.state == TaskState.UNCERTAIN:
-            unknown = [w.agent_id for w in self.state.workers.values() if not w.has_reported]
+            workers = self.state.workers.values()
+            unknown = [w.agent_id for w in workers if w.may_have_unknown_run(task.key)]
             self.state.record_decision(
                 "task waits",
                 task.key,
--- a/src/acaciastand/workflow/worker.py
+++ b/src/acaciastand/workflow/worker.py
@@ -52,7 +52,9 @@
         Last announcement of the worker; None before the first.
     has_reported
         Whether it is known what former owners started on the worker: the agent has reported it to
-        this owner, or all runs there have ended.
+        this owner, or all runs there have ended. The tasks of `unsettled_starts` are excepted.
+    unsettled_starts
+        Tasks and numbers of the runs that former owners started and the worker may yet begin.
     last_report_at
         When the agent last reported.
     granted_until
@@ -127,6 +129,7 @@
         "agent_id",
         "identity",
         "has_reported",
+        "unsettled_starts",
         "last_report_at",
         "granted_until",
         "reachable",
@@ -168,6 +171,7 @@
         self.agent_id = agent_id
         self.identity: WorkerIdentity | None = None
         self.has_reported = False
+        self.unsettled_starts: set[tuple[str, int]] = set()
         self.last_report_at = float("-inf")
         self.granted_until = float("-inf")
         self.reachable = False
@@ -234,7 +238,17 @@
     @property
     def depends_on_grant(self) -> bool:
         """Whether runs may be on the worker until its agent reports otherwise."""
-        return bool(self.tasks or self.leaving_runs) or not self.has_reported
+        may_have_runs = self.tasks or self.leaving_runs or self.unsettled_starts
+        return bool(may_have_runs) or not self.has_reported
+
+    def may_have_unknown_run(self, task_key: str) -> bool:
+        """Return whether a former owner may have started a run of a task here that is unknown."""
+        return not self.has_reported or any(key == task_key for key, _ in self.unsettled_starts)
+
+    def settle_former_starts(self) -> None:
+        """Record that it is known what former owners started here."""
+        self.has_reported = True
+        self.unsettled_starts.clear()
 
     def assign(self, task: Task) -> None:
         """Assign a task and reserve its resources, unless it is assigned already."""
