--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -6,6 +6,7 @@
 import gevent
 from behave import given, then, when
 from lease_support import poll, start
+from waiting import wait_for
 
 from acaciastand.cluster import worker_controller
 from acaciastand.cluster.clock import now
@@ -132,9 +133,70 @@
     poll(context)
 
 
+@when("a stop for {seconds:f} seconds is in progress and a new owner is followed")
+def when_stop_and_new_owner(context, seconds):
+    context.starting.join(2.0)
+    stopping = gevent.spawn(context.controller.stop, TASK, 1, now() + seconds)
+    context.stack.callback(stopping.kill)
+    gevent.sleep(0.02)
+    context.controller.begin_epoch(2)
+
+
+@when("the worker answers stops {seconds:f} seconds after its restart")
+def when_answers_stops(context, seconds):
+    gevent.sleep(seconds - 0.2)
+    context.was_settled = not context.controller._unsettled_starts()
+    gevent.sleep(0.2)
+    context.worker.answers_stops = True
+
+
+@then("the starts of the former owner have not settled 0.2 seconds earlier")
+def then_was_not_settled(context):
+    assert not context.was_settled
+
+
+@then("the starts of the former owner have settled within {seconds:f} seconds")
+def then_settled_within(context, seconds):
+    controller = context.controller
+    wait_for(lambda: not controller._unsettled_starts(), "the starts have settled", seconds)
+
+
+@when("a new owner is followed whose stop the worker accepts")
+def when_stop_accepted(context):
+    context.starting.join(2.0)
+    context.worker.answers_stops = True
+    context.controller.begin_epoch(2)
+    gevent.sleep(0.1)
+    context.worker.answers_stops = False
+    poll(context)
+
+
+@when("a new owner is followed whose stop the worker accepts while it restarts")
+def when_stop_accepted_late(context):
+    context.starting.join(2.0)
+    context.worker.stop = lambda task, run: gevent.sleep(0.2)
+    context.controller.begin_epoch(2)
+    gevent.sleep(0.1)
+    del context.worker.stop
+    context.worker.restart()
+    poll(context)
+    gevent.sleep(0.2)
+
+
+@then("the agent reports that the starts of the former owner have settled")
+def then_reports_settled(context):
+    assert context.controller.report().settled
+
+
+@then("the agent does not report that the starts of the former owner have settled")
+def then_not_reports_settled(context):
+    report = context.controller.report()
+    assert report.position.number and not report.settled
+
+
 @then("the starts of the former owner have not settled")
 def then_not_settled(context):
-    assert not context.controller._is_settled()
+    assert context.controller._unsettled_starts()
 
 
 @then("the starts of the former owner have not settled {seconds:f} seconds after the first call")
@@ -151,7 +213,7 @@
     context.starting.join(2.0)
     later = context.first_call_at + seconds
     with mock.patch.object(worker_controller, "now", lambda: later):
-        return context.controller._is_settled()
+        return not context.controller._unsettled_starts()
 
 
 @then("the start is not repeated after the next poll")
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -4,13 +4,14 @@
 
 import logging
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import gevent
 from gevent.event import AsyncResult, Event
 
 from acaciastand.cluster.clock import now
 from acaciastand.cluster.pace_sender import PaceSender
+from acaciastand.cluster.repeated_stops import RepeatedStops
 from acaciastand.cluster.run_lease import RunLease
 from acaciastand.cluster.unanswered_starts import UnansweredStarts
 from acaciastand.errors import AcaciastandError
@@ -20,7 +21,6 @@
 from acaciastand.telemetry.metrics import Metrics
 from acaciastand.workflow.crash_witness import CrashWitness
 from acaciastand.workflow.headroom_pacing import HeadroomPacer
-from acaciastand.workflow.limits import RUN_LEASE_SECONDS
 from acaciastand.workflow.pacing import FULL_PERCENT, BatchCost, Pacer, RunLimits
 from acaciastand.workflow.reports import (
     AgentReport,
@@ -103,12 +103,14 @@
         Starts that have ended without an answer and may still take effect.
     stops
         Results of the stops in progress, by task and run.
+    repeated_stops
+        Stops of runs whose starts may still take effect.
     epoch
         Highest epoch of an owner that this agent has accepted.
     epoch_began_at_poll
         Number of polls that had begun when that epoch was accepted.
-    settled_poll
-        Number of the last successful poll that began after all starts of former owners had settled.
+    unsettled
+        Starts of former owners that could still take effect when the last successful poll began.
     """
 
     def __init__(
@@ -148,15 +150,16 @@
         self.starting: dict[tuple[str, int], int] = {}
         self.unanswered_starts = UnansweredStarts()
         self.stops: dict[tuple[str, int], AsyncResult] = {}
+        self.repeated_stops = RepeatedStops(self.stop, self._may_take_effect)
         self.epoch = 0
-        self.settled_poll = 0
+        self.unsettled: set[tuple[str, int]] = set()
         self.epoch_began_at_poll = 0
 
     def begin_epoch(self, epoch: int) -> None:
         """Follow a new owner, and stop all runs that former owners may still be starting."""
         self.epoch = epoch
         self.epoch_began_at_poll = self.polls_begun
-        self._stop_all([*self.starting, *self.unanswered_starts.unsettled(now())])
+        self.repeated_stops.add([*self.starting, *self.unanswered_starts.unsettled(now())])
 
     def apply_announcement(self, identity: WorkerIdentity, sequence: int) -> bool:
         """Adopt an announcement of the worker; return False if a newer one is known."""
@@ -216,7 +219,7 @@
                 crashes=crashes,
                 alive_seconds=alive_seconds,
             )
-        settled = self.settled_poll > self.epoch_began_at_poll
+        is_of_epoch = self.poll_number > self.epoch_began_at_poll
         return AgentReport(
             self.identity,
             position,
@@ -224,13 +227,14 @@
             result.ended,
             expired,
             unresponsive,
-            settled,
+            is_of_epoch and not self.unsettled,
             self.pace_percent,
             self.pacer.tail_share,
             crashes,
             result.has_more_ends,
             alive_seconds,
             [run.task for run in result.running if run.task not in self.limits],
+            sorted(self.unsettled) if is_of_epoch else [],
         )
 
     def record_stored_ends(self, born_ms: int, number: int) -> None:
@@ -345,16 +349,14 @@
             result.set(accepted)
         return accepted
 
-    def _stop_all(self, runs: Iterable[tuple[str, int]]) -> None:
-        for task, run in runs:
-            gevent.spawn(self.stop, task, run, now() + RUN_LEASE_SECONDS)
-
     def _send_stop(self, task: str, run: int, not_after: float) -> bool:
         pause = RETRY_PAUSE_SECONDS
         while now() < not_after:
+            born_ms = self.born_ms
             try:
                 self.client.stop(task, run)
-                self.unanswered_starts.record_stop(task, run)
+                if self.born_ms == born_ms:
+                    self.unanswered_starts.record_stop(task, run)
                 return True
             except TokenRefused:
                 self._raise_token()
@@ -372,7 +374,7 @@
         self.polls_begun += 1
         began_at = now()
         poll_number = self.polls_begun
-        is_settled = self._is_settled()
+        unsettled = self._unsettled_starts()
         wait_seconds = 0.0 if self._has_unstored_ends() else POLL_WAIT_SECONDS
         # After an unanswered call no lease is sent until a poll is answered. The runs of a worker
         # that is lost have thus certainly ended once the lease expires.
@@ -399,6 +401,7 @@
             raise CallBrokeOff("the worker restarted during a poll", "poll again")
         if result.born_ms != self.born_ms:
             self._begin_incarnation(result.born_ms)
+            unsettled |= self._unsettled_starts()  # The new incarnation may carry out more.
         if self.failed_polls >= UNRESPONSIVE_POLLS:
             logger.info("worker regained", extra={"failed_polls": self.failed_polls})
         self.failed_polls = 0
@@ -408,7 +411,7 @@
         has_new_ends = newest > self.last_end_number
         self.last_end_number = max(newest, self.last_end_number)
         self.poll_number = poll_number
-        self.settled_poll = poll_number if is_settled else self.settled_poll
+        self.unsettled = unsettled
         self.last_poll = result
         self._update_paces(result)
         if has_new_ends:
@@ -426,10 +429,13 @@
         if self.failed_polls == UNRESPONSIVE_POLLS:
             logger.warning("worker lost", extra={"error": str(error)})
 
-    def _is_settled(self) -> bool:
-        """Return whether no start of a former owner can take effect any more."""
-        unsettled = self.unanswered_starts.unsettled(now())
-        return all(epoch >= self.epoch for epoch in (*self.starting.values(), *unsettled.values()))
+    def _unsettled_starts(self) -> set[tuple[str, int]]:
+        """Return the starts of former owners that may still take effect."""
+        epochs = {**self.starting, **self.unanswered_starts.unsettled(now())}
+        return {key for key, epoch in epochs.items() if epoch < self.epoch}
+
+    def _may_take_effect(self, key: tuple[str, int]) -> bool:
+        return key in self.starting or key in self.unanswered_starts.unsettled(now())
 
     def _has_unstored_ends(self) -> bool:
         """Return whether the last poll returned ends that are not stored yet."""
@@ -449,7 +455,7 @@
         self.last_poll = None
         self.lease.begin_incarnation()
         self.pace_sender.clear()
-        self._stop_all(self.unanswered_starts.begin_incarnation(now()))
+        self.repeated_stops.add(self.unanswered_starts.begin_incarnation(now()))
 
     def _was_leaving(self) -> bool:
         """Return whether the worker has announced that it leaves, so that its end is no crash."""
