--- a/features/steps/odd_value_steps.py
+++ b/features/steps/odd_value_steps.py
@@ -377,7 +377,7 @@
         links[agent_id] = AgentLink(
             agent_id, ADDRESS, "e", 1, owner._handle_report, lambda _: None, owner.ignored
         )
-    owner.links = links
+    owner.agents.links = links
     fields = list(encode_report(good_report(AGENT), 100.0).values())
 
     @for_each_example(context, count)
@@ -401,7 +401,7 @@
 def then_plans(context):
     owner = context.owner
     message = encode_report(AgentReport(identity(OTHER), PollPosition(2, 9)), 100.0)
-    grant = owner.links[OTHER]._handle(mock.Mock(), message)
+    grant = owner.agents.links[OTHER]._handle(mock.Mock(), message)
     assert isinstance(grant, RunGrant) and grant.seconds > 0
     # The examples may have taken longer than a heartbeat confirms the ownership.
     owner._record_confirmation(now())
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -184,12 +184,12 @@
 
 @then("it does not connect to the agent")
 def then_not_connected(context):
-    assert not context.owner.links
+    assert not context.owner.agents.links
 
 
 @then("it connects to the agent")
 def then_connects(context):
-    assert set(context.owner.links) == {"agent-1"}
+    assert set(context.owner.agents.links) == {"agent-1"}
 
 
 @then("it does not schedule the job")
@@ -231,7 +231,7 @@
     wait_for(lambda: context.store.get(OWNER_HEARTBEAT_KEY).revision)
     context.heartbeat = context.store.get(OWNER_HEARTBEAT_KEY).revision
     owner.scheduler.add_worker("agent-1", False, now())
-    owner.links["agent-1"] = mock.Mock(connection=None)
+    owner.agents.links["agent-1"] = mock.Mock(connection=None)
     gevent.sleep(0.01)
     owner._plan()
 
--- a/features/takeover_support.py
+++ b/features/takeover_support.py
@@ -49,7 +49,9 @@
             Metrics(),
             lambda _: None,
         )
-        self.owner.links = defaultdict(lambda: mock.create_autospec(AgentLink, instance=True))
+        self.owner.agents.links = defaultdict(
+            lambda: mock.create_autospec(AgentLink, instance=True)
+        )
         self.owner.is_ready = self.owner._load()
         self.scheduler = self.owner.scheduler
         for agent_id in self.workers:
--- a/src/acaciastand/cluster/agent_link.py
+++ b/src/acaciastand/cluster/agent_link.py
@@ -62,10 +62,15 @@
     connection
         Open connection; None while there is none.
     reported_at
-        When the last report arrived, or else the connection was made.
+        When the last report arrived, or else the agent accepted the connection; minus infinity
+        before the first.
     agent_clock
         The agent's clock in seconds when it sent its last report over the present connection;
         minus infinity before the first, so that the agent refuses all commands.
+    failed_dials
+        Number of attempts to connect that have failed since the agent last accepted a connection.
+    is_stopped
+        Whether the agent is not dialled any more and its reports are ignored.
     """
 
     def __init__(
@@ -88,11 +93,13 @@
         self.connection: Connection | None = None
         self.reported_at = float("-inf")
         self.agent_clock = float("-inf")
+        self.failed_dials = 0
+        self.is_stopped = False
 
     def run(self) -> None:
-        """Dial, watch the reports and dial again until the greenlet is killed."""
+        """Dial, watch the reports and dial again until `stop` or until the greenlet is killed."""
         try:
-            while True:
+            while not self.is_stopped:
                 self._connect()
                 while self.connection is not None:
                     self.connection.closed.wait(0.3)
@@ -104,6 +111,12 @@
             if self.connection is not None:
                 self.connection.close()
 
+    def stop(self) -> None:
+        """Close the connection and make no other."""
+        self.is_stopped = True
+        if self.connection is not None:
+            self.connection.close()
+
     def start_run(self, born_ms: int, command: StartCommand) -> tuple[StartOutcome, PollPosition]:
         """Send a command to start a run on the worker's incarnation `born_ms`.
 
@@ -173,11 +186,11 @@
                 DIAL_TIMEOUT_SECONDS, TimeoutError("the connection was not made in time")
             ):
                 connection = dial(self.address, self._handle)
-            self.reported_at = now()
             reply = connection.request(OwnerHello(self.entry_id, self.epoch), HELLO_TIMEOUT_SECONDS)
         except (AcaciastandError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
+            self.failed_dials += 1
             logger.debug("agent unreachable", extra={"agent": self.agent_id, "error": str(error)})
             return
         assert isinstance(reply, OwnerHelloReply)
@@ -185,6 +198,11 @@
             connection.close()
             self.on_superseded(reply.epoch)
             return
+        if self.is_stopped:
+            connection.close()
+            return
+        self.reported_at = now()
+        self.failed_dials = 0
         self.connection = connection
         logger.info("agent regained", extra={"agent_id": self.agent_id, "epoch": self.epoch})
 
@@ -195,7 +213,7 @@
             connection.close()
 
     def _handle(self, connection: Connection, message: Message) -> Message | None:
-        if not isinstance(message, RunReport):
+        if self.is_stopped or not isinstance(message, RunReport):
             return None
         try:
             report = decode_report(message, self.ignored.recorder(REPORT_SOURCE))
--- a/src/acaciastand/cluster/owner.py
+++ b/src/acaciastand/cluster/owner.py
@@ -11,6 +11,7 @@
 
 from acaciastand.cluster.advice_loop import advise_forever
 from acaciastand.cluster.agent_link import AgentLink
+from acaciastand.cluster.agent_registry import REMOVAL_INTERVAL_SECONDS, AgentRegistry
 from acaciastand.cluster.batch_costs import encode_batch_costs
 from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.committer import Committer, OwnershipLost
@@ -27,7 +28,6 @@
     OWNER_KEY,
     OwnerRecord,
     StoredItemUnreadable,
-    decode_address,
     decode_job,
     encode_fields,
 )
@@ -95,8 +95,8 @@
     ----------
     confirmed_at
         When the last heartbeat that was stored, or else the claim, was sent.
-    links
-        Connections to the agents, by agent id.
+    agents
+        The registered agents and the connections to them.
     plan_due
         Set when an event calls for a round of scheduling.
     heartbeat_due
@@ -145,7 +145,9 @@
         self.zone_drain_watch = ZoneDrainWatch(
             store, self.scheduler, zone_drain_seconds, metrics, self.ignored
         )
-        self.links: dict[str, AgentLink] = {}
+        self.agents = AgentRegistry(
+            store, self.scheduler, fence, self._make_link, metrics, self.ignored
+        )
         self.plan_due = Event()
         self.heartbeat_due = Event()
         self.is_ready = False
@@ -216,7 +218,7 @@
             self.scheduler.cancel_job(job_id, now(), now_unix())
             self.committer.commit_due.set()
         elif item.key.startswith(AGENTS_PREFIX):
-            self._add_agent(item, None)
+            self.agents.add(item, None)
         self.plan_due.set()
 
     def _is_confirmed(self) -> bool:
@@ -272,6 +274,7 @@
         self._spawn(self._plan_forever)
         self._spawn(self._watch_inbox)
         self._spawn(self._watch_agents)
+        self._spawn(self._remove_silent_agents)
         self._spawn(self.zone_drain_watch.follow_forever)
         self._spawn(self.job_retention.remove_forever)
         self._spawn(self.interference_store.store_forever)
@@ -296,7 +299,7 @@
         # heartbeat.
         granted_until = max(now(), self.former_heartbeat_at + AUTHORITY_SECONDS * CLOCK_DRIFT)
         for item in stored.agents.items:
-            self._add_agent(item, granted_until)
+            self.agents.add(item, granted_until)
         self._load_jobs(stored)
         self.agents_revision = stored.agents.revision
         self.inbox_revision = stored.inbox.revision
@@ -305,7 +308,7 @@
             extra={
                 "epoch": self.record.epoch,
                 "jobs": len(self.scheduler.jobs),
-                "agents": len(self.links),
+                "agents": len(self.agents.links),
                 "highest_former_run": self.scheduler.run_numbers.highest_former,
                 "seconds": round(now() - started_at, 3),
             },
@@ -326,6 +329,7 @@
     # Loops
 
     def _spawn(self, loop: Callable[[], None]) -> None:
+        self.greenlets = [greenlet for greenlet in self.greenlets if not greenlet.dead]
         self.greenlets.append(gevent.spawn(supervised(loop, self.metrics)))
 
     def _lose_ownership(self, reason: str) -> None:
@@ -378,7 +382,7 @@
         if self.is_releasing or self.authority_seconds <= 0:
             return
         for worker in self.scheduler.workers.values():
-            worker.reachable = self.links[worker.agent_id].connection is not None
+            worker.reachable = self.agents.links[worker.agent_id].connection is not None
         starts, stops = self.scheduler.plan(now(), now_unix(), self.confirmed_at)
         if self.confirmed_at <= self.scheduler.unconfirmed_grant_end:
             self.heartbeat_due.set()
@@ -396,7 +400,7 @@
         decided_at = now()
         worker = self.scheduler.workers[start.agent_id]
         run = start.command.run
-        link = self.links[start.agent_id]
+        link = self.agents.links[start.agent_id]
         if self.is_lost or self.is_releasing or self.authority_seconds <= 0:
             outcome, position = StartOutcome.REFUSED, PollPosition()
         else:
@@ -409,7 +413,7 @@
         if self.is_lost or self.authority_seconds <= 0:
             return
         sent_at = now()
-        outcome, position = self.links[stop.agent_id].stop_run(stop.task_key, stop.run)
+        outcome, position = self.agents.links[stop.agent_id].stop_run(stop.task_key, stop.run)
         if outcome == StartOutcome.STARTED and stop.is_tracked:
             self.scheduler.process_stop_result(stop.task_key, stop.run, position, sent_at, now())
 
@@ -448,7 +452,7 @@
                 number = self.scheduler.acknowledge_stored_ends(worker)
                 if number > acknowledged_before:
                     gevent.spawn(
-                        self.links[worker.agent_id].send_stored_ends, worker.born_ms, number
+                        self.agents.links[worker.agent_id].send_stored_ends, worker.born_ms, number
                     )
 
     def _watch_inbox(self) -> None:
@@ -465,28 +469,18 @@
         for item in sorted(items, key=lambda item: item.key.startswith(CANCELS_PREFIX)):
             self.apply_item(item)
 
-    def _add_agent(self, item: Item, granted_until: float | None) -> None:
-        """Connect to a registered agent, or adopt its new address.
+    def _remove_silent_agents(self) -> None:
+        while True:
+            gevent.sleep(REMOVAL_INTERVAL_SECONDS)
+            if self.is_releasing or not self._is_confirmed():
+                continue
+            try:
+                self.agents.remove_silent(self.confirmed_at)
+            except OwnershipLost as error:
+                return self._lose_ownership(str(error))
 
-        Parameters
-        ----------
-        item
-            Registration of the agent.
-        granted_until
-            When the grants that a former owner may have given it end; None for a new agent.
-        """
-        agent_id = item.key[len(AGENTS_PREFIX) :]
-        try:
-            address = decode_address(item)
-        except StoredItemUnreadable as error:
-            return self.ignored.record(AGENTS_PREFIX, error)
-        existing = self.links.get(agent_id)
-        if existing is not None and existing.address == address:
-            return
-        if existing is not None:
-            existing.address = address  # The next connection uses it.
-            return
-        self.scheduler.add_worker(agent_id, granted_until is None, granted_until or now())
+    def _make_link(self, agent_id: str, address: str) -> AgentLink:
+        """Return a link to an agent that is dialled from now on."""
         link = AgentLink(
             agent_id,
             address,
@@ -496,5 +490,5 @@
             lambda epoch: self._lose_ownership(f"an agent follows epoch {epoch}"),
             self.ignored,
         )
-        self.links[agent_id] = link
         self._spawn(link.run)
+        return link
--- a/src/acaciastand/telemetry/metrics.py
+++ b/src/acaciastand/telemetry/metrics.py
@@ -28,6 +28,10 @@
         "outcome",
         "Copies of tasks that were started, were done first or ended otherwise, with the reason.",
     ),
+    "agents_dropped": (
+        "outcome",
+        "Agents dropped by the owner after a long silence, by what became of the registration.",
+    ),
     "announcements_ignored": ("why", "Announcements that name no worker."),
     "unexpected_errors": (
         "loop",
--- a/src/acaciastand/workflow/quarantine.py
+++ b/src/acaciastand/workflow/quarantine.py
@@ -101,6 +101,10 @@
             worker.has_probe = self.attribution.has_probe(agent_id)
             worker.retry_from = current.retry_from.get(agent_id, 0.0)
 
+    def forget_worker(self, agent_id: str) -> None:
+        """Forget the standing of a worker that is removed."""
+        self.flagged_at.pop(agent_id, None)
+
     def _set_standing(self, worker: WorkerView, standing: Standing, now: float) -> None:
         if worker.standing is standing:
             return
--- a/src/acaciastand/workflow/scheduler.py
+++ b/src/acaciastand/workflow/scheduler.py
@@ -212,6 +212,13 @@
             worker.granted_until = granted_until
         return worker
 
+    def remove_worker(self, agent_id: str) -> None:
+        """Remove a worker on which no run can be."""
+        assert not self.workers[agent_id].depends_on_grant, agent_id
+        del self.workers[agent_id]
+        self.quarantine.forget_worker(agent_id)
+        self.event_count += 1
+
     def process_report(
         self, agent_id: str, report: AgentReport, now: float, now_unix: float
     ) -> None:
