--- a/src/acaciastand/workflow/quarantine.py
+++ b/src/acaciastand/workflow/quarantine.py
@@ -117,6 +117,10 @@
             worker.is_probe_due = current.quarantined.get(agent_id, False)
             worker.access = current.access.get(agent_id, Access.NONE)
 
+    def forget_worker(self, agent_id: str) -> None:
+        """Forget the standing of a worker that is removed."""
+        self.flagged_at.pop(agent_id, None)
+
     def _set_standing(self, worker: WorkerView, standing: Standing, now: float) -> None:
         if worker.standing is standing:
             return
