--- a/features/machines/journal_machine.py
+++ b/features/machines/journal_machine.py
@@ -16,7 +16,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from acaciastand.coordination.journal import MAX_WRITE_ATTEMPTS
+from acaciastand.coordination.entry_write import MAX_WRITE_ATTEMPTS
 from acaciastand.errors import Conflict
 
 WRITER_COUNT = 3
--- a/src/acaciastand/coordination/journal.py
+++ b/src/acaciastand/coordination/journal.py
@@ -20,14 +20,14 @@
     Snapshot,
     SnapshotTooLarge,
 )
+from acaciastand.coordination.entry_write import EntryWrite
 from acaciastand.coordination.journal_errors import (
     AppendConflict,
     AppendUnresolved,
     CompactionNeeded,
     Fenced,
-    answer_lost_error,
 )
-from acaciastand.coordination.journal_storage import SLOTS, JournalStorage, StoredEntry
+from acaciastand.coordination.journal_storage import SLOTS, JournalStorage
 from acaciastand.coordination.store import (
     KeyValueStore,
     StoreAnswerLost,
@@ -35,27 +35,13 @@
     VersionMismatch,
 )
 from acaciastand.errors import AcaciastandError, Conflict
-from acaciastand.record import Record
 
 COMPACT_AFTER = 32  # Number of entries after the snapshot from which a compaction is due.
 RESERVED_SLOTS = 8  # Slots that appends leave free, so that takeovers find room for their entry.
 MAX_LOAD_ATTEMPTS = 8  # Reads of a journal that keeps changing, until `load` fails.
-MAX_WRITE_ATTEMPTS = 3  # Writes of one entry until a lost response is reported to the caller.
 MAX_TAKEOVER_ATTEMPTS = 16  # Attempts of a takeover while the former owner keeps appending.
 
 
-class _PendingWrite(Record):
-    """Write of an entry whose outcome is not known yet."""
-
-    __slots__ = ("entry", "data", "expected_version", "may_be_applied")
-
-    def __init__(self, entry: Entry, data: bytes, expected_version: int) -> None:
-        self.entry = entry
-        self.data = data
-        self.expected_version = expected_version
-        self.may_be_applied = False  # True once the response to an attempt was lost.
-
-
 class Journal:
     """A journal as one writer sees it, called the writer's view below.
 
@@ -106,7 +92,7 @@
         "_fenced",
         "_loaded",
         "_storage",
-        "_unresolved_write",
+        "_last_write",
         "_slot_versions",
         "_snapshot_version",
     )
@@ -256,7 +242,7 @@
             The outcome is still unknown; resolve again later.
         """
         write = self._unresolved_write
-        return None if write is None else self._write_until_resolved(write).number
+        return None if write is None else self._write(write).number
 
     def refresh(self) -> JournalState:
         """Read the entries after `position`.
@@ -276,7 +262,7 @@
         StoreAnswerLost
             An append is unresolved; `resolve` it first.
         """
-        if not self._loaded and self._unresolved_write is None:
+        if not self._loaded and not self.unresolved:
             return self.load()
         self._check_usable()
         entries: list[Entry] = []
@@ -376,16 +362,23 @@
         self.snapshot_position = 0
         self._fenced = False
         self._loaded = False
-        self._unresolved_write: _PendingWrite | None = None
+        self._last_write: EntryWrite | None = None
         self._slot_versions = [0] * SLOTS
         self._snapshot_version = 0
 
+    @property
+    def _unresolved_write(self) -> EntryWrite | None:
+        """The last write if its outcome is unknown."""
+        write = self._last_write
+        return write if write is not None and write.is_unresolved else None
+
     def _check_usable(self) -> None:
         if self._fenced:
             raise self._fenced_error()
-        if self._unresolved_write is not None:
+        unresolved = self._unresolved_write
+        if unresolved is not None:
             raise StoreAnswerLost(
-                f"the outcome of writing entry {self._unresolved_write.entry.number} of journal"
+                f"the outcome of writing entry {unresolved.entry.number} of journal"
                 f" {self.name!r} is unknown",
                 "call resolve() first",
             )
@@ -404,8 +397,8 @@
                 "append fewer events at once",
             )
         self._check_slot_free(number, usable_slots)
-        return self._write_until_resolved(
-            _PendingWrite(entry, data, self._slot_versions[number % SLOTS])
+        return self._write(
+            EntryWrite(self._storage, entry, data, self._slot_versions[number % SLOTS])
         )
 
     def _check_slot_free(self, number: int, usable_slots: int) -> None:
@@ -420,77 +413,21 @@
                 "call compact(), then try again",
             )
 
-    def _write_until_resolved(self, write: _PendingWrite) -> Entry:
-        """Write an entry, up to `MAX_WRITE_ATTEMPTS` times, until the outcome is known.
-
-        Raises
-        ------
-        StoreAnswerLost
-            The outcome is unknown; the write is kept for `resolve`.
-        """
-        for _ in range(MAX_WRITE_ATTEMPTS):
-            try:
-                version = self._put_entry(write)
-            except StoreAnswerLost:
-                write.may_be_applied = True
-                self._unresolved_write = write
-                continue
-            except VersionMismatch:
-                version = self._applied_version(write)
-            self._unresolved_write = None
-            self._advance_to(write.entry, version)
-            return write.entry
-        raise answer_lost_error(write.entry, self.name)
-
-    def _put_entry(self, write: _PendingWrite) -> int:
+    def _write(self, write: EntryWrite) -> Entry:
+        """Write an entry and advance to it; while the outcome is unknown, keep it for `resolve`."""
+        self._last_write = write
         try:
-            return self._storage.write_entry(write.entry.number, write.data, write.expected_version)
-        except StoreUnavailable as error:
-            if write.may_be_applied:
-                raise answer_lost_error(write.entry, self.name) from error
+            version = write.run()
+        except AppendUnresolved:
+            self._loaded = False
             raise
-
-    def _applied_version(self, write: _PendingWrite) -> int:
-        """Return the slot's version if an earlier attempt of the write was applied.
-
-        Raises
-        ------
-        Fenced, AppendConflict, AppendUnresolved
-            The slot does not hold the entry.
-        StoreAnswerLost
-            The slot cannot be read.
-        """
-        # Without an earlier attempt that may have been applied, the version mismatch itself shows
-        # that another writer wrote the slot.
-        stored = self._read_slot(write) if write.may_be_applied else None
-        entry = None if stored is None else stored.entry
-        if stored is not None and entry is not None and entry.nonce == write.entry.nonce:
-            return stored.version
-        self._unresolved_write = None
-        if write.may_be_applied and (entry is None or entry.number != write.entry.number):
-            raise self._unresolvable_error(write)
-        if self.owned:
+        except AppendConflict as error:
+            if not self.owned:
+                raise
             self._fenced = True
-            raise self._fenced_error()
-        raise AppendConflict(
-            f"another writer wrote entry {write.entry.number} of journal {self.name!r}",
-            "call refresh() and append again if the events still apply",
-        )
-
-    def _read_slot(self, write: _PendingWrite) -> StoredEntry | None:
-        try:
-            return self._storage.read_entry(write.entry.number)
-        except StoreUnavailable as error:
-            raise answer_lost_error(write.entry, self.name) from error
-
-    def _unresolvable_error(self, write: _PendingWrite) -> AppendUnresolved:
-        """Mark the view as not loaded, and return the error for a write of unknown outcome."""
-        self._loaded = False
-        return AppendUnresolved(
-            f"the slot of entry {write.entry.number} of journal {self.name!r} was overwritten"
-            " before the outcome of its write was known",
-            "load the journal and look for the effect of the entry in its state",
-        )
+            raise self._fenced_error() from error
+        self._advance_to(write.entry, version)
+        return write.entry
 
     def _fenced_error(self) -> Fenced:
         return Fenced(
