Move the contacts of agents out of the aggregate of a shard

ContactProcessor (shard/contacts.py) compares what agents list in hellos and heartbeats with the attempts that should run there, and handles disconnects, as the scheduler of a shard is a class beside it. It uses end_attempt, send_stop and is_cancelled of the shard, which are public for that. Steps and the mutants of the shard machine name the new places and check the same.

--- a/features/machines/shard_simulation.py
+++ b/features/machines/shard_simulation.py
@@ -23,6 +23,7 @@
 from acaciastand.placement.placer import FirstFit
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
+from acaciastand.shard.contacts import ContactProcessor
 from acaciastand.shard.events import (
     AttemptEnd,
     AttemptEnded,
@@ -543,7 +544,8 @@
             sequence,
             [ListedAttempt(*fields) for fields in listed],
         )
-        renewed = self.shard.process_contact(contact, self.clock.now(), self.lease_deadlines())
+        contacts = ContactProcessor(self.shard)
+        renewed = contacts.process(contact, self.clock.now(), self.lease_deadlines())
         return [(attempt.task_id, attempt.attempt) for attempt in renewed]
 
     def process_report(self, link, task_id, number, result, checkpoint):
--- a/features/steps/shard_bounds_steps.py
+++ b/features/steps/shard_bounds_steps.py
@@ -11,6 +11,7 @@
 from acaciastand.placement.worker import WorkerView
 from acaciastand.resources import Resources
 from acaciastand.shard import limits
+from acaciastand.shard.contacts import ContactProcessor
 from acaciastand.shard.job import JobSpec, parse_job
 from acaciastand.shard.outbox import Grant, StopRequest
 from acaciastand.shard.runtime_state import AgentContact, AttemptEndReport, LeaseDeadlines
@@ -294,7 +295,7 @@
     commit_pending(shard)
     view = new_worker("w", services=["desk"])
     context.task = shard.state.jobs[job_id].tasks[0]
-    shard.process_contact(AgentContact("w", "w-1", 1, 1, []), 0.0, UNLIMITED)
+    ContactProcessor(shard).process(AgentContact("w", "w-1", 1, 1, []), 0.0, UNLIMITED)
     new_scheduler(shard).start_tasks([view], {}, 0.0)
     new_scheduler(shard).start_buckets([view], 0.0)
     new_scheduler(shard).start_buckets([view], limits.BUCKET_ASSIGNMENT_DELAY_SECONDS)
@@ -305,7 +306,7 @@
 
 @when("a newer incarnation of the worker sends a hello without attempts")
 def step_newer(context):
-    context.shard.process_contact(AgentContact("w", "w-2", 2, 0, []), 3.0, UNLIMITED)
+    ContactProcessor(context.shard).process(AgentContact("w", "w-2", 2, 0, []), 3.0, UNLIMITED)
     context.messages = commit_pending(context.shard)
 
 
@@ -321,7 +322,7 @@
 def step_late_hello(context):
     context.shard.start_attempt(context.task, "w", "w-2", CORE)
     commit_pending(context.shard)
-    context.shard.process_contact(AgentContact("w", "w-1", 3, 0, []), 4.0, UNLIMITED)
+    ContactProcessor(context.shard).process(AgentContact("w", "w-1", 3, 0, []), 4.0, UNLIMITED)
 
 
 @then("the new attempt of the task is still running")
--- a/features/steps/shard_machine_steps.py
+++ b/features/steps/shard_machine_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from acaciastand.shard.contacts import ContactProcessor
 from acaciastand.shard.events import AttemptEnd
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.runtime_state import AttemptRuntime, LeaseDeadlines
@@ -40,7 +41,7 @@
 
 
 def renew_any_attempt(self, contact, listed):
-    return listed.task_id in self.state.running
+    return listed.task_id in self.shard.state.running
 
 
 def treat_as_refused(self, task_id, attempt):
@@ -66,7 +67,7 @@
 def apply_every_report(self, report, now):
     task = self.state.find_task(report.task_id)
     if task is not None:
-        self._end_attempt(task, AttemptEnd(report.result), report.checkpoint)
+        self.end_attempt(task, AttemptEnd(report.result), report.checkpoint)
     return self.sequence
 
 
@@ -74,7 +75,7 @@
     end_without_checkpoint.original(self, task, end)
 
 
-end_without_checkpoint.original = Shard._end_attempt
+end_without_checkpoint.original = Shard.end_attempt
 
 
 def release_as_confirmed(self):
@@ -93,7 +94,7 @@
 def end_before_confirmation(self, task_id):
     task = self.state.running[task_id]
     end_before_confirmation.original(self, task_id)
-    self._end_attempt(task, AttemptEnd.STOPPED)
+    self.end_attempt(task, AttemptEnd.STOPPED)
 
 
 end_before_confirmation.original = Shard.stop_bucket
@@ -113,13 +114,13 @@
     "takeover wait of a new owner": (Timings, "takeover_expiry_seconds", Timings.expiry_seconds),
     "renewal limit": (LeaseDeadlines, "__init__", no_renewal_limit),
     "expiry of the grant": (Timings, "expiry_seconds", lambda self: 1.0),
-    "renewal of current attempts only": (Shard, "_is_current", renew_any_attempt),
+    "renewal of current attempts only": (ContactProcessor, "_is_current", renew_any_attempt),
     "unknown result of a grant": (Shard, "record_lost_grant_reply", treat_as_refused),
     "epoch seen by the agent": (AttemptRuntime, "expires_at", ignore_former_grants),
     "valid lease for adoption": (LeaseDeadlines, "__init__", endless_lease),
     "messages after the commit": (Shard, "_add_event", send_before_commit),
     "idempotent reports": (Shard, "process_report", apply_every_report),
-    "checkpoint with the end": (Shard, "_end_attempt", end_without_checkpoint),
+    "checkpoint with the end": (Shard, "end_attempt", end_without_checkpoint),
     "unconfirmed epochs at release": (Shard, "release", release_as_confirmed),
     "no restart of cancelled tasks": (ShardState, "_state_after", restart_cancelled_tasks),
 }
--- a/src/acaciastand/entry/owned_shard.py
+++ b/src/acaciastand/entry/owned_shard.py
@@ -16,6 +16,7 @@
 from acaciastand.coordination.store import StoreAnswerLost, StoreUnavailable
 from acaciastand.errors import AcaciastandError, OutcomeUnknown, Refused
 from acaciastand.record import Record
+from acaciastand.shard.contacts import ContactProcessor
 from acaciastand.shard.events import Event as ShardEvent
 from acaciastand.shard.limits import Timings
 from acaciastand.shard.outbox import Grant, OutgoingMessage, StopRequest
@@ -95,6 +96,7 @@
         on_lost: Callable[[OwnedShard], None],
     ) -> None:
         self.shard = shard
+        self.contacts = ContactProcessor(shard)
         self.scheduler = scheduler
         self.journal = journal
         self.ownership = ownership
--- a/src/acaciastand/entry/owner.py
+++ b/src/acaciastand/entry/owner.py
@@ -322,7 +322,7 @@
             return
         del self._connections[session.agent_id]
         for owned in list(self.owned.values()):
-            owned.shard.record_disconnect(session.agent_id)
+            owned.contacts.record_disconnect(session.agent_id)
 
     def _contact(
         self, session: Any, sequence: int, attempts: list[HeldAttempt], renew: bool
@@ -351,7 +351,7 @@
                 session.agent_id, session.incarnation, known[1], sequence, listed_here
             )
             now = self.clock()
-            renewed.extend(owned.shard.process_contact(contact, now, owned.authority(now)))
+            renewed.extend(owned.contacts.process(contact, now, owned.authority(now)))
             owned.send_ready()
         return renewed if renew else []
 
--- a/src/acaciastand/shard/shard.py
+++ b/src/acaciastand/shard/shard.py
@@ -43,13 +43,10 @@
 )
 from acaciastand.shard.outbox import Grant, OutgoingMessage, StopRequest
 from acaciastand.shard.runtime_state import (
-    AgentContact,
     AgentRuntime,
     AttemptEndReport,
     AttemptRuntime,
     GrantState,
-    LeaseDeadlines,
-    ListedAttempt,
 )
 from acaciastand.shard.state import ShardState, Task, TaskState, job_id_of
 
@@ -287,101 +284,16 @@
             self._clear_backoff(task.task_id)
         return self._add_event(JobCancelled(job_id), stops)
 
-    # Agents
-
-    def process_contact(
-        self, contact: AgentContact, now: float, deadlines: LeaseDeadlines
-    ) -> list[ListedAttempt]:
-        """Process a hello or heartbeat, and return the listed attempts that are renewed at `now`.
-
-        Listed attempts that should not run on this agent are stopped. An attempt that is not
-        listed although it should be has ended if the worker has a newer incarnation; otherwise, and
-        always for a bucket, the agent is asked to stop the attempt and to confirm the stop.
-        """
-        agent = self.agents.setdefault(contact.agent_id, AgentRuntime())
-        if not agent.apply_contact(contact) or self.releasing or now >= deadlines.renew_until:
-            return []
-        renewed = [
-            listed
-            for listed in contact.listed
-            if self._renew_attempt(contact, listed, now, deadlines)
-        ]
-        self._check_missing_attempts(contact, agent)
-        return renewed
-
-    def _renew_attempt(
-        self, contact: AgentContact, listed: ListedAttempt, now: float, deadlines: LeaseDeadlines
-    ) -> bool:
-        if listed.ended or listed.epoch > self.state.epoch:
-            return False
-        if not self._is_current(contact, listed):
-            self._send_stop(contact.agent_id, listed.task_id, listed.attempt)
-            return False
-        # Without a valid lease there may be a newer owner, which this agent may have obeyed before
-        # it restarted. Only attempts that it lists under the present epoch certainly still belong
-        # to this owner.
-        if listed.epoch < self.state.epoch and now >= deadlines.valid_until:
-            return False
-        runtime = self.attempts[listed.task_id]
-        runtime.last_sent_at = now
-        runtime.epoch_confirmed = runtime.epoch_confirmed or listed.epoch == self.state.epoch
-        if runtime.grant_state is GrantState.UNKNOWN:
-            runtime.grant_state = GrantState.ACCEPTED
-        return True
-
-    def _is_current(self, contact: AgentContact, listed: ListedAttempt) -> bool:
-        task = self.state.running.get(listed.task_id)
-        return (
-            task is not None
-            and task.attempt == listed.attempt
-            and task.agent_id == contact.agent_id
-            and not self._is_cancelled(task)
-        )
-
-    def _is_cancelled(self, task: Task) -> bool:
+    def is_cancelled(self, task: Task) -> bool:
+        """Return whether the job of a task is cancelled; buckets have none."""
         return not task.is_bucket and self.state.jobs[job_id_of(task.task_id)].cancelled
 
-    def _check_missing_attempts(self, contact: AgentContact, agent: AgentRuntime) -> None:
-        missing = [
-            task
-            for task in self.state.running_on(contact.agent_id)
-            if (task.task_id, task.attempt) not in agent.listed
-        ]
-        for task in missing:
-            is_replaced = contact.incarnation and contact.incarnation != task.incarnation
-            if is_replaced and not task.is_bucket:
-                self._end_attempt(task, AttemptEnd.ABSENT)
-            elif is_replaced or self._should_be_listed(task, contact):
-                # The agent reports the attempt as stopped and refuses grants that arrive later.
-                self._send_stop(task.agent_id, task.task_id, task.attempt, True)
-
-    def _should_be_listed(self, task: Task, contact: AgentContact) -> bool:
-        runtime = self.attempts[task.task_id]
-        if runtime.grant_state is GrantState.UNKNOWN:
-            return True
-        if runtime.grant_state is not GrantState.ACCEPTED:
-            return False
-        if contact.connection != runtime.answered_connection:
-            return True
-        # The agent may have sent the next heartbeat before it accepted the grant.
-        return contact.sequence >= runtime.answered_sequence + 2
-
-    def record_disconnect(self, agent_id: str) -> None:
-        """Mark the outstanding grants of a disconnected agent as unknown.
-
-        Its attempts count as running until their end is reported or proven.
-        """
-        for task in self.state.running_on(agent_id):
-            runtime = self.attempts[task.task_id]
-            if runtime.grant_state is GrantState.SENT:
-                runtime.grant_state = GrantState.UNKNOWN
-        if not self.state.running_on(agent_id):
-            self.agents.pop(agent_id, None)
+    # Stops and ends
 
     def stop_bucket(self, task_id: str) -> None:
         """Ask the home agent of a bucket to stop serving it."""
         task = self.state.running[task_id]
-        self._send_stop(task.agent_id, task_id, task.attempt, True)
+        self.send_stop(task.agent_id, task_id, task.attempt, True)
 
     def process_report(self, report: AttemptEndReport, now: float) -> int:
         """Record the end of an attempt, and return a ticket.
@@ -403,10 +315,31 @@
         if is_late and end not in (AttemptEnd.COMPLETED, AttemptEnd.EVICTED):
             return self.sequence
         checkpoint_fits = len(report.checkpoint.encode()) <= MAX_CHECKPOINT_BYTES
-        self._end_attempt(task, end, report.checkpoint if checkpoint_fits else "")
+        self.end_attempt(task, end, report.checkpoint if checkpoint_fits else "")
         self._back_off(task, end, now)
         return self.sequence
 
+    def end_attempt(self, task: Task, end: AttemptEnd, checkpoint: str = "") -> None:
+        """Record the end of a running attempt."""
+        ended = AttemptEnded(task.task_id, task.attempt, end, checkpoint)
+        self._add_event(ended)
+        if not task.is_bucket:
+            self.unprocessed_ends.append(ended)
+        self.attempts.pop(task.task_id, None)
+        if task.state != TaskState.WAITING:
+            self._clear_backoff(task.task_id)
+
+    def send_stop(
+        self, agent_id: str, task_id: str, attempt: int, keep_progress: bool = False
+    ) -> None:
+        """Ask an agent to stop an attempt."""
+        stop = StopRequest(agent_id, task_id, attempt, keep_progress)
+        # The stop may depend on events that are not committed yet, so it is sent after them.
+        if self.pending:
+            self.pending[-1].messages.append(stop)
+        else:
+            self.ready_messages.append(stop)
+
     # Grants
 
     def start_attempt(self, task: Task, agent_id: str, incarnation: str, size: Resources) -> None:
@@ -434,8 +367,8 @@
         task = self._task_with_queued_grant(task_id, attempt)
         if task is None:
             return False
-        if self._is_cancelled(task) or self.releasing:
-            self._end_attempt(task, AttemptEnd.REFUSED)
+        if self.is_cancelled(task) or self.releasing:
+            self.end_attempt(task, AttemptEnd.REFUSED)
             return False
         runtime = self.attempts[task_id]
         runtime.grant_state = GrantState.SENT
@@ -490,7 +423,7 @@
         count = min(self.refusal_counts.get(task.task_id, 0) + 1, 8)
         self.refusal_counts[task.task_id] = count
         self.not_before[task.task_id] = now + REFUSAL_BACKOFF_SECONDS * 2 ** (count - 1)
-        self._end_attempt(task, AttemptEnd.REFUSED)
+        self.end_attempt(task, AttemptEnd.REFUSED)
 
     # Timeouts
 
@@ -503,7 +436,7 @@
             if now >= self.attempts[task_id].expires_at(expiry_seconds)
         ]
         for task in expired:
-            self._end_attempt(task, AttemptEnd.EXPIRED)
+            self.end_attempt(task, AttemptEnd.EXPIRED)
         return len(expired)
 
     def may_start(self, task_id: str, now: float) -> bool:
@@ -512,15 +445,6 @@
 
     # Helpers
 
-    def _end_attempt(self, task: Task, end: AttemptEnd, checkpoint: str = "") -> None:
-        ended = AttemptEnded(task.task_id, task.attempt, end, checkpoint)
-        self._add_event(ended)
-        if not task.is_bucket:
-            self.unprocessed_ends.append(ended)
-        self.attempts.pop(task.task_id, None)
-        if task.state != TaskState.WAITING:
-            self._clear_backoff(task.task_id)
-
     def _affirm_ownership(self) -> int:
         # The commit of any event proves ownership, so repeated reports add no further events.
         return self.sequence if self.pending else self._add_event(OwnershipAffirmed())
@@ -537,16 +461,6 @@
         backoff_seconds = min(FIRST_BACKOFF_SECONDS * 2 ** (task.failures - 1), MAX_BACKOFF_SECONDS)
         self.not_before[task.task_id] = now + backoff_seconds
 
-    def _send_stop(
-        self, agent_id: str, task_id: str, attempt: int, keep_progress: bool = False
-    ) -> None:
-        stop = StopRequest(agent_id, task_id, attempt, keep_progress)
-        # The stop may depend on events that are not committed yet, so it is sent after them.
-        if self.pending:
-            self.pending[-1].messages.append(stop)
-        else:
-            self.ready_messages.append(stop)
-
     def _check_pending_limit(self) -> None:
         if len(self.pending) >= MAX_PENDING_EVENTS:
             raise commit_queue_full_error(self.state.number)
--- a/src/acaciastand_lab/bench_shard.py
+++ b/src/acaciastand_lab/bench_shard.py
@@ -18,6 +18,7 @@
 from acaciastand.resources import Resources
 from acaciastand.settings.edits import Edit, EditBatch
 from acaciastand.settings.repository import JOURNAL_NAME, SettingsRepository
+from acaciastand.shard.contacts import ContactProcessor
 from acaciastand.shard.events import AttemptEnd, AttemptEnded, AttemptStarted, Event
 from acaciastand.shard.job import JobSpec
 from acaciastand.shard.limits import MAX_TASKS, Timings
@@ -81,7 +82,7 @@
     views = [worker_view(number) for number in range(workers)]
     for view in views:
         contact = AgentContact(view.agent_id, view.incarnation, 1, 1, [])
-        shard.process_contact(contact, 0.0, ALWAYS)
+        ContactProcessor(shard).process(contact, 0.0, ALWAYS)
     journal = new_journal()
     journal.take_over()
     return BenchShard(shard, Scheduler(shard, 608, BestFit(), SizeEstimator()), journal, views)
@@ -231,11 +232,12 @@
         grants = grant_all(owned)
         epoch = owned.shard.state.epoch
         listed = [ListedAttempt(grant.task_id, grant.attempt, epoch) for grant in grants]
+        contacts = ContactProcessor(owned.shard)
         before = time.process_time()
         for sequence in range(2, CONTACTS + 2):
             view = owned.workers[0]
             contact = AgentContact(view.agent_id, view.incarnation, 1, sequence, listed)
-            assert len(owned.shard.process_contact(contact, float(sequence), ALWAYS)) == count
+            assert len(contacts.process(contact, float(sequence), ALWAYS)) == count
         values.append((time.process_time() - before) / CONTACTS)
     return fit("processor.renewal", "seconds per attempt", RENEWED, values)
 
