Time a crash by the start of the next incarnation, not by its answer

What was seen: 'A task that crashes each worker is given up although the owner is killed meanwhile' failed now and then with 4 crashes, where 3 are the bound.

Cause (suspected for the failure, measured for its condition): a worker that restarts at once answers the poll that its predecessor had got, at the end of the poll's wait. The agent took that answer for the moment of the crash. Two crashes are enough only if the last came within 0.25 s, three only if their points are similar; else a fourth is needed.

The agent now takes the start of the next incarnation by the host's clock, which the worker shares, where no failed call came before. Since that clock may jump, the result stays between the last sign of life of the crashed incarnation and the answer; the runs that are reported are the same as before. The limits of the scheduler, the bound and the check are as they were.

--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -112,6 +112,18 @@
     poll(context)
 
 
+@when(
+    "its worker restarts at once and answers {seconds:f} seconds later, "
+    "with the host's clock off by {jump:f} seconds"
+)
+def when_restarts_at_once(context, seconds, jump):
+    restarted_unix = (BORN_MS + 1_000) / 1000
+    unix = mock.patch.object(worker_controller, "now_unix", lambda: restarted_unix + seconds + jump)
+    context.stack.enter_context(unix)
+    context.now += seconds
+    when_reborn(context)
+
+
 @when("it hears of a new incarnation that refuses connections for {seconds:f} seconds")
 def when_announced_early(context, seconds):
     context.worker.born_ms += 1_000
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -35,6 +35,19 @@
     When its worker is there again with its runs
     Then it reports no crash
 
+  # A worker that restarted at once answered the poll that its predecessor had got. The crash counted as
+  # noticed only at the end of that poll, so crashes at the same point of a task's runs seemed to differ.
+  Scenario Outline: A crash is timed by the start of the next incarnation if that answers a poll in progress
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When its worker restarts at once and answers 0.35 seconds later, with the host's clock off by <jump> seconds
+    Then it reports a crash under runs of <old> and <new> seconds
+
+    Examples: The host's clock may jump; the crash stays between the last sign of life and the answer
+      | jump  | old  | new  |
+      | 0.0   | 5.0  | 0.02 |
+      | 60.0  | 4.98 | 0.0  |
+      | -60.0 | 5.35 | 0.37 |
+
   Scenario: A worker that leaves as announced has not crashed
     Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
     When its worker announces that it leaves
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent.event import AsyncResult, Event
 
-from acaciastand.cluster.clock import now
+from acaciastand.cluster.clock import now, now_unix
 from acaciastand.cluster.pace_sender import PaceSender
 from acaciastand.cluster.run_lease import RunLease
 from acaciastand.cluster.unanswered_starts import UnansweredStarts
@@ -439,7 +439,8 @@
     def _begin_incarnation(self, born_ms: int) -> None:
         logger.info("worker restarted", extra={"born_ms": born_ms, "former_ms": self.born_ms})
         if self.born_ms and not self._was_leaving():
-            self._record_crash()
+            age_seconds = now_unix() - born_ms / 1000
+            self._record_crash(now() - age_seconds)
         self.crash_witness.begin_incarnation(now())
         self.born_ms = born_ms
         self.identity = None  # The capacity may have changed; the next announcement states it.
@@ -455,9 +456,9 @@
         """Return whether the worker has announced that it leaves, so that its end is no crash."""
         return self.has_left or (self.identity is not None and self.identity.draining)
 
-    def _record_crash(self) -> None:
+    def _record_crash(self, restarted_at: float | None = None) -> None:
         """Record that the current incarnation of the worker has crashed."""
-        crash = self.crash_witness.record_crash(self.born_ms, now())
+        crash = self.crash_witness.record_crash(self.born_ms, now(), restarted_at)
         if crash is None:
             return
         self.metrics.count("worker_crashes")
--- a/src/acaciastand/workflow/crash_witness.py
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -27,6 +27,8 @@
     unconfirmed
         Task and number of those runs that may not have begun, since the worker has neither
         accepted their start nor listed them.
+    alive_at
+        When the last answered poll began.
     failed_at
         When the first call of the present series of failed calls failed; None after an answer.
     crashes
@@ -38,6 +40,7 @@
     def __init__(self) -> None:
         self.started_at: dict[tuple[str, int], float] = {}
         self.unconfirmed: set[tuple[str, int]] = set()
+        self.alive_at = float("-inf")
         self.failed_at: float | None = None
         self.crashes: list[WorkerCrash] = []
         self.crashed_ms = 0
@@ -58,6 +61,7 @@
 
     def record_poll(self, born_ms: int, running: Iterable[ActiveRun], began_at: float) -> None:
         """Record the runs that a poll, begun at `began_at`, lists."""
+        self.alive_at = began_at
         self.failed_at = None
         if born_ms == self.crashed_ms:
             self._withdraw_crash(born_ms)
@@ -76,15 +80,26 @@
         if self.failed_at is None:
             self.failed_at = now
 
-    def record_crash(self, born_ms: int, now: float) -> WorkerCrash | None:
+    def record_crash(
+        self, born_ms: int, now: float, restarted_at: float | None = None
+    ) -> WorkerCrash | None:
         """Record the crash of an incarnation of the worker.
 
+        Parameters
+        ----------
+        born_ms
+            Start time of the incarnation in Unix milliseconds.
+        now
+            When the agent noticed the crash.
+        restarted_at
+            When the next incarnation started by the host's clock; None if none is known.
+
         Returns
         -------
         WorkerCrash | None
             The crash; None if it is recorded already or no run was on the worker.
         """
-        crashed_at = now if self.failed_at is None else self.failed_at
+        crashed_at = self._crash_time(now, restarted_at)
         runs = [
             CrashedRun(task, run, crashed_at - started_at, (task, run) not in self.unconfirmed)
             for (task, run), started_at in self.started_at.items()
@@ -97,6 +112,19 @@
         self.crashes = [*self.crashes, crash][-MAX_CRASHES:]
         return crash
 
+    def _crash_time(self, now: float, restarted_at: float | None) -> float:
+        """Return when a crash came that is noticed at `now`.
+
+        A worker that restarts at once can answer a poll that was sent to its predecessor, at the
+        end of the poll's wait. The start of the next incarnation is closer to the crash then. The
+        host's clock may have jumped, so the result stays after the last sign of life.
+        """
+        if self.failed_at is not None:
+            return self.failed_at
+        if restarted_at is None:
+            return now
+        return min(now, max(restarted_at, self.alive_at, *self.started_at.values()))
+
     def _withdraw_crash(self, born_ms: int) -> None:
         """Forget the crash of a worker that answers again, since it only refused connections."""
         self.crashed_ms = 0
