--- a/features/steps/quarantine_bounds_steps.py
+++ b/features/steps/quarantine_bounds_steps.py
@@ -1,51 +1,15 @@
 """Steps for bounds of the time for which quarantine and isolation hold tasks back."""
 
 from behave import given, then, when
-from workflow_support import WorkflowWorld, step
+from quarantine_support import CORES, add_workers, fill_others
+from workflow_support import step
 
 from acaciastand.workflow.crashes import TaskCrash
 from acaciastand.workflow.worker import Standing
 
-CORES = 16.0
 LASTING = f"{0xAA:016x}.0.0.0"
 
 
-class ReviewWorld(WorkflowWorld):
-    """A world in which workers, or runs of jobs, fail by the next report."""
-
-    def __init__(self):
-        super().__init__()
-        self.completes = True
-        self.failing = set()
-        self.hopeless = set()
-
-    def report_all(self):
-        for agent_id, worker in self.workers.items():
-            for key in list(worker.running):
-                if agent_id in self.failing or key[:16] in self.hopeless:
-                    worker.end(key, "failed")
-        super().report_all()
-
-    def withhold_others(self, is_withheld):
-        for agent_id, view in self.scheduler.workers.items():
-            view.starts_withheld = is_withheld and agent_id != "1"
-
-    def fill_others(self):
-        count = len(self.workers) - 1
-        self.submit(f"{9:016x}", "watchers", step(count, CORES, continuous=True))
-        self.advance(0.3)
-
-    def standings(self):
-        return {view.standing for view in self.scheduler.workers.values()}
-
-
-def make_world(context, count=3, memory_mb=64_000):
-    world = context.world = ReviewWorld()
-    for number in range(count):
-        world.add_worker(str(number + 1), CORES, 64_000 if not number else memory_mb)
-    return world
-
-
 def start_batch(world, count, seconds):
     world.withhold_others(True)
     for number in range(count):
@@ -77,9 +41,9 @@
 
 @given("worker 1 of 3 is in quarantine with 10 runs that began before, and the others are full")
 def given_runs_before(context):
-    world = make_world(context)
+    world = add_workers(context, 3)
     keys = start_batch(world, 12, 5.0)
-    world.fill_others()
+    fill_others(world)
     fail_runs(context, keys[:2])
     context.keys = keys[2:]
 
@@ -103,9 +67,9 @@
 
 @given("worker 1 of 3 is in quarantine, it alone holds large tasks, and the others are full")
 def given_large(context):
-    world = make_world(context, memory_mb=8_000)
+    world = add_workers(context, 3, memory_mb=8_000)
     keys = start_batch(world, 2, 0.3)
-    world.fill_others()
+    fill_others(world)
     fail_runs(context, keys)
     for key in keys:
         world.scheduler.cancel_job(key[:16], world.now, world.now_unix)
@@ -123,10 +87,10 @@
 
 @given("worker 1 of 3 fails all that it starts for 6 seconds, and the others are away")
 def given_broken(context):
-    world = make_world(context)
+    world = add_workers(context, 3)
     world.failing = {"1"}
-    for agent_id in "23":
-        world.scheduler.workers[agent_id].reachable = False
+    for view in world.others():
+        view.reachable = False
 
 
 @when("12 jobs of tasks with 3 attempts are submitted")
@@ -148,9 +112,9 @@
 
 @given("runs of two jobs have failed on worker 1 of 3 after 8 seconds, and the others are full")
 def given_late_failures(context):
-    world = make_world(context)
+    world = add_workers(context, 3)
     keys = start_batch(world, 2, 8.0)
-    world.fill_others()
+    fill_others(world)
     fail_runs(context, keys)
     for key in keys:
         world.scheduler.cancel_job(key[:16], world.now, world.now_unix)
@@ -176,7 +140,7 @@
 
 @given("6 workers on which all runs of two jobs fail")
 def given_hopeless(context):
-    world = make_world(context, count=6)
+    world = add_workers(context, 6)
     for number in (0x30, 0x31):
         job_id = f"{number:016x}"
         world.hopeless.add(job_id)
@@ -194,14 +158,15 @@
 
 @then("all of these workers are trusted and ran other tasks")
 def then_all_trusted(context):
-    assert context.world.standings() == {Standing.TRUSTED}, context.world.standings()
+    standings = {view.standing for view in context.world.scheduler.workers.values()}
+    assert standings == {Standing.TRUSTED}, standings
     agents = {agent for key, _, agent in context.world.started if key[:16] >= f"{0x300:016x}"}
     assert agents == set(context.world.workers), agents
 
 
 @given("8 tasks that last have just started on a worker, and one other has room for them")
 def given_just_started(context):
-    world = make_world(context, count=1)
+    world = add_workers(context, 1)
     for number in range(8):
         world.submit(f"{0x40 + number:016x}", "watchers", step(1, 1.0, continuous=True))
     world.advance(0.8)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -3,7 +3,8 @@
 from behave import given, then, when
 from machines.failure_attribution_machine import JobSchedulerRulesMachine
 from machines.running import violation_of
-from workflow_support import QUEUES, WorkflowWorld, step
+from quarantine_support import JOB, add_workers, fail_jobs, fill_others
+from workflow_support import QUEUES, step
 
 from acaciastand.workflow.advice import Advice
 from acaciastand.workflow.catalog import Catalog, Queue
@@ -11,34 +12,11 @@
 from acaciastand.workflow.job import TaskState
 from acaciastand.workflow.worker import Standing
 
-JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
-CORES = 16.0
 ADVISED = Queue("advised", "h", "/advised/", "desk", 0, 3, 2.0, 1.0, True, 0.02, 0.002)
 EXAMPLES, STEPS = 60, 40
 
 
-class FailingWorld(WorkflowWorld):
-    """A world in which the workers in `failing` fail each run by the next report."""
-
-    def __init__(self):
-        super().__init__()
-        self.failing = set()
-        self.failed_runs = []
-        self.completes = True
-
-    def report_all(self):
-        for agent_id in self.failing:
-            worker = self.workers[agent_id]
-            for key in list(worker.running):
-                self.failed_runs.append((key, agent_id))
-                worker.end(key, "failed")
-        super().report_all()
-
-    def standing(self, agent_id):
-        return self.scheduler.workers[agent_id].standing
-
-
 def batch(count=1, cores=2.0, **fields):
     return step(count, cores, uses_leftover=True, **fields)
 
@@ -46,38 +24,13 @@
 KINDS = {
     "task that lasts": ("watchers", step(1, 4.0, continuous=True)),
     "task": ("checks", step(1, 4.0)),
-    "batch task": ("plans", step(1, 4.0)),
+    "batch task": ("plans", batch(1, 4.0)),
     "gang": ("checks", step(3, 4.0, gang=True)),
     "task that has failed": ("checks", step(1, 4.0)),
     "suspect of a crash": ("watchers", step(1, 4.0, continuous=True)),
 }
 
 
-def add_workers(context, count):
-    context.world = FailingWorld()
-    for number in range(count):
-        context.world.add_worker(str(number + 1), CORES)
-
-
-def fail_jobs(world, agent_id, jobs=6):
-    """Have runs of some jobs on a worker fail within one report."""
-    others = [view for view in world.scheduler.workers.values() if view.agent_id != agent_id]
-    for view in others:
-        view.starts_withheld = True
-    for number in range(jobs):
-        world.submit(f"{number:016x}", "checks", step(1, 1.0))
-    world.plan()
-    assert len(world.workers[agent_id].running) == jobs
-    for key in list(world.workers[agent_id].running):
-        world.workers[agent_id].end(key, "failed")
-    world.report(agent_id)
-    for number in range(jobs):
-        world.scheduler.cancel_job(f"{number:016x}", world.now, world.now_unix)
-    for view in others:
-        view.starts_withheld = False
-    world.plan()
-
-
 @given("worker 1 of {count:d} has failed 6 runs of different jobs at once and is sound again")
 def given_sound_again(context, count):
     add_workers(context, count)
@@ -86,15 +39,10 @@
 
 @given("the others are {other}")
 def given_others(context, other):
-    others = [view for view in context.world.scheduler.workers.values() if view.agent_id != "1"]
-    if other == "away":
-        for view in others:
-            view.reachable = False
-        return
-    lasting = step(len(others), CORES, continuous=True)
-    context.world.submit("00000000000000bb", "watchers", lasting)
-    context.world.plan()
-    assert set(context.world.running().values()) == {view.agent_id for view in others}
+    if other == "full":
+        return fill_others(context.world)
+    for view in context.world.others():
+        view.reachable = False
 
 
 @when("a {kind} is submitted")
