--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -23,6 +23,10 @@
 StartCallback = Callable[[Task, WorkerView, int], StartDecision]
 
 
+# Job, step, avoided agent, suspicion, number of failures, and whether the task has waited for long.
+TaskGroup = tuple[str, int, str, bool, int, bool]
+
+
 class StartRound:
     """One round of starts.
 
@@ -74,7 +78,7 @@
         self.start = start
         self.now = now
         self.starts: list[StartDecision] = []
-        self.exhausted: set[tuple[str, int, str, bool, int]] = set()
+        self.exhausted: set[TaskGroup] = set()
         self.has_place: set[str] = set()
 
 
@@ -167,7 +171,7 @@
     ) -> None:
         """Start the tasks that fit on the workers that `find_workers` returns for each."""
         for task, queue in rows:
-            group = _group(task)
+            group = _group(task, planning.now)
             if (
                 task.key not in planning.waiting
                 or group in planning.exhausted
@@ -273,7 +277,7 @@
         ]
 
 
-def _group(task: Task) -> tuple[str, int, str, bool, int]:
+def _group(task: Task, now: float) -> TaskGroup:
     """Return what the tasks share of which no further one finds a place once one has found none."""
     return (
         task.job.job_id,
@@ -281,6 +285,7 @@
         task.avoided_agent_id,
         is_suspect(task.crashes),
         task.failures,
+        task.is_held(now),
     )
 
 
