Count no run of the next incarnation of a worker under the crash of the former one (LOST)

Cause: a worker that restarts at once answers the poll of its predecessor up to 0.35 s later. A run that was started in between is on the new incarnation, but the agent counted it under the crash, since at its very start. Two crashes at the start of isolated runs are enough to give a task up, so a sound task with one real crash could be given up.

The crash is timed by the start of the next incarnation, not before the last sign of life, and runs that were started later stay tracked for that incarnation.

--- a/features/steps/crash_witness_steps.py
+++ b/features/steps/crash_witness_steps.py
@@ -124,6 +124,14 @@
     when_reborn(context)
 
 
+@when("its worker restarts at once, accepts another run and answers {seconds:f} seconds later")
+def when_starts_on_next(context, seconds):
+    context.now += 0.1
+    start(context, f"{'c' * 16}.0.0.0")
+    context.now -= 0.1
+    when_restarts_at_once(context, seconds, 0.0)
+
+
 @when("it hears of a new incarnation that refuses connections for {seconds:f} seconds")
 def when_announced_early(context, seconds):
     context.worker.born_ms += 1_000
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -48,6 +48,12 @@
       | 60.0  | 4.98 | 0.0  |
       | -60.0 | 5.35 | 0.37 |
 
+  # A sound task was given up: a run that began after the restart counted as crashed at its start.
+  Scenario: A run that began on the next incarnation is not under the crash of the former one
+    Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
+    When its worker restarts at once, accepts another run and answers 0.35 seconds later
+    Then it reports a crash under runs of 5.0 and 0.02 seconds
+
   Scenario: A worker that leaves as announced has not crashed
     Given an agent with a run of 5.0 seconds and one of 0.02 seconds on its worker
     When its worker announces that it leaves
--- a/src/acaciastand/cluster/worker_controller.py
+++ b/src/acaciastand/cluster/worker_controller.py
@@ -444,10 +444,10 @@
 
     def _begin_incarnation(self, born_ms: int) -> None:
         logger.info("worker restarted", extra={"born_ms": born_ms, "former_ms": self.born_ms})
+        restarted_at = now() - (now_unix() - born_ms / 1000)
         if self.born_ms and not self._was_leaving():
-            age_seconds = now_unix() - born_ms / 1000
-            self._record_crash(now() - age_seconds)
-        self.crash_witness.begin_incarnation(now())
+            self._record_crash(restarted_at)
+        self.crash_witness.begin_incarnation(now(), restarted_at)
         self.born_ms = born_ms
         self.identity = None  # The capacity may have changed; the next announcement states it.
         self.acknowledged = 0
--- a/src/acaciastand/workflow/crash_witness.py
+++ b/src/acaciastand/workflow/crash_witness.py
@@ -9,6 +9,8 @@
 # Age of a run that was on the worker before the agent started, which has not seen its start.
 UNSEEN_START_SECONDS = 3600.0
 MAX_CRASHES = 8  # Crashes that are kept while their consequences are not stored.
+# Error with which the start of an incarnation is known from the host's clock.
+CLOCK_ERROR_SECONDS = 0.01
 
 
 class CrashWitness:
@@ -101,9 +103,14 @@
         """
         crashed_at = self._crash_time(now, restarted_at)
         runs = [
-            CrashedRun(task, run, crashed_at - started_at, (task, run) not in self.unconfirmed)
+            CrashedRun(
+                task,
+                run,
+                max(0.0, crashed_at - started_at),
+                (task, run) not in self.unconfirmed,
+            )
             for (task, run), started_at in self.started_at.items()
-            if started_at <= crashed_at
+            if started_at <= crashed_at + CLOCK_ERROR_SECONDS
         ]
         if not runs or born_ms == self.crashed_ms:
             return None
@@ -116,23 +123,27 @@
         """Return when a crash came that is noticed at `now`.
 
         A worker that restarts at once can answer a poll that was sent to its predecessor, at the
-        end of the poll's wait. The start of the next incarnation is closer to the crash then. The
-        host's clock may have jumped, so the result stays after the last sign of life.
+        end of the poll's wait. The start of the next incarnation is closer to the crash then, and
+        runs that began after it are on that incarnation. The host's clock may have jumped, so the
+        result stays after the last sign of life.
         """
         if self.failed_at is not None:
             return self.failed_at
         if restarted_at is None:
             return now
-        return min(now, max(restarted_at, self.alive_at, *self.started_at.values()))
+        return min(now, max(restarted_at, self.alive_at))
 
     def _withdraw_crash(self, born_ms: int) -> None:
         """Forget the crash of a worker that answers again, since it only refused connections."""
         self.crashed_ms = 0
         self.crashes = [crash for crash in self.crashes if crash.born_ms != born_ms]
 
-    def begin_incarnation(self, now: float) -> None:
-        """Forget the runs that were started before the former incarnation of the worker ended."""
-        ended_at = now if self.failed_at is None else self.failed_at
+    def begin_incarnation(self, now: float, restarted_at: float | None = None) -> None:
+        """Forget the runs that were started before the former incarnation of the worker ended.
+
+        The parameters are as for `record_crash`.
+        """
+        ended_at = self._crash_time(now, restarted_at) + CLOCK_ERROR_SECONDS
         self.started_at = {
             key: started_at for key, started_at in self.started_at.items() if started_at > ended_at
         }
