Count what may be on a worker towards the limit of a step (ROUTE)

Cause, by reading: the limit counted the tasks that are assigned to the worker. A run that is being stopped without being tracked was left out, and since the siblings of a task whose start by a former owner may still take effect no longer wait for it.

Both count now. The two rows of the new scenario failed before (the sibling was started there) and pass.

--- a/features/steps/unsettled_start_steps.py
+++ b/features/steps/unsettled_start_steps.py
@@ -13,12 +13,14 @@
 from acaciastand.cluster.run_reports import MAX_UNSETTLED_STARTS, decode_report, encode_report
 from acaciastand.platform.http import CallTimedOut
 from acaciastand.wire.codec import decode, encode
+from acaciastand.workflow.job import TaskState
 from acaciastand.workflow.reports import (
     AgentReport,
     PollPosition,
     StartCommand,
     WorkerIdentity,
 )
+from acaciastand.workflow.worker import LeavingRun
 
 FIRST = "00000000000000aa.0.0.0"  # The task that the agent of `lease_support` starts.
 OTHER = "00000000000000bb.0.0.0"
@@ -205,3 +207,28 @@
 def then_former_owner(context):
     report = receive(frame_of(UNSETTLED)[:-1])
     assert not report.settled and not report.unsettled_starts
+
+
+@given("a worker on which a task has {what}, and a sibling that may not run beside it")
+def given_sibling(context, what):
+    context.world = world = WorkflowWorld()
+    world.add_worker("1")
+    job = world.submit(FIRST.partition(".")[0], "checks", step(2, max_per_worker=1))
+    view, task = world.scheduler.workers["1"], job.tasks[FIRST]
+    if "being stopped" in what:
+        view.leaving_runs[(FIRST, 1)] = LeavingRun(task.step.reserved, world.now + 60.0)
+        return
+    view.unsettled_starts.add((FIRST, 1))
+    world.scheduler.forget_waiting(task)
+    task.state = TaskState.UNCERTAIN
+    world.scheduler.uncertain[FIRST] = task
+
+
+@when("the sibling could start")
+def when_sibling(context):
+    context.world.plan()
+
+
+@then("it does not start on that worker")
+def then_no_sibling(context):
+    assert not context.world.started, context.world.started
--- a/features/unsettled_starts.feature
+++ b/features/unsettled_starts.feature
@@ -81,3 +81,14 @@
     Then nothing starts
     When the start has settled
     Then the task runs again
+
+  # A task was started beside two others of its step although two may be on one worker.
+  Scenario Outline: A sibling with <what> counts towards the limit of its step
+    Given a worker on which a task has <what>, and a sibling that may not run beside it
+    When the sibling could start
+    Then it does not start on that worker
+
+    Examples:
+      | what                                    |
+      | a start that may still take effect      |
+      | an untracked run that is being stopped  |
--- a/src/acaciastand/workflow/placement.py
+++ b/src/acaciastand/workflow/placement.py
@@ -72,7 +72,7 @@
 
 
 def exceeds_step_limit(task: Task, worker: WorkerView) -> bool:
-    """Return whether a worker has as many tasks of the step of a task as the step allows."""
+    """Return whether a worker may have as many tasks of the step of a task as the step allows."""
     limit = task.step.max_per_worker
     return bool(limit) and _count_same_step(task, worker) >= limit
 
@@ -89,12 +89,13 @@
 
 
 def _count_same_step(task: Task, worker: WorkerView) -> int:
-    step_key = (task.name.occurrence, task.name.step)
-    return sum(
-        1
-        for other in worker.tasks.values()
-        if other.job is task.job and (other.name.occurrence, other.name.step) == step_key
-    )
+    """Return the number of tasks of the same step that may be on a worker.
+
+    Runs that are being stopped, and starts of former owners that may take effect, count as well.
+    """
+    step_prefix = task.key.rpartition(".")[0] + "."
+    untracked = (key for key, _ in (*worker.leaving_runs, *worker.unsettled_starts))
+    return sum(key.startswith(step_prefix) for key in {*worker.tasks, *untracked})
 
 
 class SpreadPlacement(Placement):
