--- a/src/acaciastand/cluster/repeated_stops.py
+++ b/src/acaciastand/cluster/repeated_stops.py
@@ -7,9 +7,9 @@
 import gevent
 
 from acaciastand.cluster.clock import now
+from acaciastand.cluster.unanswered_starts import RunKey
 from acaciastand.workflow.limits import RUN_LEASE_SECONDS
 
-RunKey = tuple[str, int]  # Task and number of the run.
 PAUSE_SECONDS = 0.4  # Pause between two stops of the same run.
 
 
--- a/src/acaciastand/workflow/exclusions.py
+++ b/src/acaciastand/workflow/exclusions.py
@@ -31,7 +31,7 @@
     STEP_LIMIT = "limit of the step"
     NO_CAPACITY = "no capacity"
     STOPPING_RUNS = "capacity of runs being stopped"
-    PLACEMENT = "policy on placement"  # Such as no leftover time, or services at their limits.
+    PLACEMENT = "policy on placement"  # No leftover time is free, or services are at their limits.
 
 
 EXCLUSION_BY_STANDING = {
--- a/src/acaciastand/workflow/starts.py
+++ b/src/acaciastand/workflow/starts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import NamedTuple
 
 from acaciastand.workflow.advice import AdviceCache
 from acaciastand.workflow.catalog import Catalog, Queue
@@ -23,8 +24,15 @@
 StartCallback = Callable[[Task, WorkerView, int], StartDecision]
 
 
-# Job, step, avoided agent, suspicion, number of failures, and whether the task has waited for long.
-TaskGroup = tuple[str, int, str, bool, int, bool]
+class TaskGroup(NamedTuple):
+    """What the tasks share of which no further one finds a place once one has found none."""
+
+    job_id: str
+    step: int
+    avoided_agent_id: str
+    is_suspected: bool
+    failures: int
+    is_held: bool
 
 
 class StartRound:
@@ -278,8 +286,7 @@
 
 
 def _group(task: Task, now: float) -> TaskGroup:
-    """Return what the tasks share of which no further one finds a place once one has found none."""
-    return (
+    return TaskGroup(
         task.job.job_id,
         task.name.step,
         task.avoided_agent_id,
